--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/burn/BurnHistory.java
@@ -0,0 +1,73 @@
+package org.wagtailproxy.burn;
+
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Counts by the minute for the longest window.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class BurnHistory {
+
+    private static final int BUCKETS = BurnWindow.SIX_HOURS.minutes() + 1;
+
+    private final long[] mMinutes = new long[BUCKETS];
+    private final long[] mMet = new long[BUCKETS];
+    private final long[] mMissed = new long[BUCKETS];
+
+    private BurnHistory() {
+        Arrays.fill(mMinutes, Long.MIN_VALUE);
+    }
+
+    /**
+     * Creates an empty history.
+     *
+     * @return the history, never null
+     */
+    public static BurnHistory of() {
+        return new BurnHistory();
+    }
+
+    /**
+     * Counts one job.
+     *
+     * @param met whether it met its objective
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public synchronized void record(boolean met, long nowNanos) {
+        long minute = TimeUnit.NANOSECONDS.toMinutes(nowNanos);
+        int bucket = Math.floorMod(minute, BUCKETS);
+        if (mMinutes[bucket] != minute) {
+            mMinutes[bucket] = minute;
+            mMet[bucket] = 0;
+            mMissed[bucket] = 0;
+        }
+        if (met) {
+            mMet[bucket]++;
+        } else {
+            mMissed[bucket]++;
+        }
+    }
+
+    /**
+     * Sums a window that ends now.
+     *
+     * @param window the window, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the counts, never null
+     */
+    public synchronized BurnCount count(BurnWindow window, long nowNanos) {
+        long last = TimeUnit.NANOSECONDS.toMinutes(nowNanos);
+        long first = last - window.minutes();
+        long met = 0;
+        long missed = 0;
+        for (int bucket = 0; bucket < BUCKETS; bucket++) {
+            if (mMinutes[bucket] > first && mMinutes[bucket] <= last) {
+                met += mMet[bucket];
+                missed += mMissed[bucket];
+            }
+        }
+        return BurnCount.of(met, missed);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/burn/package-info.java
@@ -0,0 +1,2 @@
+/** Counts against service-level objectives and their burn rates. */
+package org.wagtailproxy.burn;
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/configuration/ResourceKind.java
@@ -0,0 +1,36 @@
+package org.wagtailproxy.configuration;
+
+import io.vavr.control.Option;
+import java.util.Locale;
+
+/** The kinds of resource that operators declare. */
+public enum ResourceKind {
+    /** How the backend servers of one service are used. */
+    SERVICE,
+    /** The quota and weight of one team. */
+    TEAM;
+
+    /**
+     * Returns the word used in addresses and keys.
+     *
+     * @return the lower-case word, never null
+     */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Parses the word.
+     *
+     * @param word the word, may be null
+     * @return the kind, none if there is no such kind
+     */
+    public static Option<ResourceKind> parse(String word) {
+        for (ResourceKind kind : values()) {
+            if (kind.word().equals(word)) {
+                return Option.some(kind);
+            }
+        }
+        return Option.none();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/configuration/TeamSpec.java
@@ -0,0 +1,29 @@
+package org.wagtailproxy.configuration;
+
+/**
+ * What operators declare of a team.
+ *
+ * @param quota tasks in flight over all instances, 1 or more
+ * @param weight weight against other teams, 1 or more
+ */
+public record TeamSpec(int quota, int weight) {
+
+    /** Checks the components. */
+    public TeamSpec {
+        if (quota < 1 || weight < 1) {
+            throw new IllegalArgumentException("quota or weight is below 1");
+        }
+    }
+
+    /**
+     * Creates a specification.
+     *
+     * @param quota tasks in flight over all instances, 1 or more
+     * @param weight weight against other teams, 1 or more
+     * @return the specification, never null
+     * @throws IllegalArgumentException if a value is out of range
+     */
+    public static TeamSpec of(int quota, int weight) {
+        return new TeamSpec(quota, weight);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Declared resources and the merge of their versions. */
+package org.wagtailproxy.configuration;
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/dispatch/Assignment.java
@@ -0,0 +1,29 @@
+package org.wagtailproxy.dispatch;
+
+import java.util.Objects;
+
+/**
+ * A task and the backend server that it is to be sent to.
+ *
+ * @param task the task, not null
+ * @param runner the backend server, not null
+ */
+public record Assignment(QueuedTask task, RunnerId runner) {
+
+    /** Checks the components. */
+    public Assignment {
+        Objects.requireNonNull(task, "task");
+        Objects.requireNonNull(runner, "runner");
+    }
+
+    /**
+     * Creates an assignment.
+     *
+     * @param task the task, not null
+     * @param runner the backend server, not null
+     * @return the assignment, never null
+     */
+    public static Assignment of(QueuedTask task, RunnerId runner) {
+        return new Assignment(task, runner);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/dispatch/ExpectedCompletionChoice.java
@@ -0,0 +1,70 @@
+package org.wagtailproxy.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import org.wagtailproxy.identity.DataCentre;
+
+/**
+ * Takes the backend server on which the task is expected to complete first, and lets it wait when a
+ * faster one is expected to come free in time.
+ */
+final class ExpectedCompletionChoice implements RunnerChoice {
+
+    private final DataCentre mHome;
+    private final double mRemotePenalty;
+    private final double mPatience;
+
+    /**
+     * Creates the choice.
+     *
+     * @param home the data centre of this instance
+     * @param remotePenalty slowness added for a backend server in another data centre
+     * @param patience share of the expected gain that is waited for, from 0 (never wait) to 1
+     */
+    ExpectedCompletionChoice(DataCentre home, double remotePenalty, double patience) {
+        mHome = home;
+        mRemotePenalty = remotePenalty;
+        mPatience = patience;
+    }
+
+    @Override
+    public Optional<RunnerState> choose(List<RunnerState> free, List<RunnerState> all, int queued) {
+        RunnerState best = free.get(0);
+        for (RunnerState each : free) {
+            if (cost(each) < cost(best)) {
+                best = each;
+            }
+        }
+        double now = cost(best);
+        return waitingIsBetter(now, all, queued) ? Optional.empty() : Optional.of(best);
+    }
+
+    @Override
+    public boolean usesShares() {
+        return true;
+    }
+
+    private double cost(RunnerState runner) {
+        double penalty = runner.listing().dataCentre().equals(mHome) ? 0 : mRemotePenalty;
+        return runner.slowness() + penalty;
+    }
+
+    /** Compares running now with waiting for a place on the backend servers that are faster. */
+    private boolean waitingIsBetter(double now, List<RunnerState> all, int queued) {
+        double rate = 0;
+        double weighted = 0;
+        for (RunnerState each : all) {
+            double cost = cost(each);
+            if (cost < now && each.share() > 0) {
+                double completions = each.share() / each.slowness();
+                rate += completions;
+                weighted += completions * cost;
+            }
+        }
+        if (rate == 0) {
+            return false;
+        }
+        double waiting = queued / rate + weighted / rate;
+        return waiting < now * mPatience;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/dispatch/FairQueue.java
@@ -0,0 +1,113 @@
+package org.wagtailproxy.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.identity.TeamName;
+
+/**
+ * Queues tasks by team and serves the team with the least weighted work in flight.
+ *
+ * <p>Within a team tasks are served in the order of their arrival; a task that was not run goes
+ * back to the front. Not safe for use by several threads; the owner holds a lock.
+ */
+final class FairQueue {
+
+    private final Map<TeamName, Deque<QueuedTask>> mByTeam = new TreeMap<>();
+    private final Map<TeamName, Integer> mInFlight = new TreeMap<>();
+    private int mSize;
+
+    int size() {
+        return mSize;
+    }
+
+    int size(TeamName team) {
+        Deque<QueuedTask> queue = mByTeam.get(team);
+        return queue == null ? 0 : queue.size();
+    }
+
+    Map<TeamName, Integer> demandByTeam() {
+        Map<TeamName, Integer> demand = new TreeMap<>(mInFlight);
+        mByTeam.forEach((team, queue) -> demand.merge(team, queue.size(), Integer::sum));
+        return demand;
+    }
+
+    void addLast(QueuedTask task) {
+        mByTeam.computeIfAbsent(task.team(), team -> new ArrayDeque<>()).addLast(task);
+        mSize++;
+    }
+
+    void addFirst(QueuedTask task) {
+        mByTeam.computeIfAbsent(task.team(), team -> new ArrayDeque<>()).addFirst(task);
+        mSize++;
+    }
+
+    /** Returns the next task of the team that is furthest behind among those allowed. */
+    Optional<QueuedTask> peek(Predicate<TeamName> allowed, ToIntFunction<TeamName> weight) {
+        TeamName best = null;
+        double least = Double.MAX_VALUE;
+        for (Map.Entry<TeamName, Deque<QueuedTask>> entry : mByTeam.entrySet()) {
+            TeamName team = entry.getKey();
+            if (entry.getValue().isEmpty() || !allowed.test(team)) {
+                continue;
+            }
+            double share = inFlight(team) / (double) Math.max(1, weight.applyAsInt(team));
+            if (share < least) {
+                least = share;
+                best = team;
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(mByTeam.get(best).peekFirst());
+    }
+
+    /** Removes the task that {@link #peek} returned and counts it as in flight. */
+    void start(QueuedTask task) {
+        mByTeam.get(task.team()).removeFirst();
+        mSize--;
+        mInFlight.merge(task.team(), 1, Integer::sum);
+    }
+
+    void finish(TeamName team) {
+        mInFlight.computeIfPresent(team, (key, count) -> count <= 1 ? null : count - 1);
+    }
+
+    int inFlight(TeamName team) {
+        return mInFlight.getOrDefault(team, 0);
+    }
+
+    int removeJob(JobName job) {
+        int removed = 0;
+        for (Deque<QueuedTask> queue : mByTeam.values()) {
+            int before = queue.size();
+            queue.removeIf(task -> task.task().job().equals(job));
+            removed += before - queue.size();
+        }
+        mSize -= removed;
+        return removed;
+    }
+
+    List<QueuedTask> removeExpired(long nowNanos) {
+        List<QueuedTask> expired = new ArrayList<>();
+        for (Deque<QueuedTask> queue : mByTeam.values()) {
+            Iterator<QueuedTask> each = queue.iterator();
+            while (each.hasNext()) {
+                QueuedTask task = each.next();
+                if (nowNanos - task.deadlineNanos() >= 0) {
+                    each.remove();
+                    expired.add(task);
+                }
+            }
+        }
+        mByTeam.values().removeIf(Deque::isEmpty);
+        mSize -= expired.size();
+        return expired;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/dispatch/QueuedTask.java
@@ -0,0 +1,46 @@
+package org.wagtailproxy.dispatch;
+
+import java.util.Objects;
+import org.wagtailproxy.identity.TeamName;
+
+/**
+ * A task that waits to be started.
+ *
+ * @param task which task, not null
+ * @param team who pays for it, not null
+ * @param declaredMilliseconds its declared run time, 1 or more
+ * @param attempts how often it was refused without having been run
+ * @param deadlineNanos the monotonic time after which it ends as not run
+ */
+public record QueuedTask(
+        TaskRef task, TeamName team, long declaredMilliseconds, int attempts, long deadlineNanos) {
+
+    /** Checks the components. */
+    public QueuedTask {
+        Objects.requireNonNull(task, "task");
+        Objects.requireNonNull(team, "team");
+    }
+
+    /**
+     * Creates a task that has not been tried.
+     *
+     * @param task which task, not null
+     * @param team who pays for it, not null
+     * @param declaredMilliseconds its declared run time, 1 or more
+     * @param deadlineNanos the monotonic time after which it ends as not run
+     * @return the task, never null
+     */
+    public static QueuedTask of(
+            TaskRef task, TeamName team, long declaredMilliseconds, long deadlineNanos) {
+        return new QueuedTask(task, team, declaredMilliseconds, 0, deadlineNanos);
+    }
+
+    /**
+     * Counts one more attempt that was not run.
+     *
+     * @return the task with the attempt counted, never null
+     */
+    public QueuedTask triedAgain() {
+        return new QueuedTask(task, team, declaredMilliseconds, attempts + 1, deadlineNanos);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/dispatch/RunnerListing.java
@@ -0,0 +1,37 @@
+package org.wagtailproxy.dispatch;
+
+import java.util.Objects;
+import org.wagtailproxy.identity.DataCentre;
+
+/**
+ * A backend server as the platform lists it.
+ *
+ * @param id the backend server, not null
+ * @param dataCentre where it stands, not null
+ * @param slots how many tasks it runs at once, 1 or more
+ * @param leaving whether it is to receive no new work
+ */
+public record RunnerListing(RunnerId id, DataCentre dataCentre, int slots, boolean leaving) {
+
+    /** Checks the components. */
+    public RunnerListing {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        if (slots < 1) {
+            throw new IllegalArgumentException("slots is below 1");
+        }
+    }
+
+    /**
+     * Creates a listing.
+     *
+     * @param id the backend server, not null
+     * @param dataCentre where it stands, not null
+     * @param slots how many tasks it runs at once, 1 or more
+     * @param leaving whether it is to receive no new work
+     * @return the listing, never null
+     */
+    public static RunnerListing of(RunnerId id, DataCentre dataCentre, int slots, boolean leaving) {
+        return new RunnerListing(id, dataCentre, slots, leaving);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/identity/HostAddress.java
@@ -0,0 +1,70 @@
+package org.wagtailproxy.identity;
+
+import io.vavr.control.Option;
+import java.util.regex.Pattern;
+
+/**
+ * An IP number and a port.
+ *
+ * @param host the IP number in text form, not null
+ * @param port the port, 1 to 65535
+ */
+public record HostAddress(String host, int port) implements Comparable<HostAddress> {
+
+    private static final Pattern HOST = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}");
+    private static final int MAXIMUM_PORT = 65_535;
+    private static final int MAXIMUM_DIGITS = 5;
+
+    /** Checks the components. */
+    public HostAddress {
+        if (!HOST.matcher(host).matches()) {
+            throw new IllegalArgumentException("host is not an IP number");
+        }
+        if (port < 1 || port > MAXIMUM_PORT) {
+            throw new IllegalArgumentException("port is not within 1 to 65535");
+        }
+    }
+
+    /**
+     * Creates an address.
+     *
+     * @param host the IP number, not null
+     * @param port the port, 1 to 65535
+     * @return the address, never null
+     */
+    public static HostAddress of(String host, int port) {
+        return new HostAddress(host, port);
+    }
+
+    /**
+     * Parses the text form {@code host:port}.
+     *
+     * @param text the text, may be null
+     * @return the address, or none if the text is something else
+     */
+    public static Option<HostAddress> parse(String text) {
+        int split = text == null ? -1 : text.indexOf(':');
+        if (split < 1 || !HOST.matcher(text.substring(0, split)).matches()) {
+            return Option.none();
+        }
+        String digits = text.substring(split + 1);
+        if (digits.length() > MAXIMUM_DIGITS || !digits.matches("[0-9]+")) {
+            return Option.none();
+        }
+        int port = Integer.parseInt(digits);
+        return port < 1 || port > MAXIMUM_PORT
+                ? Option.none()
+                : Option.some(of(text.substring(0, split), port));
+    }
+
+    @Override
+    public int compareTo(HostAddress other) {
+        int order = host.compareTo(other.host);
+        return order != 0 ? order : Integer.compare(port, other.port);
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/identity/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for the names and ids that every part of the dispatcher shares. */
+package org.wagtailproxy.identity;
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/job/JobLedger.java
@@ -0,0 +1,283 @@
+package org.wagtailproxy.job;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.JobName;
+
+/**
+ * Accounts for every task of one job and derives its single end.
+ *
+ * <p>A task is started at most once unless it was provably not run. The first final failure settles
+ * the job as failed: tasks that are still queued are ended as not run. Not safe for use by several
+ * threads; the owner holds a lock.
+ */
+public final class JobLedger {
+
+    private final JobName mName;
+    private final JobSpec mSpec;
+    private final ContentDigest mDigest;
+    private final long mAcceptedNanos;
+    private final TaskState[] mStates;
+    private final String[] mAnswers;
+    private final List<List<TaskEvent>> mEvents;
+    private Option<Failure> mFailure = Option.none();
+    private int mOpenTasks;
+
+    private JobLedger(JobName name, JobSpec spec, long acceptedNanos) {
+        mName = name;
+        mSpec = spec;
+        mDigest = spec.digest();
+        mAcceptedNanos = acceptedNanos;
+        mOpenTasks = spec.tasks().size();
+        mStates = new TaskState[mOpenTasks];
+        mAnswers = new String[mOpenTasks];
+        mEvents = new ArrayList<>(mOpenTasks);
+        for (int index = 0; index < mStates.length; index++) {
+            mStates[index] = TaskState.QUEUED;
+            mEvents.add(new ArrayList<>(2));
+        }
+    }
+
+    /**
+     * Opens the ledger of an accepted job.
+     *
+     * @param name the name, not null
+     * @param spec the job, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the ledger, never null
+     */
+    public static JobLedger of(JobName name, JobSpec spec, long nowNanos) {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(spec, "spec");
+        return new JobLedger(name, spec, nowNanos);
+    }
+
+    /**
+     * Records the start of a task.
+     *
+     * @param index the position of the task
+     * @param backendServer where it goes, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return true if the task may be sent, false if it has been started or ended before
+     */
+    public boolean start(int index, String backendServer, long nowNanos) {
+        if (mStates[index] != TaskState.QUEUED) {
+            return false;
+        }
+        mStates[index] = TaskState.SENT;
+        record(index, TaskEvent.Kind.SENT, backendServer, "", nowNanos);
+        return true;
+    }
+
+    /**
+     * Queues a task again that was provably not run.
+     *
+     * @param index the position of the task
+     * @param backendServer who did not run it, not null
+     * @param reason why, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return true if the task is queued, false if the job has settled and the task is ended
+     */
+    public boolean queueAgain(int index, String backendServer, String reason, long nowNanos) {
+        if (mStates[index] != TaskState.SENT) {
+            return false;
+        }
+        if (mFailure.isDefined()) {
+            end(index, TaskState.NOT_RUN, backendServer, reason, nowNanos);
+            return false;
+        }
+        mStates[index] = TaskState.QUEUED;
+        record(index, TaskEvent.Kind.QUEUED_AGAIN, backendServer, reason, nowNanos);
+        return true;
+    }
+
+    /**
+     * Records the answer of a task.
+     *
+     * @param index the position of the task
+     * @param backendServer who answered, not null
+     * @param answer the answer, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void answer(int index, String backendServer, String answer, long nowNanos) {
+        if (mStates[index] != TaskState.SENT) {
+            return;
+        }
+        mStates[index] = TaskState.ANSWERED;
+        mAnswers[index] = Objects.requireNonNull(answer, "answer");
+        mOpenTasks--;
+        record(index, TaskEvent.Kind.ANSWERED, backendServer, "", nowNanos);
+    }
+
+    /**
+     * Ends a task without an answer, and with it the job.
+     *
+     * @param index the position of the task
+     * @param backendServer the backend server concerned, empty if none
+     * @param failure why, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void fail(int index, String backendServer, Failure failure, long nowNanos) {
+        if (mStates[index].isFinal()) {
+            return;
+        }
+        end(index, finalState(failure), backendServer, failure.kind().slug(), nowNanos);
+        failJob(failure, nowNanos);
+    }
+
+    /**
+     * Fails the job: queued tasks end as not run, sent ones are awaited.
+     *
+     * @param failure why, not null; ignored if the job has failed or settled before
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void failJob(Failure failure, long nowNanos) {
+        Objects.requireNonNull(failure, "failure");
+        if (mFailure.isDefined() || (mOpenTasks == 0 && allAnswered())) {
+            return;
+        }
+        mFailure = Option.some(failure);
+        for (int index = 0; index < mStates.length; index++) {
+            if (mStates[index] == TaskState.QUEUED) {
+                end(index, TaskState.NOT_RUN, "", failure.kind().slug(), nowNanos);
+            }
+        }
+    }
+
+    /**
+     * Tests whether every task has a final state.
+     *
+     * @return true if the end of the job is determined
+     */
+    public boolean isSettled() {
+        return mOpenTasks == 0;
+    }
+
+    /**
+     * Returns the state that the job ends in, or running.
+     *
+     * @return the state, never null
+     */
+    public JobState state() {
+        if (!isSettled()) {
+            return JobState.RUNNING;
+        }
+        return mFailure.isDefined() ? JobState.FAILED : JobState.COMPLETE;
+    }
+
+    /**
+     * Returns why the job failed.
+     *
+     * @return the failure, none if there is none
+     */
+    public Option<Failure> failure() {
+        return mFailure;
+    }
+
+    /**
+     * Returns the name.
+     *
+     * @return the name, never null
+     */
+    public JobName name() {
+        return mName;
+    }
+
+    /**
+     * Returns the job as submitted.
+     *
+     * @return the specification, never null
+     */
+    public JobSpec spec() {
+        return mSpec;
+    }
+
+    /**
+     * Returns the digest of the content.
+     *
+     * @return the digest, never null
+     */
+    public ContentDigest digest() {
+        return mDigest;
+    }
+
+    /**
+     * Returns when the job was accepted.
+     *
+     * @return the monotonic time in nanoseconds
+     */
+    public long acceptedNanos() {
+        return mAcceptedNanos;
+    }
+
+    /**
+     * Returns the state of a task.
+     *
+     * @param index the position of the task
+     * @return the state, never null
+     */
+    public TaskState taskState(int index) {
+        return mStates[index];
+    }
+
+    /**
+     * Returns the answer of a task.
+     *
+     * @param index the position of the task
+     * @return the answer, none before it has come
+     */
+    public Option<String> answer(int index) {
+        return Option.of(mAnswers[index]);
+    }
+
+    /**
+     * Returns the events of a task in order, without its acceptance.
+     *
+     * @param index the position of the task
+     * @return a copy, never null
+     */
+    public List<TaskEvent> events(int index) {
+        return List.copyOf(mEvents.get(index));
+    }
+
+    /**
+     * Counts the tasks that are not final.
+     *
+     * @return the number, 0 once settled
+     */
+    public int openTasks() {
+        return mOpenTasks;
+    }
+
+    private boolean allAnswered() {
+        return mFailure.isEmpty();
+    }
+
+    private void end(int index, TaskState state, String server, String reason, long nowNanos) {
+        mStates[index] = state;
+        mOpenTasks--;
+        record(index, TaskEvent.Kind.ENDED, server, reason, nowNanos);
+    }
+
+    private void record(
+            int index, TaskEvent.Kind kind, String server, String reason, long nowNanos) {
+        long atMilliseconds = TimeUnit.NANOSECONDS.toMillis(nowNanos - mAcceptedNanos);
+        mEvents.get(index).add(TaskEvent.of(atMilliseconds, kind, server, reason));
+    }
+
+    private static TaskState finalState(Failure failure) {
+        return switch (failure.kind().executed()) {
+            case NO -> TaskState.NOT_RUN;
+            case YES -> TaskState.FAILED;
+            case UNKNOWN ->
+                    failure.kind() == FailureKind.CANCELLED
+                            ? TaskState.NOT_RUN
+                            : TaskState.OUTCOME_UNKNOWN;
+        };
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/job/TaskState.java
@@ -0,0 +1,43 @@
+package org.wagtailproxy.job;
+
+import java.util.Locale;
+
+/** Where one task stands. */
+public enum TaskState {
+    /** Waiting in the queue; not started. */
+    QUEUED(false),
+    /** Sent to a backend server. */
+    SENT(false),
+    /** Answered by a backend server. */
+    ANSWERED(true),
+    /** Ended without ever having been started. */
+    NOT_RUN(true),
+    /** Ended by a failure that the backend server reported. */
+    FAILED(true),
+    /** Sent, with no way to tell what came of it. */
+    OUTCOME_UNKNOWN(true);
+
+    private final boolean mFinal;
+
+    TaskState(boolean isFinal) {
+        mFinal = isFinal;
+    }
+
+    /**
+     * Tests whether the state is final.
+     *
+     * @return true if nothing more happens to the task
+     */
+    public boolean isFinal() {
+        return mFinal;
+    }
+
+    /**
+     * Returns the word used in documents.
+     *
+     * @return the lower-case word with hyphens, never null
+     */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/membership/Member.java
@@ -0,0 +1,57 @@
+package org.wagtailproxy.membership;
+
+import java.util.Objects;
+import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.identity.Incarnation;
+
+/**
+ * One entry instance in one life.
+ *
+ * @param incarnation its incarnation, not null
+ * @param dataCentre where it stands, not null
+ * @param peerAddress where other instances reach it, not null
+ * @param callerAddress where callers reach it, not null
+ * @param leaving whether it is stopping
+ */
+public record Member(
+        Incarnation incarnation,
+        DataCentre dataCentre,
+        HostAddress peerAddress,
+        HostAddress callerAddress,
+        boolean leaving) {
+
+    /** Checks the components. */
+    public Member {
+        Objects.requireNonNull(incarnation, "incarnation");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        Objects.requireNonNull(peerAddress, "peerAddress");
+        Objects.requireNonNull(callerAddress, "callerAddress");
+    }
+
+    /**
+     * Creates a member that is not leaving.
+     *
+     * @param incarnation its incarnation, not null
+     * @param dataCentre where it stands, not null
+     * @param peerAddress where other instances reach it, not null
+     * @param callerAddress where callers reach it, not null
+     * @return the member, never null
+     */
+    public static Member of(
+            Incarnation incarnation,
+            DataCentre dataCentre,
+            HostAddress peerAddress,
+            HostAddress callerAddress) {
+        return new Member(incarnation, dataCentre, peerAddress, callerAddress, false);
+    }
+
+    /**
+     * Marks the member as stopping.
+     *
+     * @return the member as leaving, never null
+     */
+    public Member asLeaving() {
+        return new Member(incarnation, dataCentre, peerAddress, callerAddress, true);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/session/SessionWindows.java
@@ -0,0 +1,92 @@
+package org.wagtailproxy.session;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Decides which windows of a session take new job names and which are remembered.
+ *
+ * <p>A window stops taking names long before it is forgotten, so that forgetting a job can never
+ * let its name start a second time.
+ */
+public final class SessionWindows {
+
+    /** Windows in which a token stays usable for new names, the current one included. */
+    public static final long ACCEPTING_WINDOWS = 2;
+
+    private final long mStartNanos;
+    private final long mLengthNanos;
+    private final long mRetainedWindows;
+
+    private SessionWindows(long startNanos, long lengthNanos, long retainedWindows) {
+        mStartNanos = startNanos;
+        mLengthNanos = lengthNanos;
+        mRetainedWindows = retainedWindows;
+    }
+
+    /**
+     * Starts the windows of an incarnation.
+     *
+     * @param startNanos the monotonic time of the first window's start in nanoseconds
+     * @param length the length of a window, at least one millisecond
+     * @param retainedWindows how many windows are remembered, more than {@link #ACCEPTING_WINDOWS}
+     * @return the windows, never null
+     * @throws IllegalArgumentException if a value is out of range
+     */
+    public static SessionWindows of(long startNanos, Duration length, long retainedWindows) {
+        Objects.requireNonNull(length, "length");
+        if (length.toMillis() < 1 || retainedWindows <= ACCEPTING_WINDOWS) {
+            throw new IllegalArgumentException("window too short or too few retained");
+        }
+        return new SessionWindows(startNanos, length.toNanos(), retainedWindows);
+    }
+
+    /**
+     * Returns the window of a moment.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the number of the window, from 0
+     */
+    public long current(long nowNanos) {
+        return Math.max(0, (nowNanos - mStartNanos) / mLengthNanos);
+    }
+
+    /**
+     * Judges a window.
+     *
+     * @param window the number of the window
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return what holds for the window, never null
+     */
+    public WindowState state(long window, long nowNanos) {
+        long current = current(nowNanos);
+        if (window > current) {
+            return WindowState.NEVER_ISSUED;
+        }
+        if (window > current - ACCEPTING_WINDOWS) {
+            return WindowState.ACCEPTING;
+        }
+        return window > current - mRetainedWindows ? WindowState.CLOSED : WindowState.FORGOTTEN;
+    }
+
+    /**
+     * Returns the age of the incarnation.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return nanoseconds since the start of its first window
+     */
+    public long ageNanos(long nowNanos) {
+        return nowNanos - mStartNanos;
+    }
+
+    /**
+     * Tests whether every window issued up to a given one is forgotten.
+     *
+     * @param lastIssued the number of the last window issued
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return true if nothing of the incarnation is remembered any more
+     */
+    public boolean allForgotten(long lastIssued, long nowNanos) {
+        return state(lastIssued, nowNanos) == WindowState.FORGOTTEN;
+    }
+}
