--- a/decisions/src/main/java/org/wagtailproxy/configuration/TeamSpec.java
+++ b/decisions/src/main/java/org/wagtailproxy/configuration/TeamSpec.java
@@ -5,13 +5,14 @@
  *
  * @param quota tasks in flight over all instances, 1 or more
  * @param weight weight against other teams, 1 or more
+ * @param queueLimit tasks that may wait on one instance, 1 or more
  */
-public record TeamSpec(int quota, int weight) {
+public record TeamSpec(int quota, int weight, int queueLimit) {
 
     /** Checks the components. */
     public TeamSpec {
-        if (quota < 1 || weight < 1) {
-            throw new IllegalArgumentException("quota or weight is below 1");
+        if (quota < 1 || weight < 1 || queueLimit < 1) {
+            throw new IllegalArgumentException("a team value is below 1");
         }
     }
 
@@ -20,10 +21,11 @@
      *
      * @param quota tasks in flight over all instances, 1 or more
      * @param weight weight against other teams, 1 or more
+     * @param queueLimit tasks that may wait on one instance, 1 or more
      * @return the specification, never null
      * @throws IllegalArgumentException if a value is out of range
      */
-    public static TeamSpec of(int quota, int weight) {
-        return new TeamSpec(quota, weight);
+    public static TeamSpec of(int quota, int weight, int queueLimit) {
+        return new TeamSpec(quota, weight, queueLimit);
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/dispatch/RunnerListing.java
+++ b/decisions/src/main/java/org/wagtailproxy/dispatch/RunnerListing.java
@@ -34,4 +34,13 @@
     public static RunnerListing of(RunnerId id, DataCentre dataCentre, int slots, boolean leaving) {
         return new RunnerListing(id, dataCentre, slots, leaving);
     }
+
+    /**
+     * Marks the backend server as leaving.
+     *
+     * @return the listing as leaving, never null
+     */
+    public RunnerListing asLeaving() {
+        return of(id, dataCentre, slots, true);
+    }
 }
--- a/decisions/src/main/java/org/wagtailproxy/dispatch/RunnerState.java
+++ b/decisions/src/main/java/org/wagtailproxy/dispatch/RunnerState.java
@@ -107,6 +107,10 @@
         mObserved = true;
     }
 
+    void abandoned() {
+        mInFlight--;
+    }
+
     void refused(long nowNanos) {
         mInFlight--;
         int doublings = Math.min(mRefusals, 5);
--- a/decisions/src/main/java/org/wagtailproxy/dispatch/ServiceDispatch.java
+++ b/decisions/src/main/java/org/wagtailproxy/dispatch/ServiceDispatch.java
@@ -32,6 +32,7 @@
     private final FairQueue mQueue = new FairQueue();
     private final Map<RunnerId, RunnerState> mRunners = new TreeMap<>();
     private final Map<DataCentre, Integer> mBorrowed = new HashMap<>();
+    private final Map<TaskRef, DataCentre> mBorrowedPlaces = new HashMap<>();
     private DispatchTuning mTuning;
     private RunnerChoice mChoice;
     private ShareView mShares = ShareView.alone();
@@ -93,6 +94,12 @@
             runner.listing(listing);
             kept.put(listing.id(), runner);
         }
+        for (RunnerState runner : mRunners.values()) {
+            if (runner.inFlight() > 0 && !kept.containsKey(runner.id())) {
+                runner.listing(runner.listing().asLeaving());
+                kept.put(runner.id(), runner);
+            }
+        }
         mRunners.clear();
         mRunners.putAll(kept);
         applyShares();
@@ -168,16 +175,10 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void finish(Assignment assignment, SendResult result, long tookNanos, long nowNanos) {
-        mQueue.finish(assignment.task().team());
-        mQuotas.release(assignment.task().team());
-        RunnerState runner = mRunners.get(assignment.runner());
+        RunnerState runner = release(assignment);
         if (runner == null) {
             return;
         }
-        DataCentre place = runner.listing().dataCentre();
-        if (!place.equals(mHome)) {
-            mBorrowed.merge(place, -1, Integer::sum);
-        }
         switch (result) {
             case ANSWERED -> runner.answered(tookNanos, assignment.task().declaredMilliseconds());
             case REFUSED -> runner.refused(nowNanos);
@@ -185,6 +186,18 @@
         }
     }
 
+    /**
+     * Takes back an assignment of which nothing was sent.
+     *
+     * @param assignment the task and its backend server, not null
+     */
+    public void abandon(Assignment assignment) {
+        RunnerState runner = release(assignment);
+        if (runner != null) {
+            runner.abandoned();
+        }
+    }
+
     /**
      * Queues a task again, before all others of its team, after it was not run.
      *
@@ -287,12 +300,24 @@
         return mRunners.values().stream().mapToInt(RunnerState::inFlight).sum();
     }
 
+    /** Frees what an assignment holds; null if the backend server is no longer listed. */
+    private RunnerState release(Assignment assignment) {
+        mQueue.finish(assignment.task().team());
+        mQuotas.release(assignment.task().team());
+        DataCentre place = mBorrowedPlaces.remove(assignment.task().task());
+        if (place != null) {
+            mBorrowed.merge(place, -1, Integer::sum);
+        }
+        return mRunners.get(assignment.runner());
+    }
+
     private void start(QueuedTask task, RunnerState runner) {
         mQueue.start(task);
         runner.started();
         DataCentre place = runner.listing().dataCentre();
         if (!place.equals(mHome)) {
             mBorrowed.merge(place, 1, Integer::sum);
+            mBorrowedPlaces.put(task.task(), place);
         }
     }
 
--- a/decisions/src/main/java/org/wagtailproxy/failure/FailureKind.java
+++ b/decisions/src/main/java/org/wagtailproxy/failure/FailureKind.java
@@ -22,7 +22,7 @@
     WRONG_SESSION(400, Executed.NO),
     /** The name is taken by a job with other content. */
     NAME_CONFLICT(409, Executed.NO),
-    /** The session window no longer takes new names and does not hold this one. */
+    /** The session window no longer takes new names and holds no job of this one. */
     WINDOW_CLOSED(410, Executed.NO),
     /** The session window is forgotten, and with it what its names did. */
     WINDOW_FORGOTTEN(410, Executed.UNKNOWN),
@@ -42,14 +42,16 @@
     NOT_READY(503, Executed.NO),
     /** The memory for remembered outcomes is full. */
     OUTCOME_MEMORY_FULL(503, Executed.NO),
-    /** The platform's key-value service did not answer. */
-    STORE_UNAVAILABLE(503, Executed.NO),
+    /** The platform's key-value service did not answer; an earlier try may have been executed. */
+    STORE_UNAVAILABLE(503, Executed.UNKNOWN),
     /** The write to the key-value service got no answer and could not be read back. */
     STORE_OUTCOME_UNKNOWN(503, Executed.UNKNOWN),
     /** The budget of claims for names without a session is used up. */
     CLAIM_BUDGET_EXCEEDED(429, Executed.NO),
     /** No backend server could ever run the job. */
     NEVER_RUNNABLE(422, Executed.NO),
+    /** No backend server of the service is listed now. */
+    NO_BACKEND_SERVER(503, Executed.NO),
     /** The resource has another version than the writer expected. */
     VERSION_CONFLICT(409, Executed.NO),
     /** The resource is not declared. */
@@ -68,6 +70,8 @@
     HOME_LOST(502, Executed.UNKNOWN),
     /** A peer did not answer in time. */
     PEER_UNREACHABLE(503, Executed.UNKNOWN),
+    /** The address of a peer refused the connection. */
+    PEER_REFUSED(503, Executed.UNKNOWN),
     /** The dispatcher has a defect. */
     INTERNAL(500, Executed.UNKNOWN);
 
--- a/decisions/src/main/java/org/wagtailproxy/membership/MemberTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/membership/MemberTable.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.wagtailproxy.identity.DataCentre;
@@ -28,6 +30,8 @@
     private final MembershipTiming mTiming;
     private final Map<Incarnation, Known> mKnown = new TreeMap<>();
     private final Map<Incarnation, Seal> mSeals = new HashMap<>();
+    private final Map<Incarnation, Long> mSealedNanos = new HashMap<>();
+    private final Set<Incarnation> mForgotten = new HashSet<>();
     private final Map<HostAddress, Long> mRefusedNanos = new HashMap<>();
     private final Map<HostAddress, Long> mAbsentSinceNanos = new HashMap<>();
     private final Map<HostAddress, EntryListing> mListed = new TreeMap<>();
@@ -68,28 +72,29 @@
         known.mMember = member;
         known.mHeardNanos = Math.max(known.mHeardNanos, nowNanos);
         known.mEverHeard = true;
-        replaceOthersAt(member);
+        replaceOthersAt(member, nowNanos);
         renewProof(member, nowNanos);
     }
 
     /**
-     * Notes a member that another instance knows.
+     * Notes a member that another instance knows, or that has called; no proof of its life.
      *
      * @param member the member, not null
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void told(Member member, long nowNanos) {
+        Known current = mKnown.get(member.incarnation());
+        if (current != null && member.leaving()) {
+            current.mMember = member;
+        }
+        boolean forgotten = mForgotten.contains(member.incarnation());
         boolean self = member.incarnation().equals(mSelf.incarnation());
-        if (self || mKnown.containsKey(member.incarnation())) {
+        if (current != null || forgotten || self) {
             return;
         }
         Known known = new Known(nowNanos);
         known.mMember = member;
         known.mReplaced = member.peerAddress().equals(mSelf.peerAddress());
-        for (Known other : mKnown.values()) {
-            boolean sameAddress = other.mMember.peerAddress().equals(member.peerAddress());
-            known.mReplaced |= sameAddress && other.mEverHeard && !other.mReplaced;
-        }
         mKnown.put(member.incarnation(), known);
     }
 
@@ -144,9 +149,14 @@
      * Takes over a seal; the first one of an incarnation stays.
      *
      * @param seal the seal, not null
+     * @param nowNanos the monotonic time in nanoseconds
      * @return true if it was not known
      */
-    public boolean seal(Seal seal) {
+    public boolean seal(Seal seal, long nowNanos) {
+        if (mForgotten.contains(seal.incarnation())) {
+            return false;
+        }
+        mSealedNanos.putIfAbsent(seal.incarnation(), nowNanos);
         return mSeals.putIfAbsent(seal.incarnation(), seal) == null;
     }
 
@@ -308,13 +318,25 @@
     }
 
     /**
-     * Forgets members and seals of which nothing can be asked any more.
+     * Forgets the members that were sealed before a moment, for good.
      *
-     * @param incarnation the incarnation, not null
+     * @param nanos the monotonic time in nanoseconds
+     * @return the forgotten incarnations, never null
      */
-    public void forget(Incarnation incarnation) {
-        mKnown.remove(incarnation);
-        mSeals.remove(incarnation);
+    public List<Incarnation> forgetSealedBefore(long nanos) {
+        List<Incarnation> old =
+                mSealedNanos.entrySet().stream()
+                        .filter(entry -> entry.getValue() - nanos < 0)
+                        .map(Map.Entry::getKey)
+                        .filter(each -> !each.equals(mSelf.incarnation()))
+                        .toList();
+        for (Incarnation incarnation : old) {
+            mKnown.remove(incarnation);
+            mSeals.remove(incarnation);
+            mSealedNanos.remove(incarnation);
+            mForgotten.add(incarnation);
+        }
+        return old;
     }
 
     private boolean isGone(Known known, long nowNanos) {
@@ -339,10 +361,12 @@
         return refused != null && refused - known.mHeardNanos > 0;
     }
 
-    private void replaceOthersAt(Member member) {
+    /** An answer proves the death of those known at the address before the exchange began. */
+    private void replaceOthersAt(Member member, long nowNanos) {
         for (Known other : mKnown.values()) {
             boolean sameAddress = other.mMember.peerAddress().equals(member.peerAddress());
-            if (sameAddress && !other.mMember.incarnation().equals(member.incarnation())) {
+            boolean same = other.mMember.incarnation().equals(member.incarnation());
+            if (sameAddress && !same && nowNanos - other.mHeardNanos > 0) {
                 other.mReplaced = true;
             }
         }
@@ -359,7 +383,14 @@
         }
     }
 
-    private boolean allNeighboursAccounted(long nowNanos) {
+    /**
+     * Tests whether every neighbour was heard, or refused a connection, within the withholding
+     * time.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return true if none is silent
+     */
+    public boolean allNeighboursAccounted(long nowNanos) {
         for (HostAddress address : neighbourAddresses()) {
             if (!accounted(address, nowNanos)) {
                 return false;
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/session/RateBudget.java
@@ -0,0 +1,52 @@
+package org.wagtailproxy.session;
+
+/**
+ * Bounds how often something is done per second, with bursts of one second.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class RateBudget {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final int mPerSecond;
+    private double mLeft;
+    private long mLastNanos;
+
+    private RateBudget(int perSecond, long nowNanos) {
+        mPerSecond = perSecond;
+        mLeft = perSecond;
+        mLastNanos = nowNanos;
+    }
+
+    /**
+     * Creates a full budget.
+     *
+     * @param perSecond how often per second, 1 or more
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the budget, never null
+     */
+    public static RateBudget of(int perSecond, long nowNanos) {
+        if (perSecond < 1) {
+            throw new IllegalArgumentException("perSecond is below 1");
+        }
+        return new RateBudget(perSecond, nowNanos);
+    }
+
+    /**
+     * Spends one unit if there is one.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return true if it was spent
+     */
+    public synchronized boolean trySpend(long nowNanos) {
+        double earned = (nowNanos - mLastNanos) / NANOS_PER_SECOND * mPerSecond;
+        mLeft = Math.min(mPerSecond, mLeft + earned);
+        mLastNanos = nowNanos;
+        if (mLeft < 1) {
+            return false;
+        }
+        mLeft -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/backend/SendOutcome.java
@@ -0,0 +1,29 @@
+package org.wagtailproxy.backend;
+
+import java.util.Objects;
+import org.wagtailproxy.dispatch.SendResult;
+
+/**
+ * What came of sending one task.
+ *
+ * @param result the kind of outcome, not null
+ * @param answer the answer, empty unless answered
+ * @param detail what is known of a failure, not null, without payloads
+ */
+public record SendOutcome(SendResult result, String answer, String detail) {
+
+    /** Checks the components. */
+    public SendOutcome {
+        Objects.requireNonNull(result, "result");
+        Objects.requireNonNull(answer, "answer");
+        Objects.requireNonNull(detail, "detail");
+    }
+
+    static SendOutcome answered(String answer) {
+        return new SendOutcome(SendResult.ANSWERED, answer, "");
+    }
+
+    static SendOutcome of(SendResult result, String detail) {
+        return new SendOutcome(result, "", detail);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Backend servers as peers: sending tasks over HTTP. */
+package org.wagtailproxy.backend;
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/caller/JobRoutes.java
@@ -0,0 +1,202 @@
+package org.wagtailproxy.caller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Objects;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.wagtailproxy.document.Json;
+import org.wagtailproxy.document.Problems;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.home.HeldIncarnations;
+import org.wagtailproxy.home.JobOperation;
+import org.wagtailproxy.home.JobReply;
+import org.wagtailproxy.home.JobRequest;
+import org.wagtailproxy.home.JobRouter;
+import org.wagtailproxy.home.JobService;
+import org.wagtailproxy.http.HttpCall;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.identity.Names;
+import org.wagtailproxy.identity.ServiceName;
+import org.wagtailproxy.identity.TeamName;
+import org.wagtailproxy.job.JobSpec;
+import org.wagtailproxy.job.TaskSpec;
+import org.wagtailproxy.lifecycle.Lifecycle;
+
+/** Serves callers: sessions, jobs and single requests. */
+public final class JobRoutes {
+
+    /** Carries a session token on every answer. */
+    public static final String SESSION_HEADER = "Wagtail-Session";
+
+    private static final long LONGEST_WAIT_MILLISECONDS = 60_000;
+    private static final String JSON = "application/json";
+
+    private final JobRouter mRouter;
+    private final JobService mJobs;
+    private final HeldIncarnations mHeld;
+    private final Lifecycle mLifecycle;
+    private final Random mRandom = new Random();
+
+    private JobRoutes(
+            JobRouter router, JobService jobs, HeldIncarnations held, Lifecycle lifecycle) {
+        mRouter = router;
+        mJobs = jobs;
+        mHeld = held;
+        mLifecycle = lifecycle;
+    }
+
+    /**
+     * Creates the routes.
+     *
+     * @param router passes jobs on to their homes, not null
+     * @param jobs runs single requests, not null
+     * @param held gives session tokens, not null
+     * @param lifecycle tells whether the instance serves, not null
+     * @return the routes, never null
+     */
+    public static JobRoutes of(
+            JobRouter router, JobService jobs, HeldIncarnations held, Lifecycle lifecycle) {
+        Objects.requireNonNull(router, "router");
+        return new JobRoutes(router, jobs, held, lifecycle);
+    }
+
+    /**
+     * Serves {@code GET /v1/session}.
+     *
+     * @param call the call, not null
+     */
+    public void session(HttpCall call) {
+        if (!serves(call)) {
+            return;
+        }
+        ObjectNode node = Json.object();
+        node.put("session", mHeld.token(System.nanoTime()).toString());
+        node.put("retentionMilliseconds", mHeld.retention().toMillis());
+        call.answer(node);
+    }
+
+    /**
+     * Serves {@code /v1/jobs/NAME} and {@code /v1/jobs/NAME/trace}.
+     *
+     * @param call the call, not null
+     */
+    public void jobs(HttpCall call) {
+        List<String> path = call.path();
+        boolean trace = path.size() == 4 && path.get(3).equals("trace");
+        if (path.size() != 3 && !trace) {
+            call.refuse(Failure.of(FailureKind.NO_SUCH_ADDRESS, "expected /v1/jobs/NAME"));
+            return;
+        }
+        Either<Failure, JobRequest> request =
+                JobName.parse(path.get(2)).flatMap(name -> request(call, name, trace));
+        if (request.isLeft()) {
+            call.refuse(request.getLeft());
+            return;
+        }
+        if (serves(call)) {
+            answer(call, mRouter.serve(request.get()));
+        }
+    }
+
+    /**
+     * Serves {@code POST /v1/requests/SERVICE}, a single request outside a job.
+     *
+     * @param call the call, not null
+     */
+    public void requests(HttpCall call) {
+        if (!serves(call)) {
+            return;
+        }
+        Either<Failure, JobSpec> spec = call.body().flatMap(body -> single(call, body));
+        if (spec.isLeft()) {
+            call.refuse(spec.getLeft());
+            return;
+        }
+        String key = "request:" + Long.toHexString(mRandom.nextLong());
+        JobName name = JobName.of(mHeld.token(System.nanoTime()), key);
+        mJobs.run(name, spec.get()).thenAccept(reply -> SingleAnswers.answer(call, reply));
+    }
+
+    private static Either<Failure, JobRequest> request(
+            HttpCall call, JobName name, boolean trace) {
+        Either<Failure, Long> wait =
+                call.number("waitMilliseconds", 0, LONGEST_WAIT_MILLISECONDS);
+        if (wait.isLeft()) {
+            return Either.left(wait.getLeft());
+        }
+        JobOperation read = trace ? JobOperation.TRACE : JobOperation.GET;
+        return switch (call.method()) {
+            case "GET" -> Either.right(JobRequest.of(read, name, wait.get()));
+            case "DELETE" -> Either.right(JobRequest.of(JobOperation.CANCEL, name, 0));
+            case "PUT" -> call.body().map(body -> JobRequest.submit(name, body));
+            default -> Either.left(Failure.of(FailureKind.NO_SUCH_ADDRESS, "no such method"));
+        };
+    }
+
+    private static Either<Failure, JobSpec> single(HttpCall call, byte[] body) {
+        List<String> path = call.path();
+        String team = call.header("Wagtail-Team").getOrElse("");
+        boolean sound =
+                call.method().equals("POST")
+                        && path.size() == 3
+                        && Names.isName(path.get(2))
+                        && Names.isName(team);
+        if (!sound) {
+            return Either.left(
+                    Failure.of(
+                            FailureKind.MALFORMED_REQUEST,
+                            "expected POST /v1/requests/SERVICE with the header Wagtail-Team"));
+        }
+        String declared = call.header("Wagtail-Declared-Milliseconds").getOrElse("100");
+        if (!declared.matches("[1-9][0-9]{0,7}")) {
+            return Either.left(
+                    Failure.of(
+                            FailureKind.MALFORMED_REQUEST,
+                            "Wagtail-Declared-Milliseconds must be a whole number above 0"));
+        }
+        boolean idempotent = call.header("Wagtail-Idempotent").contains("true");
+        String payload = new String(body, StandardCharsets.UTF_8);
+        TaskSpec task = TaskSpec.of("request", payload, Long.parseLong(declared));
+        return Either.right(
+                new JobSpec(
+                        ServiceName.of(path.get(2)),
+                        TeamName.of(team),
+                        "single request",
+                        idempotent,
+                        List.of(task)));
+    }
+
+    private boolean serves(HttpCall call) {
+        if (mLifecycle.isSealed()) {
+            call.refuse(Failure.of(FailureKind.HOME_UNREACHABLE, "this instance gives up"));
+            return false;
+        }
+        if (!mLifecycle.hasBeenReady()) {
+            call.refuse(Failure.of(FailureKind.NOT_READY, "no configuration is in force yet"));
+            return false;
+        }
+        if (!mLifecycle.isDraining()) {
+            call.answerHeader(SESSION_HEADER, mHeld.token(System.nanoTime()).toString());
+        }
+        return true;
+    }
+
+    private static void answer(HttpCall call, CompletableFuture<JobReply> reply) {
+        reply.thenAccept(
+                        each ->
+                                call.answer(
+                                        each.status(),
+                                        each.failure().isDefined() ? Problems.MEDIA_TYPE : JSON,
+                                        each.body()))
+                .exceptionally(
+                        defect -> {
+                            call.refuse(Failure.of(FailureKind.INTERNAL, "see the log"));
+                            return null;
+                        });
+    }
+
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Callers as peers: sessions, jobs and single requests over HTTP. */
+package org.wagtailproxy.caller;
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/document/Json.java
@@ -0,0 +1,73 @@
+package org.wagtailproxy.document;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.io.IOException;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+
+/** Reads and writes JSON. */
+public final class Json {
+
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+
+    private Json() {}
+
+    /**
+     * Creates an empty object.
+     *
+     * @return the object, never null
+     */
+    public static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    /**
+     * Parses an object.
+     *
+     * @param bytes the text in UTF-8, not null
+     * @return the object, or a malformed-request failure
+     */
+    public static Either<Failure, JsonNode> parse(byte[] bytes) {
+        try {
+            JsonNode node = MAPPER.readTree(bytes);
+            if (node != null && node.isObject()) {
+                return Either.right(node);
+            }
+            return Either.left(malformed("expected a JSON object"));
+        } catch (JsonProcessingException wrong) {
+            long line = wrong.getLocation() == null ? 0 : wrong.getLocation().getLineNr();
+            return Either.left(malformed("not JSON, at line " + line));
+        } catch (IOException wrong) {
+            return Either.left(malformed("not JSON"));
+        }
+    }
+
+    /**
+     * Writes a node.
+     *
+     * @param node the node, not null
+     * @return the text in UTF-8, never null
+     */
+    public static byte[] bytes(JsonNode node) {
+        try {
+            return MAPPER.writeValueAsBytes(node);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException("a tree can always be written", impossible);
+        }
+    }
+
+    static Failure malformed(String detail) {
+        return Failure.of(FailureKind.MALFORMED_REQUEST, detail);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/document/ResourceDocuments.java
@@ -0,0 +1,214 @@
+package org.wagtailproxy.document;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Set;
+import org.wagtailproxy.configuration.Objective;
+import org.wagtailproxy.configuration.Resource;
+import org.wagtailproxy.configuration.ResourceId;
+import org.wagtailproxy.configuration.ResourceKind;
+import org.wagtailproxy.configuration.ServiceSpec;
+import org.wagtailproxy.configuration.TeamSpec;
+import org.wagtailproxy.dispatch.DispatchTuning;
+import org.wagtailproxy.dispatch.PolicyKind;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+
+/** Reads and writes declared resources and the envelope in which the store keeps them. */
+public final class ResourceDocuments {
+
+    private static final Set<String> SERVICE_FIELDS =
+            Set.of(
+                    "policy",
+                    "queueLimit",
+                    "patience",
+                    "remotePenalty",
+                    "overcommitPercent",
+                    "taskTimeoutMilliseconds",
+                    "queueTimeoutMilliseconds",
+                    "maximumDeclaredMilliseconds",
+                    "objectiveMilliseconds",
+                    "objectivePerMille");
+    private static final Set<String> TEAM_FIELDS = Set.of("quota", "weight", "queueLimit");
+    private static final int DEFAULT_QUEUE_LIMIT = 10_000;
+    private static final double DEFAULT_PATIENCE = 1;
+    private static final double DEFAULT_REMOTE_PENALTY = 0.1;
+    private static final int DEFAULT_TASK_TIMEOUT_MILLISECONDS = 20_000;
+    private static final int DEFAULT_QUEUE_TIMEOUT_MILLISECONDS = 30_000;
+    private static final int DEFAULT_MAXIMUM_DECLARED_MILLISECONDS = 10_000;
+    private static final int DEFAULT_OBJECTIVE_MILLISECONDS = 2_000;
+    private static final int DEFAULT_OBJECTIVE_PER_MILLE = 990;
+    private static final int LONGEST_MILLISECONDS = 600_000;
+    private static final int MAXIMUM_COUNT = 1_000_000;
+    private static final int QUEUED_PER_QUOTA = 40;
+
+    private ResourceDocuments() {}
+
+    /**
+     * Checks the specification of a resource.
+     *
+     * @param id which resource, not null
+     * @param spec the specification in UTF-8, not null
+     * @return the specification, or what is wrong with it
+     */
+    public static Either<Failure, JsonNode> check(ResourceId id, byte[] spec) {
+        return Json.parse(spec)
+                .flatMap(
+                        node ->
+                                id.kind() == ResourceKind.SERVICE
+                                        ? service(node).map(valid -> node)
+                                        : team(node).map(valid -> node));
+    }
+
+    /**
+     * Wraps a specification for the store.
+     *
+     * @param spec the specification, null for a resource that is withdrawn
+     * @param writeId recognises the writer's own write when its answer was lost, not null
+     * @return the envelope, never null
+     */
+    public static String envelope(JsonNode spec, String writeId) {
+        ObjectNode node = Json.object();
+        node.put("writeId", writeId);
+        if (spec != null) {
+            node.set("spec", spec);
+        }
+        return new String(Json.bytes(node), StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Returns the write id of an envelope.
+     *
+     * @param document the envelope, not null
+     * @return the write id, empty if the envelope cannot be read
+     */
+    public static String writeId(String document) {
+        return parse(document).map(node -> node.path("writeId").asText("")).getOrElse("");
+    }
+
+    /**
+     * Tests whether an envelope declares nothing.
+     *
+     * @param document the envelope, not null
+     * @return true if the resource is withdrawn or the envelope cannot be read
+     */
+    public static boolean withdrawn(String document) {
+        return parse(document).map(node -> !node.has("spec")).getOrElse(true);
+    }
+
+    /**
+     * Reads a service from its envelope.
+     *
+     * @param document the envelope, not null
+     * @return the service, or what is wrong with it
+     */
+    public static Either<Failure, ServiceSpec> service(String document) {
+        return parse(document).flatMap(node -> service(node.path("spec")));
+    }
+
+    /**
+     * Reads a team from its envelope.
+     *
+     * @param document the envelope, not null
+     * @return the team, or what is wrong with it
+     */
+    public static Either<Failure, TeamSpec> team(String document) {
+        return parse(document).flatMap(node -> team(node.path("spec")));
+    }
+
+    /**
+     * Writes a resource for operators.
+     *
+     * @param resource the version, not null
+     * @return the document, never null
+     */
+    public static ObjectNode write(Resource resource) {
+        ObjectNode node = Json.object();
+        node.put("kind", resource.id().kind().word());
+        node.put("name", resource.id().name());
+        node.put("resourceVersion", resource.version());
+        JsonNode spec = parse(resource.document()).map(each -> each.path("spec")).getOrElse(Json.object());
+        if (spec.isObject()) {
+            node.set("spec", spec);
+        } else {
+            node.put("withdrawn", true);
+        }
+        return node;
+    }
+
+    private static Either<Failure, JsonNode> parse(String document) {
+        return Json.parse(document.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static Either<Failure, ServiceSpec> service(JsonNode node) {
+        Either<Failure, JsonNode> known = JobDocuments.checkFields(node, SERVICE_FIELDS);
+        if (known.isLeft()) {
+            return invalid(known.getLeft().detail());
+        }
+        FieldReader fields = FieldReader.of(node);
+        String policy = node.path("policy").asText("expected-completion");
+        PolicyKind kind = policy(policy);
+        if (kind == null) {
+            return invalid("policy must be round-robin, two-random or expected-completion");
+        }
+        int queueLimit = fields.whole("queueLimit", DEFAULT_QUEUE_LIMIT, 1, MAXIMUM_COUNT);
+        double patience = fields.decimal("patience", DEFAULT_PATIENCE, 0, 1);
+        double penalty = fields.decimal("remotePenalty", DEFAULT_REMOTE_PENALTY, 0, 100);
+        int overcommit = fields.whole("overcommitPercent", 0, 0, 100);
+        Duration task = milliseconds(fields, "taskTimeoutMilliseconds", DEFAULT_TASK_TIMEOUT_MILLISECONDS);
+        Duration queue = milliseconds(fields, "queueTimeoutMilliseconds", DEFAULT_QUEUE_TIMEOUT_MILLISECONDS);
+        int longest = (int) Math.min(DEFAULT_MAXIMUM_DECLARED_MILLISECONDS, task.toMillis());
+        Duration declared = milliseconds(fields, "maximumDeclaredMilliseconds", longest);
+        int latency = fields.whole("objectiveMilliseconds", DEFAULT_OBJECTIVE_MILLISECONDS, 1, LONGEST_MILLISECONDS);
+        int target = fields.whole("objectivePerMille", DEFAULT_OBJECTIVE_PER_MILLE, 1, 999);
+        if (fields.wrong().isPresent()) {
+            return invalid(fields.wrong().get());
+        }
+        if (declared.compareTo(task) > 0) {
+            return invalid("maximumDeclaredMilliseconds is above taskTimeoutMilliseconds");
+        }
+        DispatchTuning tuning = DispatchTuning.of(kind, queueLimit, patience, penalty, overcommit);
+        return Either.right(
+                ServiceSpec.of(tuning, task, queue, declared, Objective.of(latency, target)));
+    }
+
+    private static Either<Failure, TeamSpec> team(JsonNode node) {
+        Either<Failure, JsonNode> known = JobDocuments.checkFields(node, TEAM_FIELDS);
+        if (known.isLeft()) {
+            return invalid(known.getLeft().detail());
+        }
+        if (!node.path("quota").isIntegralNumber()) {
+            return invalid("quota is required");
+        }
+        FieldReader fields = FieldReader.of(node);
+        int quota = fields.whole("quota", 1, 1, MAXIMUM_COUNT);
+        int weight = fields.whole("weight", 1, 1, 1000);
+        long queued = Math.min(MAXIMUM_COUNT, (long) quota * QUEUED_PER_QUOTA);
+        int queueLimit = fields.whole("queueLimit", (int) queued, 1, MAXIMUM_COUNT);
+        if (fields.wrong().isPresent()) {
+            return invalid(fields.wrong().get());
+        }
+        return Either.right(TeamSpec.of(quota, weight, queueLimit));
+    }
+
+    private static PolicyKind policy(String word) {
+        for (PolicyKind kind : PolicyKind.values()) {
+            if (kind.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(word)) {
+                return kind;
+            }
+        }
+        return null;
+    }
+
+    private static Duration milliseconds(FieldReader fields, String name, int preset) {
+        return Duration.ofMillis(fields.whole(name, preset, 1, LONGEST_MILLISECONDS));
+    }
+
+    private static <T> Either<Failure, T> invalid(String detail) {
+        return Either.left(Failure.of(FailureKind.INVALID_RESOURCE, detail));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/document/package-info.java
@@ -0,0 +1,2 @@
+/** JSON documents of jobs, resources and problems. */
+package org.wagtailproxy.document;
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/engine/ServiceLane.java
@@ -0,0 +1,164 @@
+package org.wagtailproxy.engine;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.wagtailproxy.backend.BackendClient;
+import org.wagtailproxy.backend.SendOutcome;
+import org.wagtailproxy.configuration.TeamSpec;
+import org.wagtailproxy.dispatch.Assignment;
+import org.wagtailproxy.dispatch.QueuedTask;
+import org.wagtailproxy.dispatch.SendResult;
+import org.wagtailproxy.dispatch.ServiceDispatch;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.identity.ServiceName;
+import org.wagtailproxy.identity.TeamName;
+import org.wagtailproxy.observe.Metrics;
+
+/** Drives the dispatch of one service under its own lock. */
+final class ServiceLane {
+
+    private final ServiceName mName;
+    private final ServiceDispatch mDispatch;
+    private final BackendClient mBackend;
+    private final Executor mExecutor;
+    private final TaskOwner mOwner;
+    private final Metrics mMetrics;
+    private final ReentrantLock mLock = new ReentrantLock();
+    private volatile Duration mTaskTimeout = Duration.ofSeconds(1);
+
+    ServiceLane(
+            ServiceName name,
+            ServiceDispatch dispatch,
+            BackendClient backend,
+            Executor executor,
+            TaskOwner owner,
+            Metrics metrics) {
+        mName = name;
+        mDispatch = dispatch;
+        mBackend = backend;
+        mExecutor = executor;
+        mOwner = owner;
+        mMetrics = metrics;
+    }
+
+    void taskTimeout(Duration timeout) {
+        mTaskTimeout = timeout;
+    }
+
+    /** Queues all tasks of a job or none. */
+    Either<Failure, Integer> offer(List<QueuedTask> tasks, TeamName team, TeamSpec spec) {
+        return locked(() -> queue(tasks, team, spec));
+    }
+
+    private Either<Failure, Integer> queue(
+            List<QueuedTask> tasks, TeamName team, TeamSpec spec) {
+        if (!mDispatch.hasRunner()) {
+            return refused(FailureKind.NO_BACKEND_SERVER, "none is listed for " + mName);
+        }
+        if (!mDispatch.hasRoom(tasks.size())) {
+            return refused(FailureKind.OVERLOADED, "the queue of " + mName + " is full");
+        }
+        if (mDispatch.queued(team) + tasks.size() > spec.queueLimit()) {
+            return refused(FailureKind.QUOTA_EXCEEDED, "too many tasks of " + team + " wait");
+        }
+        tasks.forEach(mDispatch::enqueue);
+        return Either.right(tasks.size());
+    }
+
+    /** Sends every task that has a place now. */
+    void pump() {
+        List<Assignment> assignments = locked(() -> mDispatch.assign(System.nanoTime()));
+        for (Assignment assignment : assignments) {
+            send(assignment);
+        }
+    }
+
+    void pumpSoon() {
+        mExecutor.execute(this::pump);
+    }
+
+    void expire() {
+        List<QueuedTask> expired = locked(() -> mDispatch.expire(System.nanoTime()));
+        expired.forEach(mOwner::expired);
+        locked(
+                () -> {
+                    mMetrics.dispatch(
+                            mName.value(),
+                            mDispatch.demand(),
+                            mDispatch.runners(),
+                            mDispatch.ejected());
+                    return null;
+                });
+    }
+
+    int drop(JobName job) {
+        return locked(() -> mDispatch.drop(job));
+    }
+
+    <T> T use(Function<ServiceDispatch, T> use) {
+        return locked(() -> use.apply(mDispatch));
+    }
+
+    Map<TeamName, Integer> demandByTeam() {
+        return locked(mDispatch::demandByTeam);
+    }
+
+    private void send(Assignment assignment) {
+        Option<OutgoingTask> task = mOwner.start(assignment);
+        if (task.isEmpty()) {
+            locked(
+                    () -> {
+                        mDispatch.abandon(assignment);
+                        return null;
+                    });
+            return;
+        }
+        long sentNanos = System.nanoTime();
+        CompletableFuture<SendOutcome> sending =
+                mBackend.send(
+                        assignment.runner(), task.get().name(), task.get().payload(), mTaskTimeout);
+        sending.thenAcceptAsync(outcome -> finished(assignment, outcome, sentNanos), mExecutor);
+    }
+
+    private void finished(Assignment assignment, SendOutcome outcome, long sentNanos) {
+        long nowNanos = System.nanoTime();
+        SendResult result = outcome.result();
+        mMetrics.sent(mName.value(), result.word());
+        locked(
+                () -> {
+                    mDispatch.finish(assignment, result, nowNanos - sentNanos, nowNanos);
+                    return null;
+                });
+        if (mOwner.finished(assignment, outcome)) {
+            locked(
+                    () -> {
+                        mDispatch.putBack(assignment.task());
+                        return null;
+                    });
+        }
+        pump();
+    }
+
+    private <T> T locked(Supplier<T> action) {
+        mLock.lock();
+        try {
+            return action.get();
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    private static Either<Failure, Integer> refused(FailureKind kind, String detail) {
+        return Either.left(Failure.of(kind, detail));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Dispatch of queued tasks and the threads that drive it. */
+package org.wagtailproxy.engine;
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndFinder.java
@@ -0,0 +1,148 @@
+package org.wagtailproxy.home;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.wagtailproxy.document.JobDocuments;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.Incarnation;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.membership.Member;
+import org.wagtailproxy.membership.MemberTable;
+import org.wagtailproxy.membership.Seal;
+import org.wagtailproxy.membership.SealKind;
+import org.wagtailproxy.peer.Members;
+import org.wagtailproxy.peer.PeerClient;
+import org.wagtailproxy.peer.Wire;
+import org.wagtailproxy.wire.EndRecord;
+import org.wagtailproxy.wire.Envelope;
+import org.wagtailproxy.wire.FindEnd;
+
+/**
+ * Finds the end of a job whose home does not answer among the replicas.
+ *
+ * <p>The verdict that a job failed with its home needs a seal, and the word of every instance that
+ * may hold a replica; each of them refuses later records before it answers.
+ */
+public final class EndFinder {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private final Members mMembers;
+    private final PeerClient mClient;
+    private final EndRecords mRecords;
+    private final JobService mJobs;
+
+    private EndFinder(Members members, PeerClient client, EndRecords records, JobService jobs) {
+        mMembers = members;
+        mClient = client;
+        mRecords = records;
+        mJobs = jobs;
+    }
+
+    /**
+     * Creates a finder.
+     *
+     * @param members the members, not null
+     * @param client how they are called, not null
+     * @param records the replicas kept here, not null
+     * @param jobs the jobs held here, not null
+     * @return the finder, never null
+     */
+    public static EndFinder of(
+            Members members, PeerClient client, EndRecords records, JobService jobs) {
+        Objects.requireNonNull(members, "members");
+        return new EndFinder(members, client, records, jobs);
+    }
+
+    /**
+     * Finds an end.
+     *
+     * @param name the job, within a session, not null
+     * @param home the member that had authority over it, none if it is not known
+     * @param seal the seal of that member, none if it is not sealed
+     * @return completes with the end, with the verdict that the job failed, or with nothing if it
+     *     cannot be told now
+     */
+    public CompletableFuture<Option<EndRecord>> find(
+            JobName name, Option<Member> home, Option<Seal> seal) {
+        Option<EndRecord> local = local(name, seal);
+        if (local.isDefined()) {
+            return CompletableFuture.completedFuture(local);
+        }
+        List<CompletableFuture<Either<Failure, Envelope>>> calls = new ArrayList<>();
+        FindEnd.Builder request = FindEnd.newBuilder().setJobName(name.toString());
+        seal.forEach(each -> request.setSeal(Wire.seal(each)));
+        for (Member holder : holders(home)) {
+            Envelope.Builder envelope = Envelope.newBuilder().setFindEnd(request);
+            calls.add(mClient.call(holder.peerAddress(), envelope, TIMEOUT));
+        }
+        return CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
+                .thenApply(done -> judge(name, seal, calls));
+    }
+
+    /**
+     * Looks for an end here.
+     *
+     * @param name the job, not null
+     * @param seal the seal of its home, after which no record of it is taken; none if not sealed
+     * @return the end, none if it is not kept here
+     */
+    public Option<EndRecord> local(JobName name, Option<Seal> seal) {
+        Incarnation coined = name.session().get().incarnation();
+        seal.filter(each -> each.kind() == SealKind.LOST)
+                .forEach(
+                        each -> {
+                            mMembers.with(table -> table.seal(each, System.nanoTime()));
+                            mRecords.fence(each.incarnation());
+                        });
+        return mRecords.find(coined, name).orElse(() -> mJobs.visibleEnd(name));
+    }
+
+    private List<Member> holders(Option<Member> home) {
+        return mMembers.with(
+                table ->
+                        home.isDefined()
+                                ? others(table.possibleHolders(home.get().dataCentre()), home)
+                                : others(all(table), home));
+    }
+
+    private static List<Member> all(MemberTable table) {
+        return table.live(System.nanoTime());
+    }
+
+    private static List<Member> others(List<Member> members, Option<Member> home) {
+        return members.stream().filter(member -> !home.contains(member)).toList();
+    }
+
+    private static Option<EndRecord> judge(
+            JobName name, Option<Seal> seal, List<CompletableFuture<Either<Failure, Envelope>>> calls) {
+        boolean silent = false;
+        for (CompletableFuture<Either<Failure, Envelope>> call : calls) {
+            Either<Failure, Envelope> answer = call.join();
+            if (answer.isRight() && answer.get().getFindEndAnswer().hasRecord()) {
+                return Option.some(answer.get().getFindEndAnswer().getRecord());
+            }
+            silent |= answer.isLeft() && answer.getLeft().kind() != FailureKind.PEER_REFUSED;
+        }
+        boolean lost = seal.exists(each -> each.kind() == SealKind.LOST);
+        return lost && !silent ? Option.some(lost(name)) : Option.none();
+    }
+
+    private static EndRecord lost(JobName name) {
+        Failure failure =
+                Failure.of(FailureKind.HOME_LOST, "the instance that ran the job is gone");
+        byte[] document = JobDocuments.lostJob(name, failure);
+        return EndRecord.newBuilder()
+                .setJobName(name.toString())
+                .setDocument(ByteString.copyFrom(document))
+                .setTrace(ByteString.copyFrom(document))
+                .build();
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndPublisher.java
@@ -0,0 +1,147 @@
+package org.wagtailproxy.home;
+
+import java.util.Objects;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.job.JobLedger;
+import org.wagtailproxy.observe.BurnRegistry;
+import org.wagtailproxy.observe.EventField;
+import org.wagtailproxy.observe.EventLog;
+import org.wagtailproxy.observe.EventName;
+import org.wagtailproxy.observe.Metrics;
+import org.wagtailproxy.peer.Members;
+import org.wagtailproxy.view.SharedView;
+import org.wagtailproxy.wire.EndRecord;
+
+/**
+ * Makes ends visible: first neighbours keep them, then this instance makes sure that nobody can
+ * have sealed it meanwhile. Until then an end is withheld.
+ */
+public final class EndPublisher {
+
+    private final EndReplicator mReplicator;
+    private final Members mMembers;
+    private final SharedView mView;
+    private final BurnRegistry mBurn;
+    private final Metrics mMetrics;
+    private final EventLog mLog;
+    private final Queue<Withheld> mWithheld = new ConcurrentLinkedQueue<>();
+
+    private EndPublisher(
+            EndReplicator replicator,
+            Members members,
+            SharedView view,
+            BurnRegistry burn,
+            Metrics metrics,
+            EventLog log) {
+        mReplicator = replicator;
+        mMembers = members;
+        mView = view;
+        mBurn = burn;
+        mMetrics = metrics;
+        mLog = log;
+    }
+
+    /**
+     * Creates a publisher.
+     *
+     * @param replicator has ends kept by neighbours, not null
+     * @param members tell whether this instance may publish, not null
+     * @param view the objectives, not null
+     * @param burn the burn counts, not null
+     * @param metrics the metrics, not null
+     * @param log the log, not null
+     * @return the publisher, never null
+     */
+    public static EndPublisher of(
+            EndReplicator replicator,
+            Members members,
+            SharedView view,
+            BurnRegistry burn,
+            Metrics metrics,
+            EventLog log) {
+        Objects.requireNonNull(replicator, "replicator");
+        return new EndPublisher(replicator, members, view, burn, metrics, log);
+    }
+
+    /**
+     * Publishes an end as soon as that is allowed.
+     *
+     * @param name the job, not null
+     * @param record its end, not null
+     * @param publish makes it visible; called at most once, not null
+     */
+    public void publish(JobName name, EndRecord record, Consumer<EndRecord> publish) {
+        mReplicator
+                .replicate(record)
+                .thenAccept(allowed -> replicated(name, record, publish, allowed));
+    }
+
+    /** Publishes what was withheld and may be shown now; called several times a second. */
+    public void retryWithheld() {
+        int count = mWithheld.size();
+        for (int index = 0; index < count; index++) {
+            Withheld withheld = mWithheld.poll();
+            if (withheld == null) {
+                return;
+            }
+            publish(withheld.mName, withheld.mRecord, withheld.mPublish);
+        }
+    }
+
+    /**
+     * Counts the end of a job in metrics and burn.
+     *
+     * @param ledger the job, not null
+     * @param complete whether it is complete
+     */
+    public void count(JobLedger ledger, boolean complete) {
+        long nowNanos = System.nanoTime();
+        long tookNanos = nowNanos - ledger.acceptedNanos();
+        String service = ledger.spec().service().value();
+        mMetrics.jobEnded(service, complete ? "complete" : "failed", tookNanos);
+        mView.service(ledger.spec().service())
+                .forEach(
+                        spec -> {
+                            long limit = spec.objective().latencyMilliseconds();
+                            long took = TimeUnit.NANOSECONDS.toMillis(tookNanos);
+                            boolean met = complete && took <= limit;
+                            mBurn.record("service/" + service, met, nowNanos);
+                            mBurn.record("team/" + ledger.spec().team(), met, nowNanos);
+                        });
+        ledger.failure()
+                .forEach(
+                        failure ->
+                                mLog.event(EventName.JOB_FAILED)
+                                        .with(EventField.JOB, ledger.name())
+                                        .with(EventField.FAILURE, failure.kind().slug())
+                                        .with(EventField.DETAIL, failure.detail())
+                                        .info());
+    }
+
+    private void replicated(
+            JobName name, EndRecord record, Consumer<EndRecord> publish, boolean allowed) {
+        if (allowed && mMembers.with(table -> table.mayPublish(System.nanoTime()))) {
+            publish.accept(record);
+            return;
+        }
+        mLog.event(EventName.END_WITHHELD).with(EventField.JOB, name).info();
+        mWithheld.add(new Withheld(name, record, publish));
+    }
+
+    /** An end that waits for permission. */
+    private static final class Withheld {
+        private final JobName mName;
+        private final EndRecord mRecord;
+        private final Consumer<EndRecord> mPublish;
+
+        private Withheld(JobName name, EndRecord record, Consumer<EndRecord> publish) {
+            mName = name;
+            mRecord = record;
+            mPublish = publish;
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndRecords.java
@@ -0,0 +1,155 @@
+package org.wagtailproxy.home;
+
+import com.google.protobuf.ByteString;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import io.vavr.control.Option;
+import org.wagtailproxy.identity.Incarnation;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.job.ContentDigest;
+import org.wagtailproxy.wire.EndRecord;
+
+/**
+ * Ends that this instance keeps as a replica for other homes.
+ *
+ * <p>Once an incarnation is fenced, no further record of it is taken: what was answered about its
+ * jobs after the fence stays true. Safe for use by several threads.
+ */
+public final class EndRecords {
+
+    private final Map<Incarnation, Map<JobName, Kept>> mByHome = new HashMap<>();
+    private final Set<Incarnation> mFenced = new HashSet<>();
+    private long mBytes;
+
+    private EndRecords() {}
+
+    /**
+     * Creates an empty keeper.
+     *
+     * @return the keeper, never null
+     */
+    public static EndRecords of() {
+        return new EndRecords();
+    }
+
+    /**
+     * Keeps a record unless its sender is fenced.
+     *
+     * @param sender the incarnation with authority over the job, not null
+     * @param home the incarnation that coined the job's name, not null
+     * @param name the job, not null
+     * @param record its end, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return true if it is kept
+     */
+    public synchronized boolean store(
+            Incarnation sender, Incarnation home, JobName name, EndRecord record, long nowNanos) {
+        if (mFenced.contains(sender)) {
+            return false;
+        }
+        Map<JobName, Kept> records = mByHome.computeIfAbsent(home, key -> new HashMap<>());
+        if (records.putIfAbsent(name, new Kept(record, nowNanos)) == null) {
+            mBytes += size(record);
+        }
+        return true;
+    }
+
+    /**
+     * Refuses every further record that an incarnation sends.
+     *
+     * @param sender the incarnation, not null
+     */
+    public synchronized void fence(Incarnation sender) {
+        mFenced.add(sender);
+    }
+
+    /**
+     * Finds a record.
+     *
+     * @param home the incarnation of the home, not null
+     * @param name the job, not null
+     * @return the record, none if it is not kept here
+     */
+    public synchronized Option<EndRecord> find(Incarnation home, JobName name) {
+        return Option.of(mByHome.getOrDefault(home, Map.of()).get(name)).map(kept -> kept.mRecord);
+    }
+
+    /**
+     * Returns every record of a home.
+     *
+     * @param home the incarnation, not null
+     * @return a copy by job, never null
+     */
+    public synchronized Map<JobName, EndRecord> all(Incarnation home) {
+        Map<JobName, EndRecord> all = new HashMap<>();
+        mByHome.getOrDefault(home, Map.of()).forEach((name, kept) -> all.put(name, kept.mRecord));
+        return all;
+    }
+
+    /**
+     * Forgets the records that were stored before a moment.
+     *
+     * @param nanos the monotonic time in nanoseconds
+     */
+    public synchronized void forgetBefore(long nanos) {
+        for (Map<JobName, Kept> records : mByHome.values()) {
+            records.values().removeIf(kept -> forget(kept, nanos));
+        }
+        mByHome.values().removeIf(Map::isEmpty);
+    }
+
+    /**
+     * Returns the memory that documents use.
+     *
+     * @return bytes
+     */
+    public synchronized long bytes() {
+        return mBytes;
+    }
+
+    /**
+     * Writes an end as a record.
+     *
+     * @param name the job, not null
+     * @param digest the digest of its content, not null
+     * @param complete whether it is complete
+     * @param document its document, not null
+     * @param trace its trace, not null
+     * @return the record, never null
+     */
+    public static EndRecord record(
+            JobName name, ContentDigest digest, boolean complete, byte[] document, byte[] trace) {
+        return EndRecord.newBuilder()
+                .setJobName(name.toString())
+                .setContentDigest(ByteString.copyFromUtf8(digest.hex()))
+                .setComplete(complete)
+                .setDocument(ByteString.copyFrom(document))
+                .setTrace(ByteString.copyFrom(trace))
+                .build();
+    }
+
+    static long size(EndRecord record) {
+        return record.getDocument().size() + record.getTrace().size();
+    }
+
+    private boolean forget(Kept kept, long nanos) {
+        boolean old = kept.mStoredNanos - nanos < 0;
+        if (old) {
+            mBytes -= size(kept.mRecord);
+        }
+        return old;
+    }
+
+    /** A record and when it came. */
+    private static final class Kept {
+        private final EndRecord mRecord;
+        private final long mStoredNanos;
+
+        private Kept(EndRecord record, long storedNanos) {
+            mRecord = record;
+            mStoredNanos = storedNanos;
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndReplicator.java
@@ -0,0 +1,112 @@
+package org.wagtailproxy.home;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.wagtailproxy.membership.Member;
+import org.wagtailproxy.observe.Metrics;
+import org.wagtailproxy.peer.Members;
+import org.wagtailproxy.peer.PeerClient;
+import org.wagtailproxy.peer.Wire;
+import org.wagtailproxy.wire.EndRecord;
+import org.wagtailproxy.wire.Envelope;
+import org.wagtailproxy.wire.StoreEnd;
+
+/**
+ * Has ends kept by neighbours before they are shown to anyone.
+ *
+ * <p>A neighbour that keeps a record has applied it, not merely received it: it is found there from
+ * then on.
+ */
+public final class EndReplicator {
+
+    private static final Duration TIMEOUT = Duration.ofMillis(500);
+
+    private final Members mMembers;
+    private final PeerClient mClient;
+    private final Metrics mMetrics;
+    private final int mReplicas;
+
+    private EndReplicator(Members members, PeerClient client, Metrics metrics, int replicas) {
+        mMembers = members;
+        mClient = client;
+        mMetrics = metrics;
+        mReplicas = replicas;
+    }
+
+    /**
+     * Creates a replicator.
+     *
+     * @param members the members, not null
+     * @param client how they are called, not null
+     * @param metrics the metrics, not null
+     * @param replicas how many neighbours keep each end, 0 to 2
+     * @return the replicator, never null
+     */
+    public static EndReplicator of(
+            Members members, PeerClient client, Metrics metrics, int replicas) {
+        Objects.requireNonNull(members, "members");
+        return new EndReplicator(members, client, metrics, replicas);
+    }
+
+    /**
+     * Replicates an end.
+     *
+     * @param record the end, not null
+     * @return completes with false if a neighbour refused because this instance is sealed, else with
+     *     true once the live neighbours keep it or did not answer in time
+     */
+    public CompletableFuture<Boolean> replicate(EndRecord record) {
+        List<Member> neighbours = neighbours();
+        AtomicInteger kept = new AtomicInteger();
+        AtomicBoolean fenced = new AtomicBoolean();
+        List<CompletableFuture<?>> calls = new ArrayList<>();
+        for (Member neighbour : neighbours) {
+            StoreEnd request =
+                    StoreEnd.newBuilder()
+                            .setIncarnation(Wire.incarnation(mMembers.self().incarnation()))
+                            .setRecord(record)
+                            .build();
+            Envelope.Builder envelope = Envelope.newBuilder().setStoreEnd(request);
+            calls.add(
+                    mClient.call(neighbour.peerAddress(), envelope, TIMEOUT)
+                            .thenAccept(
+                                    answer ->
+                                            answer.forEach(
+                                                    each -> {
+                                                        if (each.getStoreEndAnswer().getStored()) {
+                                                            kept.incrementAndGet();
+                                                        } else {
+                                                            fenced.set(true);
+                                                        }
+                                                    })));
+        }
+        return CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
+                .thenApply(
+                        done -> {
+                            mMetrics.replicated(kept.get());
+                            return !fenced.get();
+                        });
+    }
+
+    /** Takes the neighbours that follow this instance in the order of incarnations. */
+    private List<Member> neighbours() {
+        Member self = mMembers.self();
+        List<Member> live =
+                mMembers.with(table -> table.liveIn(self.dataCentre(), System.nanoTime())).stream()
+                        .filter(member -> !member.leaving())
+                        .toList();
+        List<Member> ordered = new ArrayList<>();
+        live.stream().filter(each -> follows(each, self)).forEach(ordered::add);
+        live.stream().filter(each -> !follows(each, self)).forEach(ordered::add);
+        return ordered.subList(0, Math.min(mReplicas, ordered.size()));
+    }
+
+    private static boolean follows(Member member, Member self) {
+        return member.incarnation().compareTo(self.incarnation()) > 0;
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/home/HandOvers.java
@@ -0,0 +1,298 @@
+package org.wagtailproxy.home;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.Incarnation;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.membership.Member;
+import org.wagtailproxy.membership.Seal;
+import org.wagtailproxy.membership.SealKind;
+import org.wagtailproxy.observe.EventField;
+import org.wagtailproxy.observe.EventLog;
+import org.wagtailproxy.observe.EventName;
+import org.wagtailproxy.peer.Members;
+import org.wagtailproxy.peer.PeerClient;
+import org.wagtailproxy.peer.ViewExchange;
+import org.wagtailproxy.peer.Wire;
+import org.wagtailproxy.session.SessionWindows;
+import org.wagtailproxy.wire.EndRecord;
+import org.wagtailproxy.wire.Envelope;
+import org.wagtailproxy.wire.HandOver;
+import org.wagtailproxy.wire.HandOverAnswer;
+
+/**
+ * Hands authority and remembered ends over to another instance at a planned stop, and takes them
+ * over. Blocks.
+ *
+ * <p>The successor has authority once it holds every record and has sealed the incarnation in its
+ * own favour; with the store down it tells the other instances alone.
+ */
+public final class HandOvers {
+
+    private static final Duration PART_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration PUSH_TIMEOUT = Duration.ofMillis(500);
+    private static final int PART_BYTES = 1_000_000;
+    private static final int LAST_ATTEMPTS = 3;
+
+    private final HeldIncarnations mHeld;
+    private final JobService mJobs;
+    private final EndRecords mRecords;
+    private final Members mMembers;
+    private final PeerClient mClient;
+    private final SealKeeper mSeals;
+    private final ViewExchange mExchange;
+    private final EventLog mLog;
+    private final Map<Incarnation, Seal> mUnwritten = new ConcurrentHashMap<>();
+
+    private HandOvers(Builder builder) {
+        mHeld = builder.mHeld;
+        mJobs = builder.mJobs;
+        mRecords = builder.mRecords;
+        mMembers = builder.mMembers;
+        mClient = builder.mClient;
+        mSeals = builder.mSeals;
+        mExchange = builder.mExchange;
+        mLog = builder.mLog;
+    }
+
+    /**
+     * Hands every incarnation held here over; no job may be open.
+     *
+     * @return true if every one was taken
+     */
+    public boolean handOver() {
+        List<Member> successors = successors();
+        boolean all = true;
+        for (Map.Entry<Incarnation, SessionWindows> held : mHeld.all().entrySet()) {
+            all &= handOver(held.getKey(), held.getValue(), successors);
+        }
+        return all;
+    }
+
+    /**
+     * Takes a part of what another instance hands over.
+     *
+     * @param part the part, not null
+     * @return whether it was taken
+     */
+    public HandOverAnswer take(HandOver part) {
+        HandOverAnswer.Builder answer = HandOverAnswer.newBuilder();
+        Option<Incarnation> incarnation = Wire.incarnation(part.getIncarnation());
+        if (incarnation.isEmpty() || mMembers.self().leaving()) {
+            return answer.build();
+        }
+        boolean stored = store(incarnation.get(), part.getRecordsList());
+        if (!stored) {
+            return answer.build();
+        }
+        boolean taken = !part.getLast() || adopt(incarnation.get(), part);
+        return answer.setTaken(taken).build();
+    }
+
+    /** Writes the seals that the store could not take before; called now and then. */
+    public void retryUnwritten() {
+        for (Seal seal : mUnwritten.values()) {
+            if (mSeals.seal(seal).isRight()) {
+                mUnwritten.remove(seal.incarnation());
+            }
+        }
+    }
+
+    private boolean store(Incarnation home, List<EndRecord> records) {
+        long nowNanos = System.nanoTime();
+        for (EndRecord record : records) {
+            Either<Failure, JobName> name = JobName.parse(record.getJobName());
+            if (name.isLeft() || !mRecords.store(home, home, name.get(), record, nowNanos)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean adopt(Incarnation incarnation, HandOver part) {
+        Seal seal = Seal.handedOver(incarnation, mMembers.self());
+        Either<Failure, Seal> counting = mSeals.seal(seal);
+        if (counting.isRight() && !isMine(counting.get())) {
+            return false;
+        }
+        if (counting.isLeft()) {
+            mUnwritten.put(incarnation, seal);
+            mMembers.with(table -> table.seal(seal, System.nanoTime()));
+            mExchange.push(seal, PUSH_TIMEOUT);
+        }
+        long ageNanos = TimeUnit.MILLISECONDS.toNanos(part.getAgeMilliseconds());
+        mHeld.prepare(incarnation, ageNanos, System.nanoTime());
+        mRecords.all(incarnation).forEach(mJobs::adopt);
+        mHeld.activate(incarnation);
+        mLog.event(EventName.TAKEN_OVER).with(EventField.SUBJECT, incarnation).info();
+        return true;
+    }
+
+    private boolean isMine(Seal seal) {
+        Incarnation self = mMembers.self().incarnation();
+        return seal.kind() == SealKind.HANDED_OVER
+                && seal.successor().exists(each -> each.incarnation().equals(self));
+    }
+
+    private boolean handOver(
+            Incarnation incarnation, SessionWindows windows, List<Member> successors) {
+        for (Member successor : successors) {
+            Outcome outcome = handOver(incarnation, windows, successor);
+            if (outcome == Outcome.TAKEN) {
+                give(incarnation, successor);
+                return true;
+            }
+            if (outcome == Outcome.UNKNOWN) {
+                break;
+            }
+        }
+        mLog.event(EventName.HAND_OVER_FAILED).with(EventField.SUBJECT, incarnation).warn();
+        return false;
+    }
+
+    private void give(Incarnation incarnation, Member successor) {
+        Seal seal = Seal.handedOver(incarnation, successor);
+        mMembers.with(table -> table.seal(seal, System.nanoTime()));
+        mHeld.release(incarnation);
+        mExchange.push(seal, PUSH_TIMEOUT).join();
+        mLog.event(EventName.HANDED_OVER)
+                .with(EventField.SUBJECT, incarnation)
+                .with(EventField.ADDRESS, successor.peerAddress())
+                .info();
+    }
+
+    private Outcome handOver(Incarnation incarnation, SessionWindows windows, Member successor) {
+        HandOver.Builder part = part(incarnation);
+        int bytes = 0;
+        for (EndRecord record : mJobs.visibleEnds(incarnation)) {
+            part.addRecords(record);
+            bytes += record.getSerializedSize();
+            if (bytes > PART_BYTES) {
+                if (send(successor, part) != Outcome.TAKEN) {
+                    return Outcome.REFUSED;
+                }
+                part = part(incarnation);
+                bytes = 0;
+            }
+        }
+        return sendLast(successor, part, windows);
+    }
+
+    /** An instance that was asked to finish may have done so though its answer is lost. */
+    private Outcome sendLast(Member successor, HandOver.Builder part, SessionWindows windows) {
+        Outcome outcome = Outcome.UNKNOWN;
+        for (int attempt = 0; attempt < LAST_ATTEMPTS; attempt++) {
+            long age = TimeUnit.NANOSECONDS.toMillis(windows.ageNanos(System.nanoTime()));
+            part.setLast(true).setAgeMilliseconds(age);
+            outcome = send(successor, part);
+            if (outcome != Outcome.UNKNOWN) {
+                break;
+            }
+            mClient.drop(successor.peerAddress());
+        }
+        return outcome;
+    }
+
+    private Outcome send(Member successor, HandOver.Builder part) {
+        Envelope.Builder request = Envelope.newBuilder().setHandOver(part);
+        Either<Failure, Envelope> answer =
+                mClient.call(successor.peerAddress(), request, PART_TIMEOUT).join();
+        if (answer.isLeft()) {
+            return answer.getLeft().kind() == FailureKind.PEER_REFUSED
+                    ? Outcome.REFUSED
+                    : Outcome.UNKNOWN;
+        }
+        return answer.get().getHandOverAnswer().getTaken() ? Outcome.TAKEN : Outcome.REFUSED;
+    }
+
+    private static HandOver.Builder part(Incarnation incarnation) {
+        return HandOver.newBuilder().setIncarnation(Wire.incarnation(incarnation));
+    }
+
+    private List<Member> successors() {
+        Member self = mMembers.self();
+        List<Member> live =
+                mMembers.with(table -> table.live(System.nanoTime())).stream()
+                        .filter(member -> !member.leaving())
+                        .toList();
+        List<Member> ordered = new ArrayList<>();
+        live.stream().filter(each -> isNear(each, self)).forEach(ordered::add);
+        live.stream().filter(each -> !isNear(each, self)).forEach(ordered::add);
+        return ordered;
+    }
+
+    private static boolean isNear(Member member, Member self) {
+        return member.dataCentre().equals(self.dataCentre());
+    }
+
+    /** What came of asking an instance to take over. */
+    private enum Outcome {
+        TAKEN,
+        REFUSED,
+        UNKNOWN
+    }
+
+    /** Gathers what hand-overs need. */
+    public static final class Builder {
+        private HeldIncarnations mHeld;
+        private JobService mJobs;
+        private EndRecords mRecords;
+        private Members mMembers;
+        private PeerClient mClient;
+        private SealKeeper mSeals;
+        private ViewExchange mExchange;
+        private EventLog mLog;
+
+        /**
+         * Sets what is handed over.
+         *
+         * @param held the incarnations held here, not null
+         * @param jobs their jobs, not null
+         * @param records the replicas kept here, not null
+         * @return this builder
+         */
+        public Builder local(HeldIncarnations held, JobService jobs, EndRecords records) {
+            mHeld = Objects.requireNonNull(held, "held");
+            mJobs = Objects.requireNonNull(jobs, "jobs");
+            mRecords = Objects.requireNonNull(records, "records");
+            return this;
+        }
+
+        /**
+         * Sets to whom and how.
+         *
+         * @param members the members, not null
+         * @param client how they are called, not null
+         * @param exchange how they are told, not null
+         * @return this builder
+         */
+        public Builder remote(Members members, PeerClient client, ViewExchange exchange) {
+            mMembers = Objects.requireNonNull(members, "members");
+            mClient = Objects.requireNonNull(client, "client");
+            mExchange = Objects.requireNonNull(exchange, "exchange");
+            return this;
+        }
+
+        /**
+         * Builds the hand-overs.
+         *
+         * @param seals the seals, not null
+         * @param log the log, not null
+         * @return the hand-overs, never null
+         */
+        public HandOvers build(SealKeeper seals, EventLog log) {
+            mSeals = Objects.requireNonNull(seals, "seals");
+            mLog = Objects.requireNonNull(log, "log");
+            return new HandOvers(this);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/home/JobEntry.java
@@ -0,0 +1,111 @@
+package org.wagtailproxy.home;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.wagtailproxy.document.JobDocuments;
+import org.wagtailproxy.job.ContentDigest;
+import org.wagtailproxy.job.JobLedger;
+import org.wagtailproxy.job.JobState;
+import org.wagtailproxy.wire.EndRecord;
+
+/**
+ * One job at its home: a ledger while it runs, then the record of its end.
+ *
+ * <p>Guarded by the lock of its shard.
+ */
+final class JobEntry {
+
+    private final ContentDigest mDigest;
+    private final List<CompletableFuture<JobReply>> mWaiters = new ArrayList<>();
+    private final boolean mTransient;
+    private JobLedger mLedger;
+    private EndRecord mEnd;
+    private boolean mSettledSeen;
+    private int mUnknownRetries;
+
+    private JobEntry(ContentDigest digest, JobLedger ledger, EndRecord end, boolean isTransient) {
+        mDigest = digest;
+        mLedger = ledger;
+        mEnd = end;
+        mTransient = isTransient;
+    }
+
+    /** Creates an entry that runs; nobody asks for a transient one once it has been answered. */
+    static JobEntry running(JobLedger ledger, boolean isTransient) {
+        return new JobEntry(ledger.digest(), ledger, null, isTransient);
+    }
+
+    static JobEntry ended(EndRecord end) {
+        String hex = end.getContentDigest().toStringUtf8();
+        return new JobEntry(new ContentDigest(hex), null, end, false);
+    }
+
+    ContentDigest digest() {
+        return mDigest;
+    }
+
+    boolean isTransient() {
+        return mTransient;
+    }
+
+    /** Returns the ledger, null once the end is visible. */
+    JobLedger ledger() {
+        return mLedger;
+    }
+
+    Option<EndRecord> end() {
+        return Option.of(mEnd);
+    }
+
+    /** Tells once, and only once, that the end is determined. */
+    boolean settledForTheFirstTime() {
+        if (mSettledSeen || mLedger == null || !mLedger.isSettled()) {
+            return false;
+        }
+        mSettledSeen = true;
+        return true;
+    }
+
+    boolean isSettled() {
+        return mSettledSeen;
+    }
+
+    int unknownRetries() {
+        return mUnknownRetries;
+    }
+
+    void countUnknownRetry() {
+        mUnknownRetries++;
+    }
+
+    /** Makes the end visible and returns who waits for it. */
+    List<CompletableFuture<JobReply>> publish(EndRecord end) {
+        mEnd = end;
+        mLedger = null;
+        List<CompletableFuture<JobReply>> waiters = List.copyOf(mWaiters);
+        mWaiters.clear();
+        return waiters;
+    }
+
+    void await(CompletableFuture<JobReply> waiter) {
+        mWaiters.add(waiter);
+    }
+
+    void stopAwaiting(CompletableFuture<JobReply> waiter) {
+        mWaiters.remove(waiter);
+    }
+
+    JobReply reply() {
+        return mEnd != null
+                ? JobReply.ended(mEnd.getDocument().toByteArray())
+                : JobReply.running(JobDocuments.job(mLedger, JobState.RUNNING));
+    }
+
+    JobReply traceReply() {
+        return mEnd != null
+                ? JobReply.ended(mEnd.getTrace().toByteArray())
+                : JobReply.running(JobDocuments.trace(mLedger, JobState.RUNNING));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/home/JobRouter.java
@@ -0,0 +1,388 @@
+package org.wagtailproxy.home;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.wagtailproxy.document.JobDocuments;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.identity.Incarnation;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.job.JobSpec;
+import org.wagtailproxy.membership.Member;
+import org.wagtailproxy.membership.Seal;
+import org.wagtailproxy.membership.SealKind;
+import org.wagtailproxy.peer.Members;
+import org.wagtailproxy.peer.PeerClient;
+import org.wagtailproxy.wire.EndRecord;
+import org.wagtailproxy.wire.Envelope;
+import org.wagtailproxy.wire.JobAnswer;
+import org.wagtailproxy.wire.JobCall;
+
+/** Passes what callers ask to the home of the job, wherever that is and whoever took it over. */
+public final class JobRouter {
+
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
+    private static final Duration DRAIN_PATIENCE = Duration.ofSeconds(5);
+    private static final long DRAIN_PAUSE_MILLISECONDS = 100;
+    private static final int MAXIMUM_SUCCESSIONS = 64;
+    private static final int CALL_ATTEMPTS = 2;
+
+    private final HeldIncarnations mHeld;
+    private final JobService mJobs;
+    private final Members mMembers;
+    private final PeerClient mClient;
+    private final EndFinder mFinder;
+    private final SealKeeper mSeals;
+    private final NameClaims mClaims;
+    private final Executor mBlocking;
+
+    private JobRouter(Builder builder) {
+        mHeld = builder.mHeld;
+        mJobs = builder.mJobs;
+        mMembers = builder.mMembers;
+        mClient = builder.mClient;
+        mFinder = builder.mFinder;
+        mSeals = builder.mSeals;
+        mClaims = builder.mClaims;
+        mBlocking = builder.mBlocking;
+    }
+
+    /**
+     * Serves a caller's request.
+     *
+     * @param request the request, not null
+     * @return completes with the reply
+     */
+    public CompletableFuture<JobReply> serve(JobRequest request) {
+        if (request.name().session().isDefined()) {
+            return route(request, System.nanoTime());
+        }
+        return CompletableFuture.supplyAsync(() -> claim(request), mBlocking)
+                .thenCompose(
+                        claimed ->
+                                claimed.isLeft()
+                                        ? done(JobReply.refused(claimed.getLeft()))
+                                        : route(
+                                                request.named(claimed.get()), System.nanoTime()));
+    }
+
+    /**
+     * Serves a request that another instance passed on.
+     *
+     * @param call the request, not null
+     * @return completes with the reply
+     */
+    public CompletableFuture<JobReply> serve(JobCall call) {
+        Either<Failure, JobName> name = JobName.parse(call.getJobName());
+        if (name.isLeft() || name.get().session().isEmpty()) {
+            return done(unreachable());
+        }
+        JobRequest request =
+                new JobRequest(
+                        JobOperation.of(call.getOperation()),
+                        name.get(),
+                        call.getBody().toByteArray(),
+                        call.getWaitMilliseconds());
+        if (holds(coined(request))) {
+            return local(request);
+        }
+        return handedOn(coined(request)) ? route(request, System.nanoTime()) : done(unreachable());
+    }
+
+    /** Tests whether this instance gave an incarnation to another one that still has it. */
+    private boolean handedOn(Incarnation coined) {
+        Authority authority = authority(coined);
+        Incarnation self = mMembers.self().incarnation();
+        boolean moved = !authority.mIncarnation.equals(coined);
+        return moved && authority.mSeal.isEmpty() && !authority.mIncarnation.equals(self);
+    }
+
+    private Either<Failure, JobName> claim(JobRequest request) {
+        return request.operation() == JobOperation.SUBMIT
+                ? mClaims.claim(request.name())
+                : mClaims.find(request.name());
+    }
+
+    private CompletableFuture<JobReply> route(JobRequest request, long beganNanos) {
+        return attempt(request, CALL_ATTEMPTS)
+                .thenCompose(
+                        reply -> {
+                            boolean draining =
+                                    reply.failure().contains(FailureKind.DRAINING.slug());
+                            long waited = System.nanoTime() - beganNanos;
+                            if (!draining || waited > DRAIN_PATIENCE.toNanos()) {
+                                return done(reply);
+                            }
+                            Executor later =
+                                    CompletableFuture.delayedExecutor(
+                                            DRAIN_PAUSE_MILLISECONDS, TimeUnit.MILLISECONDS);
+                            return CompletableFuture.supplyAsync(() -> request, later)
+                                    .thenCompose(again -> route(again, beganNanos));
+                        });
+    }
+
+    private CompletableFuture<JobReply> attempt(JobRequest request, int attempts) {
+        Incarnation coined = coined(request);
+        if (holds(coined)) {
+            return local(request);
+        }
+        Authority authority = authority(coined);
+        if (authority.mSeal.isDefined()) {
+            return fromReplicas(request, authority.mMember, authority.mSeal);
+        }
+        if (authority.mMember.isEmpty()) {
+            return unknownHome(request, authority.mIncarnation);
+        }
+        HostAddress address = authority.mMember.get().peerAddress();
+        if (authority.mIncarnation.equals(mMembers.self().incarnation())) {
+            return done(unreachable());
+        }
+        return mClient.call(address, call(request), timeout(request))
+                .thenCompose(answer -> answered(request, authority, attempts, answer));
+    }
+
+    private CompletionStage<JobReply> answered(
+            JobRequest request,
+            Authority authority,
+            int attempts,
+            Either<Failure, Envelope> answer) {
+        if (answer.isRight() && answer.get().hasJobAnswer()) {
+            JobAnswer reply = answer.get().getJobAnswer();
+            boolean misdirected =
+                    reply.getFailure().equals(FailureKind.HOME_UNREACHABLE.slug());
+            if (!misdirected) {
+                return done(reply(reply));
+            }
+        } else if (attempts > 1) {
+            mClient.drop(authority.mMember.get().peerAddress());
+            return attempt(request, attempts - 1);
+        }
+        return checkSeal(request, authority.mIncarnation, authority.mMember);
+    }
+
+    private CompletableFuture<JobReply> unknownHome(JobRequest request, Incarnation incarnation) {
+        return CompletableFuture.supplyAsync(() -> mSeals.readBirth(incarnation), mBlocking)
+                .thenCompose(
+                        member -> {
+                            member.forEach(
+                                    each ->
+                                            mMembers.with(
+                                                    table -> {
+                                                        table.told(each, System.nanoTime());
+                                                        return null;
+                                                    }));
+                            return checkSeal(request, incarnation, member);
+                        });
+    }
+
+    /** Asks the store whether the home is sealed, and the replicas for what they keep. */
+    private CompletableFuture<JobReply> checkSeal(
+            JobRequest request, Incarnation incarnation, Option<Member> member) {
+        return CompletableFuture.supplyAsync(() -> mSeals.read(incarnation), mBlocking)
+                .thenCompose(
+                        read -> {
+                            Option<Seal> seal = read.getOrElse(Option.none());
+                            seal.forEach(
+                                    each ->
+                                            mMembers.with(
+                                                    table ->
+                                                            table.seal(each, System.nanoTime())));
+                            boolean moved =
+                                    seal.exists(each -> each.kind() == SealKind.HANDED_OVER);
+                            return moved
+                                    ? attempt(request, 1)
+                                    : fromReplicas(request, member, seal);
+                        });
+    }
+
+    private CompletableFuture<JobReply> fromReplicas(
+            JobRequest request, Option<Member> home, Option<Seal> seal) {
+        return mFinder.find(request.name(), home, seal)
+                .thenApply(
+                        record ->
+                                record.map(each -> replyFrom(request, each))
+                                        .getOrElse(JobRouter::unreachable));
+    }
+
+    private static JobReply replyFrom(JobRequest request, EndRecord record) {
+        String kept = record.getContentDigest().toStringUtf8();
+        if (request.operation() == JobOperation.SUBMIT && !kept.isEmpty()) {
+            Either<Failure, JobSpec> spec = JobDocuments.readJob(request.body());
+            if (spec.isLeft()) {
+                return JobReply.refused(spec.getLeft());
+            }
+            if (!spec.get().digest().hex().equals(kept)) {
+                return JobReply.refused(
+                        Failure.of(
+                                FailureKind.NAME_CONFLICT, "the name is taken by other content"));
+            }
+        }
+        boolean trace = request.operation() == JobOperation.TRACE;
+        return JobReply.ended((trace ? record.getTrace() : record.getDocument()).toByteArray());
+    }
+
+    private CompletableFuture<JobReply> local(JobRequest request) {
+        return switch (request.operation()) {
+            case SUBMIT -> done(submit(request));
+            case GET -> mJobs.get(request.name(), request.waitMilliseconds());
+            case CANCEL -> done(mJobs.cancel(request.name()));
+            case TRACE -> done(mJobs.trace(request.name()));
+        };
+    }
+
+    private JobReply submit(JobRequest request) {
+        Either<Failure, JobSpec> spec = JobDocuments.readJob(request.body());
+        return spec.isLeft()
+                ? JobReply.refused(spec.getLeft())
+                : mJobs.submit(request.name(), spec.get());
+    }
+
+    private boolean holds(Incarnation incarnation) {
+        Incarnation self = mMembers.self().incarnation();
+        return mHeld.holds(incarnation) && mMembers.with(table -> table.sealOf(self).isEmpty());
+    }
+
+    /** Follows hand-overs to whoever has authority now, or to the seal of whoever is lost. */
+    private Authority authority(Incarnation coined) {
+        Authority authority = new Authority(coined, known(coined), Option.none());
+        for (int step = 0; step < MAXIMUM_SUCCESSIONS; step++) {
+            Incarnation current = authority.mIncarnation;
+            Option<Seal> seal = mMembers.with(table -> table.sealOf(current));
+            if (seal.isEmpty()) {
+                return authority;
+            }
+            if (seal.get().kind() == SealKind.LOST) {
+                return new Authority(current, authority.mMember, seal);
+            }
+            Member successor = seal.get().successor().get();
+            authority =
+                    new Authority(
+                            successor.incarnation(), Option.some(successor), Option.none());
+        }
+        return authority;
+    }
+
+    private Option<Member> known(Incarnation incarnation) {
+        return mMembers.with(table -> table.find(incarnation));
+    }
+
+    private static Incarnation coined(JobRequest request) {
+        return request.name().session().get().incarnation();
+    }
+
+    private static Envelope.Builder call(JobRequest request) {
+        return Envelope.newBuilder()
+                .setJobCall(
+                        JobCall.newBuilder()
+                                .setOperation(request.operation().wire())
+                                .setJobName(request.name().toString())
+                                .setBody(ByteString.copyFrom(request.body()))
+                                .setWaitMilliseconds((int) request.waitMilliseconds()));
+    }
+
+    private static Duration timeout(JobRequest request) {
+        return CALL_TIMEOUT.plusMillis(request.waitMilliseconds());
+    }
+
+    private static JobReply reply(JobAnswer answer) {
+        Option<String> failure =
+                answer.getFailure().isEmpty() ? Option.none() : Option.some(answer.getFailure());
+        return new JobReply(answer.getStatus(), answer.getBody().toByteArray(), failure);
+    }
+
+    private static JobReply unreachable() {
+        return JobReply.refused(
+                Failure.of(
+                        FailureKind.HOME_UNREACHABLE,
+                        "the instance that runs the job cannot be reached now; ask again"));
+    }
+
+    private static CompletableFuture<JobReply> done(JobReply reply) {
+        return CompletableFuture.completedFuture(reply);
+    }
+
+    /** Who has authority over an incarnation's jobs, or had it until it was lost. */
+    private static final class Authority {
+        private final Incarnation mIncarnation;
+        private final Option<Member> mMember;
+        private final Option<Seal> mSeal;
+
+        private Authority(Incarnation incarnation, Option<Member> member, Option<Seal> seal) {
+            mIncarnation = incarnation;
+            mMember = member;
+            mSeal = seal;
+        }
+    }
+
+    /** Gathers what the router needs. */
+    public static final class Builder {
+        private HeldIncarnations mHeld;
+        private JobService mJobs;
+        private Members mMembers;
+        private PeerClient mClient;
+        private EndFinder mFinder;
+        private SealKeeper mSeals;
+        private NameClaims mClaims;
+        private Executor mBlocking;
+
+        /**
+         * Sets what is served here.
+         *
+         * @param held the incarnations held here, not null
+         * @param jobs their jobs, not null
+         * @return this builder
+         */
+        public Builder local(HeldIncarnations held, JobService jobs) {
+            mHeld = Objects.requireNonNull(held, "held");
+            mJobs = Objects.requireNonNull(jobs, "jobs");
+            return this;
+        }
+
+        /**
+         * Sets how others are reached.
+         *
+         * @param members the members, not null
+         * @param client how they are called, not null
+         * @param finder finds ends among replicas, not null
+         * @return this builder
+         */
+        public Builder remote(Members members, PeerClient client, EndFinder finder) {
+            mMembers = Objects.requireNonNull(members, "members");
+            mClient = Objects.requireNonNull(client, "client");
+            mFinder = Objects.requireNonNull(finder, "finder");
+            return this;
+        }
+
+        /**
+         * Sets what is asked of the store.
+         *
+         * @param seals the seals, not null
+         * @param claims the claims, not null
+         * @param blocking runs what blocks, not null
+         * @return this builder
+         */
+        public Builder store(SealKeeper seals, NameClaims claims, Executor blocking) {
+            mSeals = Objects.requireNonNull(seals, "seals");
+            mClaims = Objects.requireNonNull(claims, "claims");
+            mBlocking = Objects.requireNonNull(blocking, "blocking");
+            return this;
+        }
+
+        /**
+         * Builds the router.
+         *
+         * @return the router, never null
+         */
+        public JobRouter build() {
+            return new JobRouter(this);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/home/JobService.java
@@ -0,0 +1,553 @@
+package org.wagtailproxy.home;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.wagtailproxy.backend.SendOutcome;
+import org.wagtailproxy.configuration.ServiceSpec;
+import org.wagtailproxy.dispatch.Assignment;
+import org.wagtailproxy.dispatch.QueuedTask;
+import org.wagtailproxy.dispatch.RetryRule;
+import org.wagtailproxy.dispatch.SendResult;
+import org.wagtailproxy.dispatch.TaskRef;
+import org.wagtailproxy.document.JobDocuments;
+import org.wagtailproxy.engine.DispatchEngine;
+import org.wagtailproxy.engine.OutgoingTask;
+import org.wagtailproxy.engine.TaskOwner;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.Incarnation;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.identity.SessionToken;
+import org.wagtailproxy.job.JobLedger;
+import org.wagtailproxy.job.JobSpec;
+import org.wagtailproxy.job.JobState;
+import org.wagtailproxy.job.TaskSpec;
+import org.wagtailproxy.observe.EventField;
+import org.wagtailproxy.observe.EventLog;
+import org.wagtailproxy.observe.EventName;
+import org.wagtailproxy.observe.Metrics;
+import org.wagtailproxy.session.SessionWindows;
+import org.wagtailproxy.session.WindowState;
+import org.wagtailproxy.view.SharedView;
+import org.wagtailproxy.wire.EndRecord;
+
+/** Accepts jobs for the incarnations held here, accounts for their tasks and remembers their ends. */
+public final class JobService implements TaskOwner {
+
+    private final JobTable mTable = new JobTable();
+    private final HeldIncarnations mHeld;
+    private final SharedView mView;
+    private final DispatchEngine mEngine;
+    private final EndPublisher mPublisher;
+    private final Metrics mMetrics;
+    private final EventLog mLog;
+    private final long mOutcomeBytesLimit;
+    private final AtomicLong mOutcomeBytes = new AtomicLong();
+    private final AtomicInteger mOpenJobs = new AtomicInteger();
+    private volatile boolean mDraining;
+
+    private JobService(
+            HeldIncarnations held,
+            SharedView view,
+            DispatchEngine engine,
+            EndPublisher publisher,
+            long outcomeBytesLimit,
+            Metrics metrics,
+            EventLog log) {
+        mHeld = held;
+        mView = view;
+        mEngine = engine;
+        mPublisher = publisher;
+        mOutcomeBytesLimit = outcomeBytesLimit;
+        mMetrics = metrics;
+        mLog = log;
+    }
+
+    /**
+     * Creates the service.
+     *
+     * @param held the incarnations held here, not null
+     * @param view services and teams, not null
+     * @param engine runs the tasks, not null
+     * @param publisher makes ends visible, not null
+     * @param outcomeBytesLimit memory for remembered outcomes in bytes
+     * @param metrics the metrics, not null
+     * @param log the log, not null
+     * @return the service, never null
+     */
+    public static JobService of(
+            HeldIncarnations held,
+            SharedView view,
+            DispatchEngine engine,
+            EndPublisher publisher,
+            long outcomeBytesLimit,
+            Metrics metrics,
+            EventLog log) {
+        Objects.requireNonNull(held, "held");
+        return new JobService(held, view, engine, publisher, outcomeBytesLimit, metrics, log);
+    }
+
+    /**
+     * Accepts a job, or finds the one of the same name and content.
+     *
+     * @param name its name within a session held here, not null
+     * @param spec its content, not null
+     * @return the job's document, or a refusal
+     */
+    public JobReply submit(JobName name, JobSpec spec) {
+        Either<Failure, JobReply> reply = accept(name, spec, false, Option.none());
+        reply.peekLeft(failure -> refused(name, failure));
+        return reply.getOrElseGet(JobReply::refused);
+    }
+
+    /**
+     * Runs a job whose end is told once and not remembered.
+     *
+     * @param name its name within a session held here, not null
+     * @param spec its content, not null
+     * @return completes with its end, or with a refusal
+     */
+    public CompletableFuture<JobReply> run(JobName name, JobSpec spec) {
+        CompletableFuture<JobReply> end = new CompletableFuture<>();
+        Either<Failure, JobReply> reply = accept(name, spec, true, Option.some(end));
+        reply.peekLeft(
+                failure -> {
+                    refused(name, failure);
+                    end.complete(JobReply.refused(failure));
+                });
+        return end;
+    }
+
+    /**
+     * Finds a job, and waits for its end if asked to.
+     *
+     * @param name the job, not null
+     * @param waitMilliseconds the longest wait, 0 for none
+     * @return completes with its document, or with a refusal
+     */
+    public CompletableFuture<JobReply> get(JobName name, long waitMilliseconds) {
+        return mTable.with(
+                name,
+                jobs -> {
+                    JobEntry entry = jobs.get(name);
+                    if (entry == null) {
+                        return done(JobReply.refused(absent(name)));
+                    }
+                    if (entry.end().isDefined() || waitMilliseconds == 0) {
+                        return done(entry.reply());
+                    }
+                    return await(name, entry, waitMilliseconds);
+                });
+    }
+
+    /**
+     * Finds the trace of a job.
+     *
+     * @param name the job, not null
+     * @return its trace, or a refusal
+     */
+    public JobReply trace(JobName name) {
+        return mTable.with(
+                name,
+                jobs -> {
+                    JobEntry entry = jobs.get(name);
+                    return entry == null ? JobReply.refused(absent(name)) : entry.traceReply();
+                });
+    }
+
+    /**
+     * Cancels a job: queued tasks end as not run, sent ones are awaited.
+     *
+     * @param name the job, not null
+     * @return its document, or a refusal
+     */
+    public JobReply cancel(JobName name) {
+        Option<JobSpec> open =
+                mTable.with(name, jobs -> Option.of(jobs.get(name)))
+                        .flatMap(entry -> Option.of(entry.ledger()))
+                        .map(JobLedger::spec);
+        open.forEach(
+                spec -> {
+                    mEngine.drop(spec.service(), name);
+                    failJob(name, Failure.of(FailureKind.CANCELLED, "cancelled by a caller"));
+                });
+        return mTable.with(
+                name,
+                jobs -> {
+                    JobEntry entry = jobs.get(name);
+                    return entry == null ? JobReply.refused(absent(name)) : entry.reply();
+                });
+    }
+
+    /**
+     * Finds a visible end.
+     *
+     * @param name the job, not null
+     * @return the record, none if there is none here
+     */
+    public Option<EndRecord> visibleEnd(JobName name) {
+        return mTable.with(name, jobs -> Option.of(jobs.get(name)).flatMap(JobEntry::end));
+    }
+
+    /**
+     * Returns the visible ends of an incarnation.
+     *
+     * @param home the incarnation, not null
+     * @return the records, never null
+     */
+    public List<EndRecord> visibleEnds(Incarnation home) {
+        return mTable.collect(
+                job -> {
+                    boolean here = job.getKey().session().exists(t -> t.incarnation().equals(home));
+                    return here ? job.getValue().end().getOrNull() : null;
+                });
+    }
+
+    /**
+     * Takes over the end of a job that another instance handed over.
+     *
+     * @param name the job, not null
+     * @param record its end, not null
+     */
+    public void adopt(JobName name, EndRecord record) {
+        mTable.with(name, jobs -> jobs.putIfAbsent(name, JobEntry.ended(record)));
+        mOutcomeBytes.addAndGet(EndRecords.size(record));
+    }
+
+    /** Refuses new jobs from now on. */
+    public void drain() {
+        mDraining = true;
+    }
+
+    /**
+     * Fails every open job, so that its sent tasks are the last.
+     *
+     * @param failure why, not null
+     */
+    public void failOpenJobs(Failure failure) {
+        List<JobName> open =
+                mTable.collect(job -> job.getValue().ledger() == null ? null : job.getKey());
+        open.forEach(name -> failJob(name, failure));
+    }
+
+    /**
+     * Counts the jobs whose end is not visible.
+     *
+     * @return the number
+     */
+    public int openJobs() {
+        return mOpenJobs.get();
+    }
+
+    /** Forgets the jobs of windows that are no longer remembered. */
+    public void sweep() {
+        long nowNanos = System.nanoTime();
+        mTable.removeIf(
+                (name, entry) -> {
+                    boolean old = entry.end().isDefined() && forgotten(name, nowNanos);
+                    if (old) {
+                        entry.end().forEach(end -> mOutcomeBytes.addAndGet(-EndRecords.size(end)));
+                    }
+                    return old;
+                });
+        mHeld.forgotten(nowNanos).forEach(mHeld::release);
+    }
+
+    @Override
+    public Option<OutgoingTask> start(Assignment assignment) {
+        TaskRef task = assignment.task().task();
+        return mTable.with(
+                task.job(),
+                jobs -> {
+                    JobEntry entry = jobs.get(task.job());
+                    if (entry == null || entry.ledger() == null) {
+                        return Option.none();
+                    }
+                    String server = assignment.runner().toString();
+                    if (!entry.ledger().start(task.index(), server, System.nanoTime())) {
+                        return Option.none();
+                    }
+                    TaskSpec spec = entry.ledger().spec().tasks().get(task.index());
+                    return Option.some(
+                            new OutgoingTask(task.job() + "/" + spec.key(), spec.payload()));
+                });
+    }
+
+    @Override
+    public boolean finished(Assignment assignment, SendOutcome outcome) {
+        TaskRef task = assignment.task().task();
+        JobName name = task.job();
+        boolean again =
+                mTable.with(
+                        name,
+                        jobs -> {
+                            JobEntry entry = jobs.get(name);
+                            boolean open = entry != null && entry.ledger() != null;
+                            return open && record(entry, assignment, outcome);
+                        });
+        settle(name);
+        return again;
+    }
+
+    @Override
+    public void expired(QueuedTask task) {
+        Failure failure =
+                Failure.of(FailureKind.TASK_NOT_RUN, "no backend server took a task in time");
+        JobName name = task.task().job();
+        withLedger(
+                name,
+                ledger -> ledger.fail(task.task().index(), "", failure, System.nanoTime()));
+        settle(name);
+    }
+
+    private Either<Failure, JobReply> accept(
+            JobName name,
+            JobSpec spec,
+            boolean isTransient,
+            Option<CompletableFuture<JobReply>> waiter) {
+        return mTable.with(
+                name,
+                jobs -> {
+                    JobEntry existing = jobs.get(name);
+                    if (existing != null) {
+                        return existing(existing, spec);
+                    }
+                    Option<Failure> refusal = refusal(name, spec);
+                    if (refusal.isDefined()) {
+                        return Either.left(refusal.get());
+                    }
+                    long nowNanos = System.nanoTime();
+                    JobEntry entry =
+                            JobEntry.running(JobLedger.of(name, spec, nowNanos), isTransient);
+                    Either<Failure, Integer> queued =
+                            mEngine.offer(name, spec, tasks(name, spec, nowNanos));
+                    if (queued.isLeft()) {
+                        return Either.left(queued.getLeft());
+                    }
+                    jobs.put(name, entry);
+                    waiter.forEach(entry::await);
+                    mOpenJobs.incrementAndGet();
+                    mLog.event(EventName.JOB_ACCEPTED).with(EventField.JOB, name).debug();
+                    return Either.right(entry.reply());
+                });
+    }
+
+    private static Either<Failure, JobReply> existing(JobEntry entry, JobSpec spec) {
+        if (entry.digest().equals(spec.digest())) {
+            return Either.right(entry.reply());
+        }
+        return Either.left(
+                Failure.of(FailureKind.NAME_CONFLICT, "the name is taken by other content"));
+    }
+
+    /** Decides whether a name that is not known here may begin a job. */
+    private Option<Failure> refusal(JobName name, JobSpec spec) {
+        Failure absent = absent(name);
+        if (absent.kind() != FailureKind.JOB_NOT_FOUND) {
+            return Option.some(absent);
+        }
+        if (window(name) == WindowState.CLOSED) {
+            return refuse(FailureKind.WINDOW_CLOSED, "take a new session for a new job");
+        }
+        if (mDraining) {
+            return refuse(FailureKind.DRAINING, "this instance is stopping");
+        }
+        if (mOutcomeBytes.get() > mOutcomeBytesLimit) {
+            return refuse(FailureKind.OUTCOME_MEMORY_FULL, "too many outcomes are remembered");
+        }
+        if (mView.team(spec.team()).isEmpty()) {
+            return refuse(FailureKind.UNKNOWN_TEAM, "not declared: " + spec.team());
+        }
+        Option<ServiceSpec> service = mView.service(spec.service());
+        if (service.isEmpty()) {
+            return refuse(FailureKind.UNKNOWN_SERVICE, "not declared: " + spec.service());
+        }
+        long longest = service.get().maximumDeclared().toMillis();
+        if (spec.tasks().stream().anyMatch(task -> task.declaredMilliseconds() > longest)) {
+            return refuse(
+                    FailureKind.NEVER_RUNNABLE, "tasks run at most " + longest + " milliseconds");
+        }
+        return Option.none();
+    }
+
+    /** Says why a name is not known here; the window tells whether it ever can have been. */
+    private Failure absent(JobName name) {
+        return switch (window(name)) {
+            case NEVER_ISSUED ->
+                    Failure.of(FailureKind.WRONG_SESSION, "the session was never issued");
+            case FORGOTTEN ->
+                    Failure.of(FailureKind.WINDOW_FORGOTTEN, "the session is too old");
+            default -> Failure.of(FailureKind.JOB_NOT_FOUND, "no such job was accepted");
+        };
+    }
+
+    private WindowState window(JobName name) {
+        return name.session()
+                .flatMap(
+                        token ->
+                                mHeld.windows(token.incarnation())
+                                        .map(each -> state(each, token)))
+                .getOrElse(WindowState.FORGOTTEN);
+    }
+
+    private static WindowState state(SessionWindows windows, SessionToken token) {
+        return windows.state(token.window(), System.nanoTime());
+    }
+
+    private boolean forgotten(JobName name, long nowNanos) {
+        SessionToken token = name.session().get();
+        return mHeld.windows(token.incarnation())
+                .map(windows -> windows.state(token.window(), nowNanos) == WindowState.FORGOTTEN)
+                .getOrElse(true);
+    }
+
+    private List<QueuedTask> tasks(JobName name, JobSpec spec, long nowNanos) {
+        long patience = mView.service(spec.service()).get().queueTimeout().toNanos();
+        List<QueuedTask> tasks = new ArrayList<>(spec.tasks().size());
+        for (int index = 0; index < spec.tasks().size(); index++) {
+            long declared = spec.tasks().get(index).declaredMilliseconds();
+            tasks.add(
+                    QueuedTask.of(
+                            TaskRef.of(name, index), spec.team(), declared, nowNanos + patience));
+        }
+        return tasks;
+    }
+
+    private CompletableFuture<JobReply> await(JobName name, JobEntry entry, long milliseconds) {
+        CompletableFuture<JobReply> waiter = new CompletableFuture<>();
+        entry.await(waiter);
+        CompletableFuture<JobReply> timed =
+                waiter.copy().completeOnTimeout(null, milliseconds, TimeUnit.MILLISECONDS);
+        return timed.thenApply(reply -> reply != null ? reply : stillRunning(name, waiter));
+    }
+
+    private JobReply stillRunning(JobName name, CompletableFuture<JobReply> waiter) {
+        return mTable.with(
+                name,
+                jobs -> {
+                    JobEntry entry = jobs.get(name);
+                    if (entry == null) {
+                        return JobReply.refused(absent(name));
+                    }
+                    entry.stopAwaiting(waiter);
+                    return entry.reply();
+                });
+    }
+
+    private static boolean record(JobEntry entry, Assignment assignment, SendOutcome outcome) {
+        JobLedger ledger = entry.ledger();
+        int index = assignment.task().task().index();
+        String server = assignment.runner().toString();
+        SendResult result = outcome.result();
+        long nowNanos = System.nanoTime();
+        if (result == SendResult.ANSWERED) {
+            ledger.answer(index, server, outcome.answer(), nowNanos);
+            return false;
+        }
+        boolean idempotent = ledger.spec().idempotent();
+        if (RetryRule.maySendAgain(result, idempotent, entry.unknownRetries())) {
+            if (result == SendResult.UNKNOWN) {
+                entry.countUnknownRetry();
+            }
+            return ledger.queueAgain(index, server, result.word(), nowNanos);
+        }
+        FailureKind kind =
+                result == SendResult.FAILED
+                        ? FailureKind.TASK_FAILED
+                        : FailureKind.TASK_OUTCOME_UNKNOWN;
+        ledger.fail(index, server, Failure.of(kind, outcome.detail()), nowNanos);
+        return false;
+    }
+
+    private void failJob(JobName name, Failure failure) {
+        withLedger(name, ledger -> ledger.failJob(failure, System.nanoTime()));
+        settle(name);
+    }
+
+    private void withLedger(JobName name, Consumer<JobLedger> use) {
+        mTable.with(
+                name,
+                jobs -> {
+                    JobEntry entry = jobs.get(name);
+                    if (entry != null && entry.ledger() != null) {
+                        use.accept(entry.ledger());
+                    }
+                    return null;
+                });
+    }
+
+    /** Begins to publish the end of a job that has just been determined. */
+    private void settle(JobName name) {
+        Option<JobEntry> settled =
+                mTable.with(
+                        name,
+                        jobs ->
+                                Option.of(jobs.get(name))
+                                        .filter(JobEntry::settledForTheFirstTime));
+        settled.forEach(entry -> settle(name, entry));
+    }
+
+    private void settle(JobName name, JobEntry entry) {
+        JobLedger ledger = entry.ledger();
+        JobState state = ledger.state();
+        if (state == JobState.FAILED) {
+            mEngine.drop(ledger.spec().service(), name);
+        }
+        EndRecord record =
+                EndRecords.record(
+                        name,
+                        ledger.digest(),
+                        state == JobState.COMPLETE,
+                        JobDocuments.job(ledger, state),
+                        JobDocuments.trace(ledger, state));
+        if (entry.isTransient()) {
+            publish(name, record, ledger);
+            return;
+        }
+        mPublisher.publish(name, record, end -> publish(name, end, ledger));
+    }
+
+    private void publish(JobName name, EndRecord record, JobLedger ledger) {
+        List<CompletableFuture<JobReply>> waiters =
+                mTable.with(
+                        name,
+                        jobs -> {
+                            JobEntry entry = jobs.get(name);
+                            if (entry.isTransient()) {
+                                jobs.remove(name);
+                            } else {
+                                mOutcomeBytes.addAndGet(EndRecords.size(record));
+                            }
+                            return entry.publish(record);
+                        });
+        mOpenJobs.decrementAndGet();
+        JobReply reply = JobReply.ended(record.getDocument().toByteArray());
+        waiters.forEach(waiter -> waiter.complete(reply));
+        mPublisher.count(ledger, record.getComplete());
+    }
+
+    private void refused(JobName name, Failure failure) {
+        mMetrics.refused(failure.kind().slug());
+        mLog.event(EventName.JOB_REFUSED)
+                .with(EventField.JOB, name)
+                .with(EventField.FAILURE, failure.kind().slug())
+                .with(EventField.DETAIL, failure.detail())
+                .debug();
+    }
+
+    private static Option<Failure> refuse(FailureKind kind, String detail) {
+        return Option.some(Failure.of(kind, detail));
+    }
+
+    private static CompletableFuture<JobReply> done(JobReply reply) {
+        return CompletableFuture.completedFuture(reply);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/home/NameClaims.java
@@ -0,0 +1,130 @@
+package org.wagtailproxy.home;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.identity.SessionToken;
+import org.wagtailproxy.platform.KeyValueStore;
+import org.wagtailproxy.platform.StoreEntry;
+import org.wagtailproxy.platform.StoreRange;
+import org.wagtailproxy.platform.StoreWrite;
+import org.wagtailproxy.session.RateBudget;
+
+/**
+ * Gives a session to names that callers made up without one: the first claim in the store counts.
+ *
+ * <p>A claim never changes, so it may be kept here once it is known. Blocks.
+ */
+public final class NameClaims {
+
+    private static final String PREFIX = "claims/";
+    private static final String KEY_PREFIX = "claimed:";
+    private static final int MAXIMUM_KEY_LENGTH = 90;
+    private static final int MAXIMUM_KEPT = 10_000;
+
+    private final KeyValueStore mStore;
+    private final SealKeeper mSeals;
+    private final HeldIncarnations mHeld;
+    private final RateBudget mBudget;
+    private final Map<String, SessionToken> mKnown = new ConcurrentHashMap<>();
+
+    private NameClaims(
+            KeyValueStore store, SealKeeper seals, HeldIncarnations held, RateBudget budget) {
+        mStore = store;
+        mSeals = seals;
+        mHeld = held;
+        mBudget = budget;
+    }
+
+    /**
+     * Creates the claims.
+     *
+     * @param store the key-value service, not null
+     * @param seals lends its lease, not null
+     * @param held gives the session of a new claim, not null
+     * @param budget bounds the calls, not null
+     * @return the claims, never null
+     */
+    public static NameClaims of(
+            KeyValueStore store, SealKeeper seals, HeldIncarnations held, RateBudget budget) {
+        Objects.requireNonNull(store, "store");
+        return new NameClaims(store, seals, held, budget);
+    }
+
+    /**
+     * Claims a name for the session of this moment, or finds who claimed it before.
+     *
+     * @param name a name without a session, not null
+     * @return the name within the session that counts, or a refusal
+     */
+    public Either<Failure, JobName> claim(JobName name) {
+        String key = name.key();
+        if (key.length() > MAXIMUM_KEY_LENGTH) {
+            return refused(
+                    FailureKind.MALFORMED_REQUEST, "a name without a session has at most 90 characters");
+        }
+        SessionToken known = mKnown.get(key);
+        if (known != null) {
+            return Either.right(within(known, key));
+        }
+        if (!mBudget.trySpend(System.nanoTime())) {
+            return refused(FailureKind.CLAIM_BUDGET_EXCEEDED, "take a session for your names");
+        }
+        SessionToken token = mHeld.token(System.nanoTime());
+        Either<Failure, StoreWrite> write =
+                mStore.compareAndPut(PREFIX + key, 0, token.toString(), mSeals.lease());
+        if (write.isLeft()) {
+            return find(name);
+        }
+        SessionToken counting =
+                write.get().current().flatMap(NameClaims::decode).getOrElse(token);
+        return Either.right(keep(counting, key));
+    }
+
+    /**
+     * Finds who claimed a name.
+     *
+     * @param name a name without a session, not null
+     * @return the name within its session, or a refusal
+     */
+    public Either<Failure, JobName> find(JobName name) {
+        SessionToken known = mKnown.get(name.key());
+        if (known != null) {
+            return Either.right(within(known, name.key()));
+        }
+        Either<Failure, StoreRange> read = mStore.read(PREFIX + name.key());
+        return read.flatMap(
+                range -> {
+                    Option<SessionToken> token = range.first().flatMap(NameClaims::decode);
+                    return token.map(each -> keep(each, name.key()))
+                            .toEither(
+                                    Failure.of(
+                                            FailureKind.JOB_NOT_FOUND, "nobody claimed the name"));
+                });
+    }
+
+    private JobName keep(SessionToken token, String key) {
+        if (mKnown.size() >= MAXIMUM_KEPT) {
+            mKnown.clear();
+        }
+        mKnown.put(key, token);
+        return within(token, key);
+    }
+
+    private static JobName within(SessionToken token, String key) {
+        return JobName.of(token, KEY_PREFIX + key);
+    }
+
+    private static Option<SessionToken> decode(StoreEntry entry) {
+        return SessionToken.parse(entry.value());
+    }
+
+    private static Either<Failure, JobName> refused(FailureKind kind, String detail) {
+        return Either.left(Failure.of(kind, detail));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/home/SealKeeper.java
@@ -0,0 +1,235 @@
+package org.wagtailproxy.home;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Objects;
+import org.wagtailproxy.document.Json;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.identity.Incarnation;
+import org.wagtailproxy.identity.Names;
+import org.wagtailproxy.membership.Member;
+import org.wagtailproxy.membership.Seal;
+import org.wagtailproxy.membership.SealKind;
+import org.wagtailproxy.observe.EventField;
+import org.wagtailproxy.observe.EventLog;
+import org.wagtailproxy.observe.EventName;
+import org.wagtailproxy.peer.Members;
+import org.wagtailproxy.peer.ViewExchange;
+import org.wagtailproxy.platform.KeyValueStore;
+import org.wagtailproxy.platform.StoreEntry;
+import org.wagtailproxy.platform.StoreRange;
+import org.wagtailproxy.platform.StoreWrite;
+
+/** Writes and reads seals, of which the store keeps the one that counts. Blocks. */
+public final class SealKeeper {
+
+    private static final String SEAL_PREFIX = "seals/";
+    private static final String BIRTH_PREFIX = "incarnations/";
+    private static final long LEASE_SECONDS = Duration.ofDays(14).toSeconds();
+    private static final Duration LEASE_REUSE = Duration.ofDays(1);
+    private static final Duration PUSH_TIMEOUT = Duration.ofMillis(500);
+
+    private final KeyValueStore mStore;
+    private final Members mMembers;
+    private final ViewExchange mExchange;
+    private final EventLog mLog;
+    private long mLease;
+    private long mLeaseNanos;
+    private boolean mBorn;
+
+    private SealKeeper(
+            KeyValueStore store, Members members, ViewExchange exchange, EventLog log) {
+        mStore = store;
+        mMembers = members;
+        mExchange = exchange;
+        mLog = log;
+    }
+
+    /**
+     * Creates a keeper.
+     *
+     * @param store the key-value service, not null
+     * @param members the members, not null
+     * @param exchange how seals reach the others, not null
+     * @param log the log, not null
+     * @return the keeper, never null
+     */
+    public static SealKeeper of(
+            KeyValueStore store, Members members, ViewExchange exchange, EventLog log) {
+        Objects.requireNonNull(store, "store");
+        return new SealKeeper(store, members, exchange, log);
+    }
+
+    /** Does what is due: the birth record, the check of the own seal, the sealing of the lost. */
+    public void tick() {
+        recordBirth();
+        checkOwnSeal();
+        for (Member lost : mMembers.with(table -> table.sealable(System.nanoTime()))) {
+            seal(Seal.lost(lost.incarnation()));
+        }
+    }
+
+    /**
+     * Seals an incarnation unless it is sealed already.
+     *
+     * @param seal the seal, not null
+     * @return the seal that counts, or that the store did not answer
+     */
+    public Either<Failure, Seal> seal(Seal seal) {
+        String key = SEAL_PREFIX + seal.incarnation();
+        Either<Failure, StoreWrite> write =
+                mStore.compareAndPut(key, 0, encode(seal), lease());
+        if (write.isLeft()) {
+            return read(seal.incarnation())
+                    .flatMap(found -> found.toEither(write.getLeft()))
+                    .peek(this::spread);
+        }
+        Seal counting =
+                write.get()
+                        .current()
+                        .flatMap(entry -> decode(seal.incarnation(), entry.value()))
+                        .getOrElse(seal);
+        spread(counting);
+        return Either.right(counting);
+    }
+
+    /**
+     * Reads the seal of an incarnation from the store.
+     *
+     * @param incarnation the incarnation, not null
+     * @return the seal, none if it is not sealed, or that the store did not answer
+     */
+    public Either<Failure, Option<Seal>> read(Incarnation incarnation) {
+        return mStore.read(SEAL_PREFIX + incarnation)
+                .map(range -> range.first().map(StoreEntry::value))
+                .map(value -> value.flatMap(text -> decode(incarnation, text)));
+    }
+
+    /**
+     * Reads who an unknown incarnation is.
+     *
+     * @param incarnation the incarnation, not null
+     * @return the member as it was at its start, none if the store does not know
+     */
+    public Option<Member> readBirth(Incarnation incarnation) {
+        return mStore.read(BIRTH_PREFIX + incarnation)
+                .toOption()
+                .flatMap(StoreRange::first)
+                .flatMap(entry -> parse(entry.value()))
+                .flatMap(SealKeeper::member);
+    }
+
+    /**
+     * Returns a lease that outlives whatever it is used for by days.
+     *
+     * @return its id, 0 if the store did not grant one
+     */
+    public synchronized long lease() {
+        long nowNanos = System.nanoTime();
+        boolean old = mLease == 0 || nowNanos - mLeaseNanos > LEASE_REUSE.toNanos();
+        if (old) {
+            mLease = mStore.grantLease(LEASE_SECONDS).getOrElse(0L);
+            mLeaseNanos = nowNanos;
+        }
+        return mLease;
+    }
+
+    private void spread(Seal seal) {
+        boolean fresh = mMembers.with(table -> table.seal(seal, System.nanoTime()));
+        if (!fresh) {
+            return;
+        }
+        mLog.event(EventName.SEALED)
+                .with(EventField.SUBJECT, seal.incarnation())
+                .with(EventField.DETAIL, seal.kind())
+                .info();
+        mExchange.push(seal, PUSH_TIMEOUT);
+    }
+
+    private void recordBirth() {
+        if (mBorn) {
+            return;
+        }
+        Member self = mMembers.self();
+        String key = BIRTH_PREFIX + self.incarnation();
+        String value = text(encode(self));
+        mBorn = mStore.compareAndPut(key, 0, value, lease()).isRight();
+    }
+
+    private void checkOwnSeal() {
+        long nowNanos = System.nanoTime();
+        if (!mMembers.with(table -> table.needsSealCheck(nowNanos))) {
+            return;
+        }
+        read(mMembers.self().incarnation())
+                .forEach(
+                        found -> {
+                            found.forEach(this::spread);
+                            if (found.isEmpty()) {
+                                mMembers.with(
+                                        table -> {
+                                            table.ownSealAbsent(nowNanos);
+                                            return null;
+                                        });
+                            }
+                        });
+    }
+
+    private static String encode(Seal seal) {
+        ObjectNode node = Json.object();
+        node.put("kind", seal.kind().name());
+        seal.successor().forEach(successor -> node.set("successor", encode(successor)));
+        return text(node);
+    }
+
+    private static ObjectNode encode(Member member) {
+        ObjectNode node = Json.object();
+        node.put("incarnation", member.incarnation().toString());
+        node.put("dataCentre", member.dataCentre().value());
+        node.put("peerAddress", member.peerAddress().toString());
+        node.put("callerAddress", member.callerAddress().toString());
+        return node;
+    }
+
+    private static Option<Seal> decode(Incarnation incarnation, String value) {
+        return parse(value).flatMap(node -> decode(incarnation, node));
+    }
+
+    private static Option<Seal> decode(Incarnation incarnation, JsonNode node) {
+        if (node.path("kind").asText("").equals(SealKind.LOST.name())) {
+            return Option.some(Seal.lost(incarnation));
+        }
+        return member(node.path("successor")).map(next -> Seal.handedOver(incarnation, next));
+    }
+
+    private static Option<Member> member(JsonNode node) {
+        Option<Incarnation> incarnation = Incarnation.parse(node.path("incarnation").asText(""));
+        Option<HostAddress> peer = HostAddress.parse(node.path("peerAddress").asText(""));
+        Option<HostAddress> caller = HostAddress.parse(node.path("callerAddress").asText(""));
+        String place = node.path("dataCentre").asText("");
+        boolean sound =
+                incarnation.isDefined()
+                        && peer.isDefined()
+                        && caller.isDefined()
+                        && Names.isName(place);
+        if (!sound) {
+            return Option.none();
+        }
+        return Option.some(
+                Member.of(incarnation.get(), DataCentre.of(place), peer.get(), caller.get()));
+    }
+
+    private static Option<JsonNode> parse(String value) {
+        return Json.parse(value.getBytes(StandardCharsets.UTF_8)).toOption();
+    }
+
+    private static String text(JsonNode node) {
+        return new String(Json.bytes(node), StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/http/package-info.java
@@ -0,0 +1,2 @@
+/** What the addresses for callers and operators share. */
+package org.wagtailproxy.http;
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/lifecycle/package-info.java
@@ -0,0 +1,2 @@
+/** Where an instance stands between start and stop. */
+package org.wagtailproxy.lifecycle;
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/observe/Metrics.java
@@ -0,0 +1,152 @@
+package org.wagtailproxy.observe;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** The metrics of one instance; docs/OPERATIONS.md lists them. */
+public final class Metrics {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final Counter mJobs =
+            counter("wagtailproxy_jobs", "Jobs by service and end.", "service", "end");
+    private final Counter mRefusals =
+            counter("wagtailproxy_refusals", "Refused requests by failure.", "failure");
+    private final Counter mSends =
+            counter("wagtailproxy_task_sends", "Sent tasks by service and result.", "service", "result");
+    private final Counter mPlatformCalls =
+            counter("wagtailproxy_platform_calls", "Calls to the platform.", "call", "result");
+    private final Counter mControlBytes =
+            counter("wagtailproxy_control_bytes", "Control bytes by direction.", "direction");
+    private final Counter mPeerBytes =
+            counter("wagtailproxy_peer_bytes", "All bytes to and from peers.", "direction");
+    private final Counter mReplications =
+            counter("wagtailproxy_replications", "Ends by how many neighbours keep them.", "replicas");
+    private final Gauge mDemand = gauge("wagtailproxy_demand_tasks", "Tasks queued or in flight.");
+    private final Gauge mEjected = gauge("wagtailproxy_ejected_backend_servers", "Ejected servers.");
+    private final Gauge mRunners = gauge("wagtailproxy_listed_backend_servers", "Listed servers.");
+    private final Histogram mJobSeconds =
+            Histogram.builder()
+                    .name("wagtailproxy_job_seconds")
+                    .help("Time from acceptance to end.")
+                    .labelNames("service")
+                    .register(mRegistry);
+
+    private Metrics() {}
+
+    /**
+     * Creates the metrics with those of the virtual machine.
+     *
+     * @return the metrics, never null
+     */
+    public static Metrics of() {
+        Metrics metrics = new Metrics();
+        JvmMetrics.builder().register(metrics.mRegistry);
+        return metrics;
+    }
+
+    /**
+     * Returns the registry to expose.
+     *
+     * @return the registry, never null
+     */
+    public PrometheusRegistry registry() {
+        return mRegistry;
+    }
+
+    /**
+     * Counts the end of a job.
+     *
+     * @param service the service, not null
+     * @param end the word for its end, not null
+     * @param tookNanos nanoseconds from acceptance to end
+     */
+    public void jobEnded(String service, String end, long tookNanos) {
+        mJobs.labelValues(service, end).inc();
+        mJobSeconds.labelValues(service).observe(tookNanos / NANOS_PER_SECOND);
+    }
+
+    /**
+     * Counts a refusal.
+     *
+     * @param failure the type of the failure, not null
+     */
+    public void refused(String failure) {
+        mRefusals.labelValues(failure).inc();
+    }
+
+    /**
+     * Counts a task that was sent.
+     *
+     * @param service the service, not null
+     * @param result the word for what came of it, not null
+     */
+    public void sent(String service, String result) {
+        mSends.labelValues(service, result).inc();
+    }
+
+    /**
+     * Counts a call to the platform.
+     *
+     * @param call the kind of call, not null
+     * @param reached whether it was answered
+     */
+    public void platformCall(String call, boolean reached) {
+        mPlatformCalls.labelValues(call, reached ? "answered" : "failed").inc();
+    }
+
+    /**
+     * Counts control bytes, which are heartbeats and views.
+     *
+     * @param direction sent or received
+     * @param bytes how many
+     */
+    public void controlBytes(String direction, int bytes) {
+        mControlBytes.labelValues(direction).inc(bytes);
+    }
+
+    /**
+     * Counts all bytes to and from peers.
+     *
+     * @param direction sent or received
+     * @param bytes how many
+     */
+    public void peerBytes(String direction, int bytes) {
+        mPeerBytes.labelValues(direction).inc(bytes);
+    }
+
+    /**
+     * Counts the replication of an end.
+     *
+     * @param replicas how many neighbours keep it
+     */
+    public void replicated(int replicas) {
+        mReplications.labelValues(Integer.toString(replicas)).inc();
+    }
+
+    /**
+     * Sets what stands in a service's dispatch.
+     *
+     * @param service the service, not null
+     * @param demand tasks queued or in flight
+     * @param runners listed backend servers
+     * @param ejected ejected backend servers
+     */
+    public void dispatch(String service, int demand, int runners, int ejected) {
+        mDemand.labelValues(service).set(demand);
+        mRunners.labelValues(service).set(runners);
+        mEjected.labelValues(service).set(ejected);
+    }
+
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(mRegistry);
+    }
+
+    private Gauge gauge(String name, String help) {
+        return Gauge.builder().name(name).help(help).labelNames("service").register(mRegistry);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/observe/package-info.java
@@ -0,0 +1,2 @@
+/** Logs, metrics and burn counts. */
+package org.wagtailproxy.observe;
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/peer/DemandBoard.java
@@ -0,0 +1,166 @@
+package org.wagtailproxy.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.wagtailproxy.dispatch.ShareView;
+import org.wagtailproxy.dispatch.Shares;
+import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.identity.Incarnation;
+import org.wagtailproxy.identity.Names;
+import org.wagtailproxy.identity.ServiceName;
+import org.wagtailproxy.identity.TeamName;
+import org.wagtailproxy.membership.Member;
+import org.wagtailproxy.wire.Demand;
+import org.wagtailproxy.wire.Heartbeat;
+
+/**
+ * Keeps the demand that the other instances last told of, and divides slots and quotas by it.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class DemandBoard {
+
+    private final Members mMembers;
+    private final Map<Incarnation, Told> mTold = new ConcurrentHashMap<>();
+
+    private DemandBoard(Members members) {
+        mMembers = members;
+    }
+
+    /**
+     * Creates a board on which nothing is told yet.
+     *
+     * @param members the members, not null
+     * @return the board, never null
+     */
+    public static DemandBoard of(Members members) {
+        return new DemandBoard(members);
+    }
+
+    /**
+     * Notes the demand of a heartbeat.
+     *
+     * @param sender who told it, not null
+     * @param heartbeat the heartbeat, not null
+     */
+    public void tell(Member sender, Heartbeat heartbeat) {
+        mTold.put(
+                sender.incarnation(),
+                new Told(
+                        byHash(heartbeat.getServiceDemandsList()),
+                        byHash(heartbeat.getTeamDemandsList())));
+    }
+
+    /**
+     * Forgets the instances that are not known any more.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void prune(long nowNanos) {
+        List<Member> live = mMembers.with(table -> table.live(nowNanos));
+        mTold.keySet()
+                .removeIf(each -> live.stream().noneMatch(m -> m.incarnation().equals(each)));
+    }
+
+    /**
+     * Divides the slots of a service.
+     *
+     * @param service the service, not null
+     * @param ownDemand tasks queued or in flight here
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return what this instance may use, never null
+     */
+    public ShareView shares(ServiceName service, int ownDemand, long nowNanos) {
+        int hash = Names.hash(service.value());
+        List<Member> live = mMembers.with(table -> table.live(nowNanos));
+        TreeMap<Incarnation, Integer> local = new TreeMap<>();
+        Map<DataCentre, Integer> idle = new HashMap<>();
+        Map<DataCentre, Integer> count = new HashMap<>();
+        DataCentre home = mMembers.self().dataCentre();
+        local.put(mMembers.self().incarnation(), ownDemand);
+        for (Member member : live) {
+            Demand demand = told(member).mServices.get(hash);
+            int tasks = demand == null ? 0 : demand.getTasks();
+            if (member.dataCentre().equals(home)) {
+                local.put(member.incarnation(), tasks);
+            } else {
+                int slots = demand == null ? 0 : demand.getIdleSlots();
+                idle.merge(member.dataCentre(), slots, Integer::sum);
+            }
+            count.merge(member.dataCentre(), 1, Integer::sum);
+        }
+        int own = local.headMap(mMembers.self().incarnation()).size();
+        return ShareView.of(
+                new ArrayList<>(local.values()), own, lendable(idle, count, live.size() + 1));
+    }
+
+    /**
+     * Divides the quota of a team: evenly over data centres by their instances, and by demand
+     * within one.
+     *
+     * @param team the team, not null
+     * @param quota tasks in flight over all instances
+     * @param ownDemand tasks queued or in flight here
+     * @param perDataCentre listed entry instances of each data centre, the own one included
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return how many tasks of the team this instance may have in flight
+     */
+    public int quota(
+            TeamName team,
+            int quota,
+            int ownDemand,
+            Map<DataCentre, Integer> perDataCentre,
+            long nowNanos) {
+        int hash = Names.hash(team.value());
+        DataCentre home = mMembers.self().dataCentre();
+        TreeMap<DataCentre, Integer> places = new TreeMap<>(perDataCentre);
+        int ownPlace = places.headMap(home).size();
+        int here = Shares.share(quota, new ArrayList<>(places.values()), ownPlace, hash);
+        TreeMap<Incarnation, Integer> local = new TreeMap<>();
+        local.put(mMembers.self().incarnation(), ownDemand);
+        for (Member member : mMembers.with(table -> table.liveIn(home, nowNanos))) {
+            Demand demand = told(member).mTeams.get(hash);
+            local.put(member.incarnation(), demand == null ? 0 : demand.getTasks());
+        }
+        int own = local.headMap(mMembers.self().incarnation()).size();
+        return Shares.share(here, new ArrayList<>(local.values()), own, hash);
+    }
+
+    private static Map<DataCentre, Integer> lendable(
+            Map<DataCentre, Integer> idle, Map<DataCentre, Integer> count, int instances) {
+        Map<DataCentre, Integer> lendable = new HashMap<>();
+        idle.forEach(
+                (place, slots) -> {
+                    int borrowers = Math.max(1, instances - count.getOrDefault(place, 0));
+                    lendable.put(place, slots / borrowers);
+                });
+        return lendable;
+    }
+
+    private Told told(Member member) {
+        return mTold.getOrDefault(member.incarnation(), Told.NOTHING);
+    }
+
+    private static Map<Integer, Demand> byHash(List<Demand> demands) {
+        Map<Integer, Demand> map = new HashMap<>();
+        demands.forEach(demand -> map.put(demand.getNameHash(), demand));
+        return map;
+    }
+
+    /** What one instance told. */
+    private static final class Told {
+        private static final Told NOTHING = new Told(Map.of(), Map.of());
+
+        private final Map<Integer, Demand> mServices;
+        private final Map<Integer, Demand> mTeams;
+
+        private Told(Map<Integer, Demand> services, Map<Integer, Demand> teams) {
+            mServices = services;
+            mTeams = teams;
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/peer/FrameCodec.java
@@ -0,0 +1,74 @@
+package org.wagtailproxy.peer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.ReferenceCountUtil;
+import org.wagtailproxy.observe.Metrics;
+import org.wagtailproxy.wire.Envelope;
+
+/** Turns frames into envelopes and back, and counts their bytes. */
+final class FrameCodec extends ChannelDuplexHandler {
+
+    private static final int LENGTH_BYTES = 4;
+    private static final int MAXIMUM_FRAME_BYTES = 32 * 1024 * 1024;
+
+    private final Metrics mMetrics;
+
+    private FrameCodec(Metrics metrics) {
+        mMetrics = metrics;
+    }
+
+    static void install(ChannelPipeline pipeline, Metrics metrics) {
+        pipeline.addLast(
+                new LengthFieldBasedFrameDecoder(
+                        MAXIMUM_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+        pipeline.addLast(new FrameCodec(metrics));
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        ByteBuf frame = (ByteBuf) message;
+        try {
+            int bytes = frame.readableBytes() + LENGTH_BYTES;
+            Envelope envelope = Envelope.parseFrom(frame.nioBuffer());
+            count("received", envelope, bytes);
+            context.fireChannelRead(envelope);
+        } catch (InvalidProtocolBufferException wrong) {
+            context.close();
+        } finally {
+            ReferenceCountUtil.release(frame);
+        }
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        Envelope envelope = (Envelope) message;
+        byte[] bytes = envelope.toByteArray();
+        count("sent", envelope, bytes.length + LENGTH_BYTES);
+        context.write(context.alloc().buffer(bytes.length).writeBytes(bytes), promise);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    private void count(String direction, Envelope envelope, int bytes) {
+        mMetrics.peerBytes(direction, bytes);
+        boolean control =
+                switch (envelope.getBodyCase()) {
+                    case HEARTBEAT, VIEW_PULL, VIEW -> true;
+                    default -> false;
+                };
+        if (control) {
+            mMetrics.controlBytes(direction, bytes);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
@@ -0,0 +1,302 @@
+package org.wagtailproxy.peer;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.identity.Incarnation;
+import org.wagtailproxy.membership.HeartbeatPace;
+import org.wagtailproxy.membership.Member;
+import org.wagtailproxy.membership.Seal;
+import org.wagtailproxy.observe.EventField;
+import org.wagtailproxy.observe.EventLog;
+import org.wagtailproxy.observe.EventName;
+import org.wagtailproxy.settings.Settings.PeerSettings;
+import org.wagtailproxy.view.SharedView;
+import org.wagtailproxy.wire.Envelope;
+import org.wagtailproxy.wire.Heartbeat;
+
+/**
+ * Exchanges heartbeats with all other instances and pulls what they are ahead with.
+ *
+ * <p>Only the answer to an own heartbeat counts as proof of life, dated from before it was sent: a
+ * request may have waited in a buffer while this process was paused.
+ */
+public final class Heartbeats {
+
+    private static final Duration SHORTEST_TIMEOUT = Duration.ofSeconds(1);
+    private static final double INITIAL_EXCHANGE_BYTES = 200;
+    private static final double EXCHANGE_GAIN = 0.1;
+    private static final int FRAME_BYTES = 8;
+
+    private final PeerSettings mSettings;
+    private final Members mMembers;
+    private final PeerClient mClient;
+    private final SharedView mView;
+    private final ViewExchange mExchange;
+    private final DemandSource mDemands;
+    private final DemandBoard mBoard;
+    private final EventLog mLog;
+    private final Map<HostAddress, Long> mDueNanos = new HashMap<>();
+    private final Set<HostAddress> mInFlight = ConcurrentHashMap.newKeySet();
+    private final Set<HostAddress> mReached = ConcurrentHashMap.newKeySet();
+    private volatile double mExchangeBytes = INITIAL_EXCHANGE_BYTES;
+
+    private Heartbeats(Builder builder) {
+        mSettings = builder.mSettings;
+        mMembers = builder.mMembers;
+        mClient = builder.mClient;
+        mView = builder.mView;
+        mExchange = builder.mExchange;
+        mDemands = builder.mDemands;
+        mBoard = builder.mBoard;
+        mLog = builder.mLog;
+    }
+
+    /** Sends the heartbeats that are due; called every few ten milliseconds. */
+    public synchronized void tick() {
+        long nowNanos = System.nanoTime();
+        List<HostAddress> addresses = addresses();
+        int neighbours =
+                mMembers.with(
+                        table -> (int) addresses.stream().filter(table::isNeighbour).count());
+        double stretch =
+                HeartbeatPace.stretch(
+                        neighbours,
+                        mSettings.heartbeatInterval(),
+                        addresses.size() - neighbours,
+                        mSettings.remoteHeartbeatInterval(),
+                        mExchangeBytes,
+                        mSettings.controlBytesPerSecond());
+        mDueNanos.keySet().retainAll(addresses);
+        for (HostAddress address : addresses) {
+            long dueNanos = mDueNanos.getOrDefault(address, nowNanos);
+            if (nowNanos - dueNanos >= 0 && mInFlight.add(address)) {
+                long interval = (long) (interval(address).toNanos() * stretch);
+                mDueNanos.put(address, nowNanos + interval);
+                send(address);
+            }
+        }
+    }
+
+    /** Makes the heartbeats to all neighbours due at once. */
+    public synchronized void hurry() {
+        long nowNanos = System.nanoTime();
+        mDueNanos.replaceAll(
+                (address, dueNanos) ->
+                        mMembers.with(table -> table.isNeighbour(address)) ? nowNanos : dueNanos);
+    }
+
+    /**
+     * Takes over a heartbeat that another instance sent.
+     *
+     * @param heartbeat the heartbeat, not null
+     * @return the own heartbeat as the answer, never null
+     */
+    public Envelope.Builder handle(Heartbeat heartbeat) {
+        Option<Member> sender = Wire.member(heartbeat.getMember());
+        sender.forEach(
+                member -> {
+                    mMembers.with(
+                            table -> {
+                                table.told(member, System.nanoTime());
+                                return null;
+                            });
+                    mBoard.tell(member, heartbeat);
+                });
+        return Envelope.newBuilder().setHeartbeat(own(sender.map(Member::incarnation)));
+    }
+
+    private List<HostAddress> addresses() {
+        List<HostAddress> addresses =
+                new ArrayList<>(mMembers.with(table -> table.heartbeatAddresses()));
+        boolean alone = addresses.isEmpty() || mView.list().version() == 0;
+        for (HostAddress seed : mSettings.seeds()) {
+            boolean self = seed.equals(mMembers.self().peerAddress());
+            if (alone && !self && !addresses.contains(seed)) {
+                addresses.add(seed);
+            }
+        }
+        return addresses;
+    }
+
+    private Duration interval(HostAddress address) {
+        return mMembers.with(table -> table.isNeighbour(address))
+                ? mSettings.heartbeatInterval()
+                : mSettings.remoteHeartbeatInterval();
+    }
+
+    private void send(HostAddress address) {
+        long sentNanos = System.nanoTime();
+        Duration doubled = interval(address).multipliedBy(2);
+        Duration timeout =
+                doubled.compareTo(SHORTEST_TIMEOUT) < 0 ? SHORTEST_TIMEOUT : doubled;
+        Envelope.Builder request = Envelope.newBuilder().setHeartbeat(own(Option.none()));
+        int requestBytes = request.getHeartbeat().getSerializedSize() + FRAME_BYTES;
+        mClient.call(address, request, timeout)
+                .thenAccept(answer -> answered(address, sentNanos, requestBytes, answer));
+    }
+
+    private void answered(
+            HostAddress address,
+            long sentNanos,
+            int requestBytes,
+            Either<Failure, Envelope> answer) {
+        mInFlight.remove(address);
+        if (answer.isLeft()) {
+            lost(address, sentNanos, answer.getLeft());
+            return;
+        }
+        Heartbeat heartbeat = answer.get().getHeartbeat();
+        int bytes = requestBytes + heartbeat.getSerializedSize() + FRAME_BYTES;
+        mExchangeBytes += EXCHANGE_GAIN * (bytes - mExchangeBytes);
+        Option<Member> member = Wire.member(heartbeat.getMember());
+        if (member.isEmpty()) {
+            return;
+        }
+        boolean usable = member.get().peerAddress().equals(address);
+        if (usable) {
+            heard(member.get(), heartbeat, sentNanos);
+        }
+    }
+
+    private void heard(Member member, Heartbeat heartbeat, long sentNanos) {
+        HostAddress address = member.peerAddress();
+        if (heartbeat.getKnowsYouSealed()) {
+            mExchange.pull(address);
+            return;
+        }
+        boolean known =
+                mMembers.with(
+                        table -> {
+                            boolean before = table.find(member.incarnation()).isDefined();
+                            table.heard(member, sentNanos);
+                            return before;
+                        });
+        if (mReached.add(address)) {
+            mLog.event(EventName.PEER_REACHED).with(EventField.ADDRESS, address).info();
+        }
+        mBoard.tell(member, heartbeat);
+        boolean ahead =
+                heartbeat.getConfigurationVersion() > mView.completeVersion()
+                        || heartbeat.getInstanceListVersion() > mView.list().version()
+                        || heartbeat.getSealDigest() != sealDigest();
+        if (ahead || !known) {
+            mExchange.pull(address);
+        }
+    }
+
+    private void lost(HostAddress address, long sentNanos, Failure failure) {
+        if (failure.kind() == FailureKind.PEER_REFUSED) {
+            mMembers.with(
+                    table -> {
+                        table.refused(address, sentNanos);
+                        return null;
+                    });
+        }
+        mClient.drop(address);
+        if (mReached.remove(address)) {
+            mLog.event(EventName.PEER_LOST)
+                    .with(EventField.ADDRESS, address)
+                    .with(EventField.FAILURE, failure.kind().slug())
+                    .warn();
+        }
+    }
+
+    private Heartbeat own(Option<Incarnation> receiver) {
+        Heartbeat.Builder heartbeat =
+                Heartbeat.newBuilder()
+                        .setMember(Wire.member(mMembers.self()))
+                        .setConfigurationVersion(mView.completeVersion())
+                        .setInstanceListVersion(mView.list().version())
+                        .setSealDigest(sealDigest())
+                        .addAllServiceDemands(mDemands.serviceDemands())
+                        .addAllTeamDemands(mDemands.teamDemands());
+        receiver.forEach(
+                each ->
+                        heartbeat.setKnowsYouSealed(
+                                mMembers.with(table -> table.sealOf(each).isDefined())));
+        return heartbeat.build();
+    }
+
+    private int sealDigest() {
+        int digest = 0;
+        for (Seal seal : mMembers.with(table -> table.seals())) {
+            digest ^= seal.incarnation().hashCode() * 31 + seal.kind().ordinal();
+        }
+        return digest;
+    }
+
+    /** Gathers what heartbeats need. */
+    public static final class Builder {
+        private PeerSettings mSettings;
+        private Members mMembers;
+        private PeerClient mClient;
+        private SharedView mView;
+        private ViewExchange mExchange;
+        private DemandSource mDemands;
+        private DemandBoard mBoard;
+        private EventLog mLog;
+
+        /**
+         * Sets who takes part.
+         *
+         * @param settings how instances keep in touch, not null
+         * @param members the members, not null
+         * @param client how they are called, not null
+         * @return this builder
+         */
+        public Builder peers(PeerSettings settings, Members members, PeerClient client) {
+            mSettings = Objects.requireNonNull(settings, "settings");
+            mMembers = Objects.requireNonNull(members, "members");
+            mClient = Objects.requireNonNull(client, "client");
+            return this;
+        }
+
+        /**
+         * Sets what is compared and pulled.
+         *
+         * @param view the shared view, not null
+         * @param exchange how views are pulled, not null
+         * @return this builder
+         */
+        public Builder views(SharedView view, ViewExchange exchange) {
+            mView = Objects.requireNonNull(view, "view");
+            mExchange = Objects.requireNonNull(exchange, "exchange");
+            return this;
+        }
+
+        /**
+         * Sets what is told of demand.
+         *
+         * @param demands the own demand, not null
+         * @param board where the others' demand is kept, not null
+         * @return this builder
+         */
+        public Builder demands(DemandSource demands, DemandBoard board) {
+            mDemands = Objects.requireNonNull(demands, "demands");
+            mBoard = Objects.requireNonNull(board, "board");
+            return this;
+        }
+
+        /**
+         * Builds the exchange; nothing is sent before the first tick.
+         *
+         * @param log the log, not null
+         * @return the heartbeats, never null
+         */
+        public Heartbeats build(EventLog log) {
+            mLog = Objects.requireNonNull(log, "log");
+            return new Heartbeats(this);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/peer/PeerClient.java
@@ -0,0 +1,135 @@
+package org.wagtailproxy.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.vavr.control.Either;
+import java.io.Closeable;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.observe.Metrics;
+import org.wagtailproxy.wire.Envelope;
+
+/**
+ * Calls other instances over one connection each.
+ *
+ * <p>A connection that goes silent is dropped by {@link #drop}; the next call opens a new one.
+ */
+public final class PeerClient implements Closeable {
+
+    private static final int CONNECT_TIMEOUT_MILLISECONDS = 1000;
+
+    private final Bootstrap mBootstrap;
+    private final Map<HostAddress, PeerConnection> mConnections = new ConcurrentHashMap<>();
+
+    private PeerClient(Bootstrap bootstrap) {
+        mBootstrap = bootstrap;
+    }
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param group the threads for input and output, not null
+     * @param metrics where bytes are counted, not null
+     * @return the client, never null
+     */
+    public static PeerClient of(EventLoopGroup group, Metrics metrics) {
+        Objects.requireNonNull(metrics, "metrics");
+        Bootstrap bootstrap =
+                new Bootstrap()
+                        .group(group)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+                        .handler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        FrameCodec.install(channel.pipeline(), metrics);
+                                    }
+                                });
+        return new PeerClient(bootstrap);
+    }
+
+    /**
+     * Calls an instance.
+     *
+     * @param address where, not null
+     * @param request the request without a correlation, not null
+     * @param timeout the longest the call may take, positive
+     * @return the answer, or that the peer refused the connection or did not answer; never
+     *     completes exceptionally
+     */
+    public CompletableFuture<Either<Failure, Envelope>> call(
+            HostAddress address, Envelope.Builder request, Duration timeout) {
+        PeerConnection connection = connection(address);
+        CompletableFuture<Either<Failure, Envelope>> answer = connection.call(request);
+        Either<Failure, Envelope> late =
+                failed(FailureKind.PEER_UNREACHABLE, "no answer from " + address);
+        return answer.completeOnTimeout(late, timeout.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Drops the connection to an instance, because it may have gone silent.
+     *
+     * @param address which, not null
+     */
+    public void drop(HostAddress address) {
+        PeerConnection connection = mConnections.remove(address);
+        if (connection != null) {
+            connection.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        mConnections.keySet().forEach(this::drop);
+    }
+
+    private PeerConnection connection(HostAddress address) {
+        return mConnections.compute(
+                address,
+                (key, current) ->
+                        current != null && current.usable() ? current : connect(address));
+    }
+
+    private PeerConnection connect(HostAddress address) {
+        PeerConnection connection = new PeerConnection();
+        ChannelFuture connecting = mBootstrap.connect(address.host(), address.port());
+        connecting.addListener(
+                done -> {
+                    if (done.isSuccess()) {
+                        Channel channel = connecting.channel();
+                        connection.opened(channel);
+                    } else {
+                        boolean refused =
+                                done.cause() instanceof ConnectException
+                                        && !(done.cause()
+                                                instanceof
+                                                io.netty.channel.ConnectTimeoutException);
+                        FailureKind kind =
+                                refused ? FailureKind.PEER_REFUSED : FailureKind.PEER_UNREACHABLE;
+                        connection.failed(
+                                Failure.of(kind, "no connection to " + address));
+                    }
+                });
+        return connection;
+    }
+
+    private static Either<Failure, Envelope> failed(FailureKind kind, String detail) {
+        return Either.left(Failure.of(kind, detail));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/peer/PeerConnection.java
@@ -0,0 +1,120 @@
+package org.wagtailproxy.peer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.wire.Envelope;
+
+/** One connection to another instance and the calls that wait on it. */
+final class PeerConnection {
+
+    private final Map<Integer, CompletableFuture<Either<Failure, Envelope>>> mPending =
+            new HashMap<>();
+    private final List<Envelope> mUnsent = new ArrayList<>();
+    private Channel mChannel;
+    private Failure mFailure;
+    private int mNextCorrelation = 1;
+
+    CompletableFuture<Either<Failure, Envelope>> call(Envelope.Builder request) {
+        CompletableFuture<Either<Failure, Envelope>> answer = new CompletableFuture<>();
+        Envelope envelope;
+        Channel channel;
+        synchronized (this) {
+            if (mFailure != null) {
+                answer.complete(Either.left(mFailure));
+                return answer;
+            }
+            int correlation = mNextCorrelation++;
+            envelope = request.setCorrelation(correlation).build();
+            mPending.put(correlation, answer);
+            answer.whenComplete((value, thrown) -> forget(correlation));
+            channel = mChannel;
+            if (channel == null) {
+                mUnsent.add(envelope);
+            }
+        }
+        if (channel != null) {
+            channel.writeAndFlush(envelope);
+        }
+        return answer;
+    }
+
+    synchronized boolean usable() {
+        return mFailure == null && (mChannel == null || mChannel.isActive());
+    }
+
+    void opened(Channel channel) {
+        channel.pipeline().addLast(new Answers());
+        channel.closeFuture().addListener(closed -> failed(lost()));
+        List<Envelope> unsent;
+        synchronized (this) {
+            if (mFailure != null) {
+                channel.close();
+                return;
+            }
+            mChannel = channel;
+            unsent = List.copyOf(mUnsent);
+            mUnsent.clear();
+        }
+        unsent.forEach(channel::write);
+        channel.flush();
+    }
+
+    void close() {
+        Channel channel;
+        synchronized (this) {
+            channel = mChannel;
+        }
+        failed(lost());
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    void failed(Failure failure) {
+        List<CompletableFuture<Either<Failure, Envelope>>> pending;
+        synchronized (this) {
+            if (mFailure == null) {
+                mFailure = failure;
+            }
+            pending = List.copyOf(mPending.values());
+            mPending.clear();
+        }
+        pending.forEach(answer -> answer.complete(Either.left(failure)));
+    }
+
+    private static Failure lost() {
+        return Failure.of(FailureKind.PEER_UNREACHABLE, "the connection was lost");
+    }
+
+    private synchronized void forget(int correlation) {
+        mPending.remove(correlation);
+    }
+
+    private void answered(Envelope answer) {
+        CompletableFuture<Either<Failure, Envelope>> waiting;
+        synchronized (this) {
+            waiting = mPending.remove(answer.getCorrelation());
+        }
+        if (waiting != null) {
+            waiting.complete(Either.right(answer));
+        }
+    }
+
+    /** Completes the calls that wait for an answer. */
+    private final class Answers extends SimpleChannelInboundHandler<Envelope> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Envelope answer) {
+            answered(answer);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/peer/PeerServer.java
@@ -0,0 +1,92 @@
+package org.wagtailproxy.peer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.Closeable;
+import java.util.Objects;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.observe.Metrics;
+import org.wagtailproxy.wire.Envelope;
+
+/** Listens for other instances. */
+public final class PeerServer implements Closeable {
+
+    private final Channel mListening;
+    private final ChannelGroup mOpen;
+
+    private PeerServer(Channel listening, ChannelGroup open) {
+        mListening = listening;
+        mOpen = open;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address where, not null
+     * @param group the threads for input and output, not null
+     * @param handler who answers, not null
+     * @param metrics where bytes are counted, not null
+     * @return the server, never null
+     */
+    public static PeerServer start(
+            HostAddress address,
+            EventLoopGroup group,
+            PeerRequestHandler handler,
+            Metrics metrics) {
+        Objects.requireNonNull(handler, "handler");
+        ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        open.add(channel);
+                                        FrameCodec.install(channel.pipeline(), metrics);
+                                        channel.pipeline().addLast(new Requests(handler));
+                                    }
+                                });
+        Channel listening =
+                bootstrap.bind(address.host(), address.port()).syncUninterruptibly().channel();
+        return new PeerServer(listening, open);
+    }
+
+    @Override
+    public void close() {
+        mListening.close().syncUninterruptibly();
+        mOpen.close().awaitUninterruptibly();
+    }
+
+    /** Passes requests on and writes their answers. */
+    private static final class Requests extends SimpleChannelInboundHandler<Envelope> {
+
+        private final PeerRequestHandler mHandler;
+
+        private Requests(PeerRequestHandler handler) {
+            mHandler = handler;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Envelope request) {
+            int correlation = request.getCorrelation();
+            mHandler.handle(
+                    request,
+                    answer ->
+                            context.writeAndFlush(answer.setCorrelation(correlation).build()));
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/peer/ViewExchange.java
@@ -0,0 +1,237 @@
+package org.wagtailproxy.peer;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.wagtailproxy.configuration.Resource;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.membership.Seal;
+import org.wagtailproxy.observe.EventField;
+import org.wagtailproxy.observe.EventLog;
+import org.wagtailproxy.observe.EventName;
+import org.wagtailproxy.view.SharedView;
+import org.wagtailproxy.wire.Envelope;
+import org.wagtailproxy.wire.View;
+import org.wagtailproxy.wire.ViewPull;
+
+/** Pulls from peers what they are ahead with, and pushes what must spread at once. */
+public final class ViewExchange {
+
+    private static final Duration PULL_TIMEOUT = Duration.ofSeconds(2);
+
+    private final Members mMembers;
+    private final PeerClient mClient;
+    private final SharedView mView;
+    private final EventLog mLog;
+    private final Set<HostAddress> mPulling = ConcurrentHashMap.newKeySet();
+
+    private ViewExchange(Members members, PeerClient client, SharedView view, EventLog log) {
+        mMembers = members;
+        mClient = client;
+        mView = view;
+        mLog = log;
+    }
+
+    /**
+     * Creates an exchange.
+     *
+     * @param members the members, not null
+     * @param client how they are called, not null
+     * @param view what is exchanged, not null
+     * @param log the log, not null
+     * @return the exchange, never null
+     */
+    public static ViewExchange of(
+            Members members, PeerClient client, SharedView view, EventLog log) {
+        Objects.requireNonNull(view, "view");
+        return new ViewExchange(members, client, view, log);
+    }
+
+    /**
+     * Pulls from a peer unless that is being done.
+     *
+     * @param address the peer, not null
+     */
+    public void pull(HostAddress address) {
+        if (!mPulling.add(address)) {
+            return;
+        }
+        ViewPull pull =
+                ViewPull.newBuilder()
+                        .setConfigurationVersion(mView.completeVersion())
+                        .setInstanceListVersion(mView.list().version())
+                        .build();
+        mClient.call(address, Envelope.newBuilder().setViewPull(pull), PULL_TIMEOUT)
+                .thenAccept(
+                        answer -> {
+                            answer.forEach(envelope -> take(envelope.getView()));
+                            mPulling.remove(address);
+                        });
+    }
+
+    /**
+     * Tests whether pulls are under way.
+     *
+     * @return true if an answer is awaited
+     */
+    public boolean pulling() {
+        return !mPulling.isEmpty();
+    }
+
+    /**
+     * Answers a pull.
+     *
+     * @param pull what the puller has, not null
+     * @return what it lacks, never null
+     */
+    public Envelope.Builder handle(ViewPull pull) {
+        View.Builder view = View.newBuilder();
+        view.setConfigurationVersion(mView.completeVersion());
+        view.setBaseVersion(pull.getConfigurationVersion());
+        for (Resource resource : mView.newerThan(pull.getConfigurationVersion())) {
+            view.addResources(Wire.resource(resource));
+        }
+        view.setInstanceListVersion(mView.list().version());
+        if (mView.list().version() > pull.getInstanceListVersion()) {
+            view.setInstanceList(ByteString.copyFrom(mView.listDocument()));
+        }
+        mMembers.with(
+                table -> {
+                    table.seals().forEach(seal -> view.addSeals(Wire.seal(seal)));
+                    table.members().forEach(member -> view.addMembers(Wire.member(member)));
+                    return null;
+                });
+        return Envelope.newBuilder().setView(view);
+    }
+
+    /**
+     * Takes over a view that a peer pushed.
+     *
+     * @param view the view, not null
+     * @return an empty view as the receipt, never null
+     */
+    public Envelope.Builder handle(View view) {
+        take(view);
+        return Envelope.newBuilder().setView(View.newBuilder());
+    }
+
+    /**
+     * Pushes versions of resources to the live neighbours.
+     *
+     * @param resources the versions, not null
+     * @param baseVersion the revision after which the versions lack nothing
+     * @param completeVersion the revision up to which they lack nothing, 0 if that is not known
+     * @param timeout the longest wait for a receipt
+     * @return completes with true once a neighbour has them, with false if none took them
+     */
+    public CompletableFuture<Boolean> push(
+            Collection<Resource> resources,
+            long baseVersion,
+            long completeVersion,
+            Duration timeout) {
+        View.Builder view =
+                View.newBuilder()
+                        .setBaseVersion(baseVersion)
+                        .setConfigurationVersion(completeVersion);
+        resources.forEach(resource -> view.addResources(Wire.resource(resource)));
+        List<HostAddress> addresses =
+                mMembers.with(
+                        table ->
+                                table.liveIn(mMembers.self().dataCentre(), System.nanoTime())
+                                        .stream()
+                                        .map(member -> member.peerAddress())
+                                        .toList());
+        return push(view, addresses, timeout);
+    }
+
+    /**
+     * Pushes a seal to every live member.
+     *
+     * @param seal the seal, not null
+     * @param timeout the longest wait for a receipt
+     * @return completes with true once a member has it
+     */
+    public CompletableFuture<Boolean> push(Seal seal, Duration timeout) {
+        View.Builder view = View.newBuilder().addSeals(Wire.seal(seal));
+        List<HostAddress> addresses =
+                mMembers.with(
+                        table ->
+                                table.live(System.nanoTime()).stream()
+                                        .map(member -> member.peerAddress())
+                                        .toList());
+        return push(view, addresses, timeout);
+    }
+
+    private CompletableFuture<Boolean> push(
+            View.Builder view, List<HostAddress> addresses, Duration timeout) {
+        CompletableFuture<Boolean> taken = new CompletableFuture<>();
+        List<CompletableFuture<Either<Failure, Envelope>>> calls = new ArrayList<>();
+        for (HostAddress address : addresses) {
+            Envelope.Builder request = Envelope.newBuilder().setView(view);
+            CompletableFuture<Either<Failure, Envelope>> call =
+                    mClient.call(address, request, timeout);
+            call.thenAccept(
+                    answer -> {
+                        if (answer.isRight()) {
+                            taken.complete(true);
+                        }
+                    });
+            calls.add(call);
+        }
+        CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
+                .thenRun(() -> taken.complete(false));
+        return taken;
+    }
+
+    private void take(View view) {
+        List<Resource> resources = new ArrayList<>();
+        view.getResourcesList()
+                .forEach(message -> Wire.resource(message).forEach(resources::add));
+        boolean seamless = mView.completeVersion() >= view.getBaseVersion();
+        mView.merge(resources, seamless ? view.getConfigurationVersion() : 0);
+        if (!view.getInstanceList().isEmpty()) {
+            takeList(view.getInstanceList().toByteArray());
+        }
+        long nowNanos = System.nanoTime();
+        view.getMembersList()
+                .forEach(
+                        message ->
+                                Wire.member(message).forEach(member -> told(member, nowNanos)));
+        view.getSealsList().forEach(message -> Wire.seal(message).forEach(this::seal));
+    }
+
+    private void takeList(byte[] document) {
+        if (mView.mergeList(document)) {
+            mMembers.with(
+                    table -> {
+                        table.listed(mView.list().entries(), false, System.nanoTime());
+                        return null;
+                    });
+        }
+    }
+
+    private void told(org.wagtailproxy.membership.Member member, long nowNanos) {
+        mMembers.with(
+                table -> {
+                    table.told(member, nowNanos);
+                    return null;
+                });
+    }
+
+    private void seal(Seal seal) {
+        if (mMembers.with(table -> table.seal(seal, System.nanoTime()))) {
+            mLog.event(EventName.SEALED)
+                    .with(EventField.SUBJECT, seal.incarnation())
+                    .with(EventField.DETAIL, seal.kind())
+                    .info();
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/platform/InstanceList.java
@@ -0,0 +1,33 @@
+package org.wagtailproxy.platform;
+
+import java.util.List;
+import java.util.Map;
+import org.wagtailproxy.dispatch.RunnerListing;
+import org.wagtailproxy.identity.ServiceName;
+import org.wagtailproxy.membership.EntryListing;
+
+/**
+ * One version of the platform's instance list.
+ *
+ * @param version the version that the platform gave it, 0 if none was ever read
+ * @param entries the entry instances, not null
+ * @param runners the backend servers of each service, not null
+ */
+public record InstanceList(
+        long version, List<EntryListing> entries, Map<ServiceName, List<RunnerListing>> runners) {
+
+    /** Copies the components. */
+    public InstanceList {
+        entries = List.copyOf(entries);
+        runners = Map.copyOf(runners);
+    }
+
+    /**
+     * Returns the list that is held before any was read.
+     *
+     * @return an empty list, never null
+     */
+    public static InstanceList empty() {
+        return new InstanceList(0, List.of(), Map.of());
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/platform/InstanceListReader.java
@@ -0,0 +1,111 @@
+package org.wagtailproxy.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import org.wagtailproxy.dispatch.RunnerId;
+import org.wagtailproxy.dispatch.RunnerListing;
+import org.wagtailproxy.document.Json;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.identity.Names;
+import org.wagtailproxy.identity.ServiceName;
+import org.wagtailproxy.membership.EntryListing;
+
+/**
+ * Reads the instance list, which the platform serves as Kubernetes endpoint slices.
+ *
+ * <p>The label {@code kubernetes.io/service-name} names the service, {@code wagtailproxy} standing
+ * for the entry instances; the label {@code wagtailproxy/slots} gives a backend server's slots.
+ */
+public final class InstanceListReader {
+
+    /** The service name of the entry instances. */
+    public static final String ENTRY_SERVICE = "wagtailproxy";
+
+    private static final String PATH = "/apis/discovery.k8s.io/v1/endpointslices";
+    private static final int DEFAULT_SLOTS = 8;
+
+    private final PlatformHttp mHttp;
+
+    private InstanceListReader(PlatformHttp http) {
+        mHttp = http;
+    }
+
+    /**
+     * Creates a reader.
+     *
+     * @param http how to call, not null
+     * @return the reader, never null
+     */
+    public static InstanceListReader of(PlatformHttp http) {
+        return new InstanceListReader(Objects.requireNonNull(http, "http"));
+    }
+
+    /**
+     * Reads the list; one counted call, blocks.
+     *
+     * @return the document as it was read, or that the platform did not answer
+     */
+    public Either<Failure, byte[]> read() {
+        return mHttp.get(PATH, "list").map(Json::bytes);
+    }
+
+    /**
+     * Decodes a document; entries that cannot be understood are passed over.
+     *
+     * @param document the document, not null
+     * @return the list, or what is wrong with it
+     */
+    public static Either<Failure, InstanceList> decode(byte[] document) {
+        return Json.parse(document).map(InstanceListReader::decode);
+    }
+
+    private static InstanceList decode(JsonNode node) {
+        List<EntryListing> entries = new ArrayList<>();
+        Map<ServiceName, List<RunnerListing>> runners = new TreeMap<>();
+        for (JsonNode slice : node.path("items")) {
+            JsonNode labels = slice.path("metadata").path("labels");
+            String service = labels.path("kubernetes.io/service-name").asText("");
+            int port = slice.path("ports").path(0).path("port").asInt();
+            int slots = Math.max(1, labels.path("wagtailproxy/slots").asInt(DEFAULT_SLOTS));
+            for (JsonNode endpoint : slice.path("endpoints")) {
+                decode(endpoint, service, port, slots, entries, runners);
+            }
+        }
+        long version = node.path("metadata").path("resourceVersion").asLong();
+        return new InstanceList(version, entries, runners);
+    }
+
+    private static void decode(
+            JsonNode endpoint,
+            String service,
+            int port,
+            int slots,
+            List<EntryListing> entries,
+            Map<ServiceName, List<RunnerListing>> runners) {
+        String host = endpoint.path("addresses").path(0).asText("");
+        Option<HostAddress> address = HostAddress.parse(host + ":" + port);
+        String zone = endpoint.path("zone").asText("");
+        if (address.isEmpty() || !Names.isName(zone) || !Names.isName(service)) {
+            return;
+        }
+        JsonNode conditions = endpoint.path("conditions");
+        boolean leaving =
+                conditions.path("terminating").asBoolean(false)
+                        || !conditions.path("ready").asBoolean(true);
+        DataCentre place = DataCentre.of(zone);
+        if (service.equals(ENTRY_SERVICE)) {
+            entries.add(EntryListing.of(address.get(), place, leaving));
+            return;
+        }
+        runners.computeIfAbsent(ServiceName.of(service), key -> new ArrayList<>())
+                .add(RunnerListing.of(RunnerId.of(address.get()), place, slots, leaving));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/platform/PlatformHttp.java
@@ -0,0 +1,96 @@
+package org.wagtailproxy.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.Objects;
+import org.wagtailproxy.document.Json;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.observe.Metrics;
+
+/** Calls the platform over HTTP, bounded in time and counted. */
+public final class PlatformHttp {
+
+    private static final int OK = 200;
+
+    private final HttpClient mClient;
+    private final HostAddress mAddress;
+    private final Duration mTimeout;
+    private final Metrics mMetrics;
+
+    private PlatformHttp(
+            HttpClient client, HostAddress address, Duration timeout, Metrics metrics) {
+        mClient = client;
+        mAddress = address;
+        mTimeout = timeout;
+        mMetrics = metrics;
+    }
+
+    /**
+     * Creates a caller of one address.
+     *
+     * @param client the HTTP client, not null
+     * @param address the address, not null
+     * @param timeout the longest a call may take, not null
+     * @param metrics where calls are counted, not null
+     * @return the caller, never null
+     */
+    public static PlatformHttp of(
+            HttpClient client, HostAddress address, Duration timeout, Metrics metrics) {
+        Objects.requireNonNull(client, "client");
+        return new PlatformHttp(client, address, timeout, metrics);
+    }
+
+    Either<Failure, JsonNode> post(String path, String call, JsonNode body) {
+        HttpRequest request =
+                request(path)
+                        .header("Content-Type", "application/json")
+                        .POST(BodyPublishers.ofByteArray(Json.bytes(body)))
+                        .build();
+        return send(request, call);
+    }
+
+    Either<Failure, JsonNode> get(String path, String call) {
+        return send(request(path).GET().build(), call);
+    }
+
+    private HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + mAddress + path)).timeout(mTimeout);
+    }
+
+    private Either<Failure, JsonNode> send(HttpRequest request, String call) {
+        Either<Failure, JsonNode> answer = exchange(request);
+        mMetrics.platformCall(call, answer.isRight());
+        return answer;
+    }
+
+    private Either<Failure, JsonNode> exchange(HttpRequest request) {
+        try {
+            HttpResponse<byte[]> response = mClient.send(request, BodyHandlers.ofByteArray());
+            if (response.statusCode() != OK) {
+                return unavailable("status " + response.statusCode());
+            }
+            Either<Failure, JsonNode> parsed = Json.parse(response.body());
+            return parsed.isRight() ? parsed : unavailable("unreadable answer");
+        } catch (IOException failure) {
+            return unavailable(failure.getClass().getSimpleName());
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return unavailable("interrupted");
+        }
+    }
+
+    private static Either<Failure, JsonNode> unavailable(String detail) {
+        return Either.left(
+                Failure.of(FailureKind.STORE_UNAVAILABLE, "the platform did not answer: " + detail));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/serve/Executors.java
@@ -0,0 +1,91 @@
+package org.wagtailproxy.serve;
+
+import java.io.Closeable;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor.CallerRunsPolicy;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The threads of an instance, by what they may be held up with. */
+final class Executors implements Closeable {
+
+    private static final int MINIMUM_WORKERS = 4;
+    private static final int HTTP_THREADS = 64;
+    private static final int HTTP_QUEUE = 4000;
+    private static final int BLOCKING_THREADS = 64;
+    private static final int TIMER_THREADS = 4;
+    private static final long KEEP_ALIVE_SECONDS = 30;
+
+    /** Runs what never blocks for long. */
+    final ExecutorService mWorkers;
+
+    /** Runs HTTP exchanges, which may wait for a sender. */
+    final ExecutorService mHttp;
+
+    /** Runs what waits for the platform or for an event. */
+    final ExecutorService mBlocking;
+
+    /** Runs heartbeats and views, which must not wait behind work. */
+    final ExecutorService mControl;
+
+    /** Runs what recurs. */
+    final ScheduledExecutorService mTimers;
+
+    Executors() {
+        int workers = Math.max(MINIMUM_WORKERS, Runtime.getRuntime().availableProcessors());
+        mWorkers =
+                new ThreadPoolExecutor(
+                        workers,
+                        workers,
+                        KEEP_ALIVE_SECONDS,
+                        TimeUnit.SECONDS,
+                        new LinkedBlockingQueue<>(),
+                        named("worker"));
+        mHttp =
+                new ThreadPoolExecutor(
+                        HTTP_THREADS,
+                        HTTP_THREADS,
+                        KEEP_ALIVE_SECONDS,
+                        TimeUnit.SECONDS,
+                        new ArrayBlockingQueue<>(HTTP_QUEUE),
+                        named("http"),
+                        new CallerRunsPolicy());
+        ((ThreadPoolExecutor) mHttp).allowCoreThreadTimeOut(true);
+        mBlocking =
+                new ThreadPoolExecutor(
+                        0,
+                        BLOCKING_THREADS,
+                        KEEP_ALIVE_SECONDS,
+                        TimeUnit.SECONDS,
+                        new SynchronousQueue<>(),
+                        named("blocking"),
+                        new CallerRunsPolicy());
+        mControl = java.util.concurrent.Executors.newSingleThreadExecutor(named("control"));
+        mTimers = new ScheduledThreadPoolExecutor(TIMER_THREADS, named("timer"));
+    }
+
+    @Override
+    public void close() {
+        mTimers.shutdownNow();
+        mHttp.shutdownNow();
+        mBlocking.shutdownNow();
+        mControl.shutdownNow();
+        mWorkers.shutdownNow();
+    }
+
+    private static ThreadFactory named(String name) {
+        AtomicInteger count = new AtomicInteger();
+        return action -> {
+            Thread thread = new Thread(action, name + "-" + count.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
