--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/serve/PeerRequests.java
@@ -0,0 +1,135 @@
+package org.wagtailproxy.serve;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.Objects;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.home.EndFinder;
+import org.wagtailproxy.home.EndRecords;
+import org.wagtailproxy.home.HandOvers;
+import org.wagtailproxy.home.JobReply;
+import org.wagtailproxy.home.JobRouter;
+import org.wagtailproxy.identity.Incarnation;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.membership.Seal;
+import org.wagtailproxy.membership.SealKind;
+import org.wagtailproxy.peer.Heartbeats;
+import org.wagtailproxy.peer.Members;
+import org.wagtailproxy.peer.PeerRequestHandler;
+import org.wagtailproxy.peer.ViewExchange;
+import org.wagtailproxy.peer.Wire;
+import org.wagtailproxy.wire.EndRecord;
+import org.wagtailproxy.wire.Envelope;
+import org.wagtailproxy.wire.FindEnd;
+import org.wagtailproxy.wire.FindEndAnswer;
+import org.wagtailproxy.wire.HandOverAnswer;
+import org.wagtailproxy.wire.JobAnswer;
+import org.wagtailproxy.wire.StoreEnd;
+import org.wagtailproxy.wire.StoreEndAnswer;
+
+/** Answers what other instances ask. */
+final class PeerRequests implements PeerRequestHandler {
+
+    private final Members mMembers;
+    private final JobRouter mRouter;
+    private final EndRecords mRecords;
+    private final EndFinder mFinder;
+    private final HandOvers mHandOvers;
+    private final Heartbeats mHeartbeats;
+    private final ViewExchange mExchange;
+    private final Executors mExecutors;
+
+    PeerRequests(
+            Members members,
+            JobRouter router,
+            EndRecords records,
+            EndFinder finder,
+            HandOvers handOvers,
+            Heartbeats heartbeats,
+            ViewExchange exchange,
+            Executors executors) {
+        mMembers = members;
+        mRouter = router;
+        mRecords = records;
+        mFinder = finder;
+        mHandOvers = handOvers;
+        mHeartbeats = heartbeats;
+        mExchange = exchange;
+        mExecutors = executors;
+    }
+
+    @Override
+    public void handle(Envelope request, Consumer<Envelope.Builder> reply) {
+        Objects.requireNonNull(reply, "reply");
+        switch (request.getBodyCase()) {
+            case HEARTBEAT ->
+                    on(mExecutors.mControl, () -> reply.accept(mHeartbeats.handle(request.getHeartbeat())));
+            case VIEW_PULL ->
+                    on(mExecutors.mControl, () -> reply.accept(mExchange.handle(request.getViewPull())));
+            case VIEW -> on(mExecutors.mWorkers, () -> reply.accept(mExchange.handle(request.getView())));
+            case JOB_CALL -> on(mExecutors.mWorkers, () -> job(request, reply));
+            case STORE_END -> on(mExecutors.mWorkers, () -> reply.accept(store(request.getStoreEnd())));
+            case FIND_END -> on(mExecutors.mWorkers, () -> reply.accept(find(request.getFindEnd())));
+            case HAND_OVER -> on(mExecutors.mBlocking, () -> reply.accept(handOver(request)));
+            default -> {
+                // A newer peer may ask what this version does not know; its call times out.
+            }
+        }
+    }
+
+    private static void on(Executor executor, Runnable action) {
+        executor.execute(action);
+    }
+
+    private void job(Envelope request, Consumer<Envelope.Builder> reply) {
+        mRouter.serve(request.getJobCall())
+                .thenAccept(
+                        answer -> reply.accept(Envelope.newBuilder().setJobAnswer(encode(answer))));
+    }
+
+    private static JobAnswer encode(JobReply reply) {
+        return JobAnswer.newBuilder()
+                .setStatus(reply.status())
+                .setBody(ByteString.copyFrom(reply.body()))
+                .setFailure(reply.failure().getOrElse(""))
+                .build();
+    }
+
+    private Envelope.Builder store(StoreEnd request) {
+        EndRecord record = request.getRecord();
+        Option<Incarnation> sender = Wire.incarnation(request.getIncarnation());
+        Either<Failure, JobName> name = JobName.parse(record.getJobName());
+        boolean sound = sender.isDefined() && name.isRight() && name.get().session().isDefined();
+        boolean stored = sound && store(sender.get(), name.get(), record);
+        return Envelope.newBuilder()
+                .setStoreEndAnswer(StoreEndAnswer.newBuilder().setStored(stored));
+    }
+
+    private boolean store(Incarnation sender, JobName name, EndRecord record) {
+        Option<Seal> seal = mMembers.with(table -> table.sealOf(sender));
+        if (seal.exists(each -> each.kind() == SealKind.LOST)) {
+            mRecords.fence(sender);
+        }
+        Incarnation home = name.session().get().incarnation();
+        return mRecords.store(sender, home, name, record, System.nanoTime());
+    }
+
+    private Envelope.Builder find(FindEnd request) {
+        FindEndAnswer.Builder answer = FindEndAnswer.newBuilder();
+        Option<Seal> seal = request.hasSeal() ? Wire.seal(request.getSeal()) : Option.none();
+        JobName.parse(request.getJobName())
+                .toOption()
+                .filter(name -> name.session().isDefined())
+                .flatMap(name -> mFinder.local(name, seal))
+                .forEach(answer::setRecord);
+        return Envelope.newBuilder().setFindEndAnswer(answer);
+    }
+
+    private Envelope.Builder handOver(Envelope request) {
+        HandOverAnswer answer = mHandOvers.take(request.getHandOver());
+        return Envelope.newBuilder().setHandOverAnswer(answer);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/serve/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon: command line, wiring, start and stop. */
+package org.wagtailproxy.serve;
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/settings/SettingsReader.java
@@ -0,0 +1,285 @@
+package org.wagtailproxy.settings;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.io.Reader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.identity.Names;
+import org.wagtailproxy.membership.MembershipTiming;
+import org.wagtailproxy.settings.Settings.InstanceSettings;
+import org.wagtailproxy.settings.Settings.LimitSettings;
+import org.wagtailproxy.settings.Settings.PeerSettings;
+import org.wagtailproxy.settings.Settings.PlatformSettings;
+import org.wagtailproxy.settings.Settings.SessionSettings;
+import org.wagtailproxy.settings.SettingsProblem.Kind;
+
+/** Reads settings and names everything that is wrong with them. */
+public final class SettingsReader {
+
+    private static final Map<String, Set<String>> KEYS =
+            Map.of(
+                    "instance",
+                    Set.of("name", "data-centre", "caller-address", "peer-address"),
+                    "platform",
+                    Set.of("store-address", "list-address", "poll-interval", "call-timeout"),
+                    "peers",
+                    Set.of(
+                            "seeds",
+                            "heartbeat-interval",
+                            "remote-heartbeat-interval",
+                            "control-bytes-per-second",
+                            "replicas",
+                            "withhold-after",
+                            "seal-after",
+                            "remote-seal-after"),
+                    "sessions",
+                    Set.of("window", "retained-windows"),
+                    "limits",
+                    Set.of(
+                            "body-size",
+                            "outcome-memory",
+                            "drain-timeout",
+                            "claims-per-second",
+                            "idle-connection"));
+
+    private final Map<String, String> mValues = new HashMap<>();
+    private final List<SettingsProblem> mProblems = new ArrayList<>();
+
+    private SettingsReader() {}
+
+    /**
+     * Reads a file.
+     *
+     * @param file the file, not null
+     * @return the settings, or every problem found
+     */
+    public static Either<List<SettingsProblem>, Settings> read(Path file) {
+        Objects.requireNonNull(file, "file");
+        SettingsReader reader = new SettingsReader();
+        reader.load(file);
+        if (!reader.mProblems.isEmpty()) {
+            return Either.left(List.copyOf(reader.mProblems));
+        }
+        return reader.build();
+    }
+
+    private void load(Path file) {
+        INIConfiguration configuration = new INIConfiguration();
+        configuration.setCommentLeadingCharsUsedInInput("#;");
+        configuration.setSeparatorUsedInInput("=");
+        try (Reader text = Files.newBufferedReader(file)) {
+            configuration.read(text);
+        } catch (IOException | ConfigurationException failure) {
+            problem(file.getFileName().toString(), Kind.UNREADABLE, "expected an INI file");
+            return;
+        }
+        for (String section : configuration.getSections()) {
+            loadSection(configuration, section);
+        }
+    }
+
+    private void loadSection(INIConfiguration configuration, String section) {
+        Set<String> known = KEYS.get(section);
+        if (known == null) {
+            String name = section == null ? "(before the first section)" : section;
+            problem(name, Kind.UNKNOWN_SECTION, "known are " + KEYS.keySet().stream().sorted().toList());
+            return;
+        }
+        SubnodeConfiguration node = configuration.getSection(section);
+        node.getKeys()
+                .forEachRemaining(
+                        raw -> {
+                            String key = raw.replace("..", ".");
+                            String full = section + "." + key;
+                            if (!known.contains(key)) {
+                                problem(full, Kind.UNKNOWN_KEY, "known are " + known.stream().sorted().toList());
+                            } else if (node.getList(raw).size() > 1) {
+                                problem(full, Kind.DUPLICATE_KEY, "given more than once");
+                            } else {
+                                mValues.put(full, node.getString(raw).trim());
+                            }
+                        });
+    }
+
+    private Either<List<SettingsProblem>, Settings> build() {
+        InstanceSettings instance = instance();
+        PlatformSettings platform = platform();
+        PeerSettings peers = peers();
+        SessionSettings sessions =
+                new SessionSettings(
+                        duration("sessions.window", "5min", "100ms", "1h"),
+                        (int) number("sessions.retained-windows", "4", 3, 100));
+        LimitSettings limits = limits();
+        if (!mProblems.isEmpty()) {
+            return Either.left(List.copyOf(mProblems));
+        }
+        return Either.right(new Settings(instance, platform, peers, sessions, limits));
+    }
+
+    private InstanceSettings instance() {
+        HostAddress caller = address("instance.caller-address");
+        HostAddress peer = address("instance.peer-address");
+        if (caller != null && caller.equals(peer)) {
+            problem(
+                    "instance.peer-address",
+                    Kind.DUPLICATE_ADDRESS,
+                    "also given as instance.caller-address");
+        }
+        String dataCentre = name("instance.data-centre");
+        return new InstanceSettings(
+                name("instance.name"),
+                dataCentre == null ? null : DataCentre.of(dataCentre),
+                caller,
+                peer);
+    }
+
+    private PlatformSettings platform() {
+        return new PlatformSettings(
+                address("platform.store-address"),
+                address("platform.list-address"),
+                duration("platform.poll-interval", "1s", "50ms", "5s"),
+                duration("platform.call-timeout", "2s", "50ms", "10s"));
+    }
+
+    private PeerSettings peers() {
+        return new PeerSettings(
+                seeds(),
+                duration("peers.heartbeat-interval", "500ms", "50ms", "5s"),
+                duration("peers.remote-heartbeat-interval", "2s", "50ms", "10s"),
+                (int) number("peers.control-bytes-per-second", "2048", 256, 1_000_000),
+                (int) number("peers.replicas", "2", 0, 2),
+                timing());
+    }
+
+    private MembershipTiming timing() {
+        Duration withhold = duration("peers.withhold-after", "8s", "200ms", "1min");
+        Duration seal = duration("peers.seal-after", "20s", "400ms", "10min");
+        Duration remoteSeal = duration("peers.remote-seal-after", "120min", "1s", "24h");
+        try {
+            return MembershipTiming.of(withhold, seal, remoteSeal);
+        } catch (IllegalArgumentException wrong) {
+            problem(
+                    "peers.seal-after",
+                    Kind.OUT_OF_RANGE,
+                    "at least twice withhold-after and at most remote-seal-after");
+            return MembershipTiming.of(Duration.ZERO, Duration.ZERO, Duration.ZERO);
+        }
+    }
+
+    private LimitSettings limits() {
+        return new LimitSettings(
+                (int) size("limits.body-size", "4MB", 1_000, 16_000_000),
+                size("limits.outcome-memory", "256MB", 1_000_000, 4_000_000_000L),
+                duration("limits.drain-timeout", "30s", "1s", "10min"),
+                (int) number("limits.claims-per-second", "20", 1, 1000),
+                duration("limits.idle-connection", "1s", "1s", "1min"));
+    }
+
+    private List<HostAddress> seeds() {
+        List<HostAddress> seeds = new ArrayList<>();
+        for (String text : mValues.getOrDefault("peers.seeds", "").split("[, ]+")) {
+            if (text.isEmpty()) {
+                continue;
+            }
+            Option<HostAddress> seed = HostAddress.parse(text);
+            if (seed.isEmpty()) {
+                problem("peers.seeds", Kind.MALFORMED_VALUE, "expected IP numbers with ports");
+            } else if (seeds.contains(seed.get())) {
+                problem("peers.seeds", Kind.DUPLICATE_ADDRESS, seed.get() + " is given twice");
+            } else {
+                seeds.add(seed.get());
+            }
+        }
+        return List.copyOf(seeds);
+    }
+
+    private HostAddress address(String key) {
+        String text = required(key);
+        if (text == null) {
+            return null;
+        }
+        Option<HostAddress> address = HostAddress.parse(text);
+        if (address.isEmpty()) {
+            problem(key, Kind.MALFORMED_VALUE, "expected an IP number and a port");
+        }
+        return address.getOrNull();
+    }
+
+    private String name(String key) {
+        String text = required(key);
+        if (text != null && !Names.isName(text)) {
+            problem(key, Kind.MALFORMED_VALUE, "expected 1 to 100 of A-Z a-z 0-9 _ : -");
+            return null;
+        }
+        return text;
+    }
+
+    private String required(String key) {
+        String text = mValues.get(key);
+        if (text == null || text.isEmpty()) {
+            problem(key, Kind.MISSING_KEY, "required");
+            return null;
+        }
+        return text;
+    }
+
+    private Duration duration(String key, String preset, String least, String most) {
+        String text = mValues.getOrDefault(key, preset);
+        Either<Kind, Duration> parsed = Quantities.duration(text);
+        if (parsed.isLeft()) {
+            problem(key, parsed.getLeft(), "expected a number and one of " + Quantities.TIME_UNITS);
+            return Quantities.duration(preset).get();
+        }
+        boolean low = parsed.get().compareTo(Quantities.duration(least).get()) < 0;
+        boolean high = parsed.get().compareTo(Quantities.duration(most).get()) > 0;
+        if (low || high) {
+            problem(key, Kind.OUT_OF_RANGE, "expected " + least + " to " + most);
+        }
+        return parsed.get();
+    }
+
+    private long size(String key, String preset, long least, long most) {
+        String text = mValues.getOrDefault(key, preset);
+        Either<Kind, Long> parsed = Quantities.bytes(text);
+        if (parsed.isLeft()) {
+            problem(key, parsed.getLeft(), "expected a number and one of " + Quantities.SIZE_UNITS);
+            return least;
+        }
+        return ranged(key, parsed.get(), least, most);
+    }
+
+    private long number(String key, String preset, long least, long most) {
+        String text = mValues.getOrDefault(key, preset);
+        if (!text.matches("[0-9]{1,12}")) {
+            problem(key, Kind.MALFORMED_VALUE, "expected a whole number");
+            return least;
+        }
+        return ranged(key, Long.parseLong(text), least, most);
+    }
+
+    private long ranged(String key, long value, long least, long most) {
+        if (value < least || value > most) {
+            problem(key, Kind.OUT_OF_RANGE, "expected " + least + " to " + most);
+            return least;
+        }
+        return value;
+    }
+
+    private void problem(String key, Kind kind, String detail) {
+        mProblems.add(SettingsProblem.of(key, kind, detail));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Checked settings of one entry instance, read from an INI file. */
+package org.wagtailproxy.settings;
--- a/wire/src/main/java/org/wagtailproxy/wire/EndRecord.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/EndRecord.java
@@ -35,6 +35,7 @@
     jobName_ = "";
     contentDigest_ = com.google.protobuf.ByteString.EMPTY;
     document_ = com.google.protobuf.ByteString.EMPTY;
+    trace_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -127,6 +128,17 @@
     return document_;
   }
 
+  public static final int TRACE_FIELD_NUMBER = 5;
+  private com.google.protobuf.ByteString trace_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <code>bytes trace = 5;</code>
+   * @return The trace.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getTrace() {
+    return trace_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -153,6 +165,9 @@
     if (!document_.isEmpty()) {
       output.writeBytes(4, document_);
     }
+    if (!trace_.isEmpty()) {
+      output.writeBytes(5, trace_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -172,6 +187,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(4, document_);
     }
+    if (!trace_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(5, trace_);
+    }
     return size;
   }
   @java.lang.Override
@@ -204,6 +223,8 @@
         != other.getComplete()) return false;
     if (!getDocument()
         .equals(other.getDocument())) return false;
+    if (!getTrace()
+        .equals(other.getTrace())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -224,6 +245,8 @@
         getComplete());
     hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
     hash = (53 * hash) + getDocument().hashCode();
+    hash = (37 * hash) + TRACE_FIELD_NUMBER;
+    hash = (53 * hash) + getTrace().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -363,6 +386,7 @@
       contentDigest_ = com.google.protobuf.ByteString.EMPTY;
       complete_ = false;
       document_ = com.google.protobuf.ByteString.EMPTY;
+      trace_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -408,6 +432,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.document_ = document_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.trace_ = trace_;
+      }
     }
 
     @java.lang.Override
@@ -436,6 +463,9 @@
       if (!other.getDocument().isEmpty()) {
         setDocument(other.getDocument());
       }
+      if (!other.getTrace().isEmpty()) {
+        setTrace(other.getTrace());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -480,6 +510,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 42: {
+              trace_ = input.readBytes();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -665,6 +700,38 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString trace_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes trace = 5;</code>
+     * @return The trace.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getTrace() {
+      return trace_;
+    }
+    /**
+     * <code>bytes trace = 5;</code>
+     * @param value The trace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTrace(com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      trace_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bytes trace = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTrace() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      trace_ = getDefaultInstance().getTrace();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wagtailproxy.wire.EndRecord)
   }
 
--- a/wire/src/main/java/org/wagtailproxy/wire/EndRecordOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/EndRecordOrBuilder.java
@@ -39,4 +39,10 @@
    * @return The document.
    */
   com.google.protobuf.ByteString getDocument();
+
+  /**
+   * <code>bytes trace = 5;</code>
+   * @return The trace.
+   */
+  com.google.protobuf.ByteString getTrace();
 }
--- a/wire/src/main/java/org/wagtailproxy/wire/Heartbeat.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Heartbeat.java
@@ -103,15 +103,15 @@
     return instanceListVersion_;
   }
 
-  public static final int SEAL_COUNT_FIELD_NUMBER = 4;
-  private int sealCount_ = 0;
+  public static final int SEAL_DIGEST_FIELD_NUMBER = 4;
+  private int sealDigest_ = 0;
   /**
-   * <code>uint32 seal_count = 4;</code>
-   * @return The sealCount.
+   * <code>fixed32 seal_digest = 4;</code>
+   * @return The sealDigest.
    */
   @java.lang.Override
-  public int getSealCount() {
-    return sealCount_;
+  public int getSealDigest() {
+    return sealDigest_;
   }
 
   public static final int SERVICE_DEMANDS_FIELD_NUMBER = 5;
@@ -230,8 +230,8 @@
     if (instanceListVersion_ != 0L) {
       output.writeUInt64(3, instanceListVersion_);
     }
-    if (sealCount_ != 0) {
-      output.writeUInt32(4, sealCount_);
+    if (sealDigest_ != 0) {
+      output.writeFixed32(4, sealDigest_);
     }
     for (int i = 0; i < serviceDemands_.size(); i++) {
       output.writeMessage(5, serviceDemands_.get(i));
@@ -258,9 +258,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, instanceListVersion_);
     }
-    if (sealCount_ != 0) {
+    if (sealDigest_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(4, sealCount_);
+        .computeFixed32Size(4, sealDigest_);
     }
 
         {
@@ -317,8 +317,8 @@
         != other.getConfigurationVersion()) return false;
     if (getInstanceListVersion()
         != other.getInstanceListVersion()) return false;
-    if (getSealCount()
-        != other.getSealCount()) return false;
+    if (getSealDigest()
+        != other.getSealDigest()) return false;
     if (!getServiceDemandsList()
         .equals(other.getServiceDemandsList())) return false;
     if (!getTeamDemandsList()
@@ -346,8 +346,8 @@
     hash = (37 * hash) + INSTANCE_LIST_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getInstanceListVersion());
-    hash = (37 * hash) + SEAL_COUNT_FIELD_NUMBER;
-    hash = (53 * hash) + getSealCount();
+    hash = (37 * hash) + SEAL_DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + getSealDigest();
     if (getServiceDemandsCount() > 0) {
       hash = (37 * hash) + SERVICE_DEMANDS_FIELD_NUMBER;
       hash = (53 * hash) + getServiceDemandsList().hashCode();
@@ -509,7 +509,7 @@
       }
       configurationVersion_ = 0L;
       instanceListVersion_ = 0L;
-      sealCount_ = 0;
+      sealDigest_ = 0;
       if (serviceDemandsBuilder_ == null) {
         serviceDemands_ = java.util.Collections.emptyList();
       } else {
@@ -594,7 +594,7 @@
         result.instanceListVersion_ = instanceListVersion_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.sealCount_ = sealCount_;
+        result.sealDigest_ = sealDigest_;
       }
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.knowsYouSealed_ = knowsYouSealed_;
@@ -623,8 +623,8 @@
       if (other.getInstanceListVersion() != 0L) {
         setInstanceListVersion(other.getInstanceListVersion());
       }
-      if (other.getSealCount() != 0) {
-        setSealCount(other.getSealCount());
+      if (other.getSealDigest() != 0) {
+        setSealDigest(other.getSealDigest());
       }
       if (serviceDemandsBuilder_ == null) {
         if (!other.serviceDemands_.isEmpty()) {
@@ -722,11 +722,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
-            case 32: {
-              sealCount_ = input.readUInt32();
+            case 37: {
+              sealDigest_ = input.readFixed32();
               bitField0_ |= 0x00000008;
               break;
-            } // case 32
+            } // case 37
             case 42: {
               org.wagtailproxy.wire.Demand m =
                   input.readMessage(
@@ -958,34 +958,34 @@
       return this;
     }
 
-    private int sealCount_ ;
+    private int sealDigest_ ;
     /**
-     * <code>uint32 seal_count = 4;</code>
-     * @return The sealCount.
+     * <code>fixed32 seal_digest = 4;</code>
+     * @return The sealDigest.
      */
     @java.lang.Override
-    public int getSealCount() {
-      return sealCount_;
+    public int getSealDigest() {
+      return sealDigest_;
     }
     /**
-     * <code>uint32 seal_count = 4;</code>
-     * @param value The sealCount to set.
+     * <code>fixed32 seal_digest = 4;</code>
+     * @param value The sealDigest to set.
      * @return This builder for chaining.
      */
-    public Builder setSealCount(int value) {
+    public Builder setSealDigest(int value) {
 
-      sealCount_ = value;
+      sealDigest_ = value;
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>uint32 seal_count = 4;</code>
+     * <code>fixed32 seal_digest = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearSealCount() {
+    public Builder clearSealDigest() {
       bitField0_ = (bitField0_ & ~0x00000008);
-      sealCount_ = 0;
+      sealDigest_ = 0;
       onChanged();
       return this;
     }
--- a/wire/src/main/java/org/wagtailproxy/wire/HeartbeatOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/HeartbeatOrBuilder.java
@@ -38,10 +38,10 @@
   long getInstanceListVersion();
 
   /**
-   * <code>uint32 seal_count = 4;</code>
-   * @return The sealCount.
+   * <code>fixed32 seal_digest = 4;</code>
+   * @return The sealDigest.
    */
-  int getSealCount();
+  int getSealDigest();
 
   /**
    * <code>repeated .wagtailproxy.wire.Demand service_demands = 5;</code>
--- a/wire/src/main/java/org/wagtailproxy/wire/JobAnswer.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/JobAnswer.java
@@ -29,6 +29,7 @@
   }
   private JobAnswer() {
     body_ = com.google.protobuf.ByteString.EMPTY;
+    failure_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -71,6 +72,53 @@
     return body_;
   }
 
+  public static final int FAILURE_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object failure_ = "";
+  /**
+   * <pre>
+   * The type of a refusal, empty if there is none.
+   * </pre>
+   *
+   * <code>string failure = 3;</code>
+   * @return The failure.
+   */
+  @java.lang.Override
+  public java.lang.String getFailure() {
+    java.lang.Object ref = failure_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      failure_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The type of a refusal, empty if there is none.
+   * </pre>
+   *
+   * <code>string failure = 3;</code>
+   * @return The bytes for failure.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getFailureBytes() {
+    java.lang.Object ref = failure_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      failure_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -91,6 +139,9 @@
     if (!body_.isEmpty()) {
       output.writeBytes(2, body_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failure_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, failure_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -103,6 +154,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(2, body_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failure_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, failure_);
+    }
     return size;
   }
   @java.lang.Override
@@ -131,6 +185,8 @@
         != other.getStatus()) return false;
     if (!getBody()
         .equals(other.getBody())) return false;
+    if (!getFailure()
+        .equals(other.getFailure())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -146,6 +202,8 @@
     hash = (53 * hash) + getStatus();
     hash = (37 * hash) + BODY_FIELD_NUMBER;
     hash = (53 * hash) + getBody().hashCode();
+    hash = (37 * hash) + FAILURE_FIELD_NUMBER;
+    hash = (53 * hash) + getFailure().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -279,6 +337,7 @@
       bitField0_ = 0;
       status_ = 0;
       body_ = com.google.protobuf.ByteString.EMPTY;
+      failure_ = "";
       return this;
     }
 
@@ -318,6 +377,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.body_ = body_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.failure_ = failure_;
+      }
     }
 
     @java.lang.Override
@@ -338,6 +400,11 @@
       if (!other.getBody().isEmpty()) {
         setBody(other.getBody());
       }
+      if (!other.getFailure().isEmpty()) {
+        failure_ = other.failure_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -372,6 +439,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 26: {
+              failure_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -453,6 +525,98 @@
       return this;
     }
 
+    private java.lang.Object failure_ = "";
+    /**
+     * <pre>
+     * The type of a refusal, empty if there is none.
+     * </pre>
+     *
+     * <code>string failure = 3;</code>
+     * @return The failure.
+     */
+    public java.lang.String getFailure() {
+      java.lang.Object ref = failure_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        failure_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The type of a refusal, empty if there is none.
+     * </pre>
+     *
+     * <code>string failure = 3;</code>
+     * @return The bytes for failure.
+     */
+    public com.google.protobuf.ByteString
+        getFailureBytes() {
+      java.lang.Object ref = failure_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        failure_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The type of a refusal, empty if there is none.
+     * </pre>
+     *
+     * <code>string failure = 3;</code>
+     * @param value The failure to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailure(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      failure_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The type of a refusal, empty if there is none.
+     * </pre>
+     *
+     * <code>string failure = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailure() {
+      failure_ = getDefaultInstance().getFailure();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The type of a refusal, empty if there is none.
+     * </pre>
+     *
+     * <code>string failure = 3;</code>
+     * @param value The bytes for failure to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailureBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      failure_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wagtailproxy.wire.JobAnswer)
   }
 
--- a/wire/src/main/java/org/wagtailproxy/wire/JobAnswerOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/JobAnswerOrBuilder.java
@@ -21,4 +21,24 @@
    * @return The body.
    */
   com.google.protobuf.ByteString getBody();
+
+  /**
+   * <pre>
+   * The type of a refusal, empty if there is none.
+   * </pre>
+   *
+   * <code>string failure = 3;</code>
+   * @return The failure.
+   */
+  java.lang.String getFailure();
+  /**
+   * <pre>
+   * The type of a refusal, empty if there is none.
+   * </pre>
+   *
+   * <code>string failure = 3;</code>
+   * @return The bytes for failure.
+   */
+  com.google.protobuf.ByteString
+      getFailureBytes();
 }
--- a/wire/src/main/java/org/wagtailproxy/wire/Peer.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Peer.java
@@ -136,50 +136,51 @@
       "tailproxy.wire.HandOverAnswerH\000\0220\n\tview_" +
       "pull\030\013 \001(\0132\033.wagtailproxy.wire.ViewPullH" +
       "\000\022\'\n\004view\030\014 \001(\0132\027.wagtailproxy.wire.View" +
-      "H\000B\006\n\004body\"\207\002\n\tHeartbeat\022)\n\006member\030\001 \001(\013" +
+      "H\000B\006\n\004body\"\210\002\n\tHeartbeat\022)\n\006member\030\001 \001(\013" +
       "2\031.wagtailproxy.wire.Member\022\035\n\025configura" +
       "tion_version\030\002 \001(\004\022\035\n\025instance_list_vers" +
-      "ion\030\003 \001(\004\022\022\n\nseal_count\030\004 \001(\r\0222\n\017service" +
-      "_demands\030\005 \003(\0132\031.wagtailproxy.wire.Deman" +
-      "d\022/\n\014team_demands\030\006 \003(\0132\031.wagtailproxy.w" +
-      "ire.Demand\022\030\n\020knows_you_sealed\030\007 \001(\010\"q\n\006" +
-      "Member\022\023\n\013incarnation\030\001 \001(\014\022\023\n\013data_cent" +
-      "re\030\002 \001(\t\022\024\n\014peer_address\030\003 \001(\t\022\026\n\016caller" +
-      "_address\030\004 \001(\t\022\017\n\007leaving\030\005 \001(\010\">\n\006Deman" +
-      "d\022\021\n\tname_hash\030\001 \001(\007\022\r\n\005tasks\030\002 \001(\r\022\022\n\ni" +
-      "dle_slots\030\003 \001(\r\"\266\001\n\007JobCall\0227\n\toperation" +
-      "\030\001 \001(\0162$.wagtailproxy.wire.JobCall.Opera" +
-      "tion\022\020\n\010job_name\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\031\n\021" +
-      "wait_milliseconds\030\004 \001(\r\"7\n\tOperation\022\n\n\006" +
-      "SUBMIT\020\000\022\007\n\003GET\020\001\022\n\n\006CANCEL\020\002\022\t\n\005TRACE\020\003" +
-      "\")\n\tJobAnswer\022\016\n\006status\030\001 \001(\r\022\014\n\004body\030\002 " +
-      "\001(\014\"Y\n\tEndRecord\022\020\n\010job_name\030\001 \001(\t\022\026\n\016co" +
-      "ntent_digest\030\002 \001(\014\022\020\n\010complete\030\003 \001(\010\022\020\n\010" +
-      "document\030\004 \001(\014\"M\n\010StoreEnd\022\023\n\013incarnatio" +
-      "n\030\001 \001(\014\022,\n\006record\030\002 \001(\0132\034.wagtailproxy.w" +
-      "ire.EndRecord\" \n\016StoreEndAnswer\022\016\n\006store" +
-      "d\030\001 \001(\010\"B\n\007FindEnd\022\020\n\010job_name\030\001 \001(\t\022%\n\004" +
-      "seal\030\002 \001(\0132\027.wagtailproxy.wire.Seal\"=\n\rF" +
-      "indEndAnswer\022,\n\006record\030\001 \001(\0132\034.wagtailpr" +
-      "oxy.wire.EndRecord\"\230\001\n\004Seal\022\023\n\013incarnati" +
-      "on\030\001 \001(\014\022*\n\004kind\030\002 \001(\0162\034.wagtailproxy.wi" +
-      "re.Seal.Kind\022,\n\tsuccessor\030\003 \001(\0132\031.wagtai" +
-      "lproxy.wire.Member\"!\n\004Kind\022\010\n\004LOST\020\000\022\017\n\013" +
-      "HANDED_OVER\020\001\"v\n\010HandOver\022\023\n\013incarnation" +
-      "\030\001 \001(\014\022\030\n\020age_milliseconds\030\002 \001(\004\022-\n\007reco" +
-      "rds\030\003 \003(\0132\034.wagtailproxy.wire.EndRecord\022" +
-      "\014\n\004last\030\004 \001(\010\"\037\n\016HandOverAnswer\022\r\n\005taken" +
-      "\030\001 \001(\010\"H\n\010ViewPull\022\035\n\025configuration_vers" +
-      "ion\030\001 \001(\004\022\035\n\025instance_list_version\030\002 \001(\004" +
-      "\"\337\001\n\004View\022\035\n\025configuration_version\030\001 \001(\004" +
-      "\022.\n\tresources\030\002 \003(\0132\033.wagtailproxy.wire." +
-      "Resource\022\035\n\025instance_list_version\030\003 \001(\004\022" +
-      "\025\n\rinstance_list\030\004 \001(\014\022&\n\005seals\030\005 \003(\0132\027." +
-      "wagtailproxy.wire.Seal\022*\n\007members\030\006 \003(\0132" +
-      "\031.wagtailproxy.wire.Member\"I\n\010Resource\022\014" +
-      "\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017\n\007version\030\003 " +
-      "\001(\004\022\020\n\010document\030\004 \001(\014B\033\n\025org.wagtailprox" +
-      "y.wireH\001P\001b\006proto3"
+      "ion\030\003 \001(\004\022\023\n\013seal_digest\030\004 \001(\007\0222\n\017servic" +
+      "e_demands\030\005 \003(\0132\031.wagtailproxy.wire.Dema" +
+      "nd\022/\n\014team_demands\030\006 \003(\0132\031.wagtailproxy." +
+      "wire.Demand\022\030\n\020knows_you_sealed\030\007 \001(\010\"q\n" +
+      "\006Member\022\023\n\013incarnation\030\001 \001(\014\022\023\n\013data_cen" +
+      "tre\030\002 \001(\t\022\024\n\014peer_address\030\003 \001(\t\022\026\n\016calle" +
+      "r_address\030\004 \001(\t\022\017\n\007leaving\030\005 \001(\010\">\n\006Dema" +
+      "nd\022\021\n\tname_hash\030\001 \001(\007\022\r\n\005tasks\030\002 \001(\r\022\022\n\n" +
+      "idle_slots\030\003 \001(\r\"\266\001\n\007JobCall\0227\n\toperatio" +
+      "n\030\001 \001(\0162$.wagtailproxy.wire.JobCall.Oper" +
+      "ation\022\020\n\010job_name\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\031\n" +
+      "\021wait_milliseconds\030\004 \001(\r\"7\n\tOperation\022\n\n" +
+      "\006SUBMIT\020\000\022\007\n\003GET\020\001\022\n\n\006CANCEL\020\002\022\t\n\005TRACE\020" +
+      "\003\":\n\tJobAnswer\022\016\n\006status\030\001 \001(\r\022\014\n\004body\030\002" +
+      " \001(\014\022\017\n\007failure\030\003 \001(\t\"h\n\tEndRecord\022\020\n\010jo" +
+      "b_name\030\001 \001(\t\022\026\n\016content_digest\030\002 \001(\014\022\020\n\010" +
+      "complete\030\003 \001(\010\022\020\n\010document\030\004 \001(\014\022\r\n\005trac" +
+      "e\030\005 \001(\014\"M\n\010StoreEnd\022\023\n\013incarnation\030\001 \001(\014" +
+      "\022,\n\006record\030\002 \001(\0132\034.wagtailproxy.wire.End" +
+      "Record\" \n\016StoreEndAnswer\022\016\n\006stored\030\001 \001(\010" +
+      "\"B\n\007FindEnd\022\020\n\010job_name\030\001 \001(\t\022%\n\004seal\030\002 " +
+      "\001(\0132\027.wagtailproxy.wire.Seal\"=\n\rFindEndA" +
+      "nswer\022,\n\006record\030\001 \001(\0132\034.wagtailproxy.wir" +
+      "e.EndRecord\"\230\001\n\004Seal\022\023\n\013incarnation\030\001 \001(" +
+      "\014\022*\n\004kind\030\002 \001(\0162\034.wagtailproxy.wire.Seal" +
+      ".Kind\022,\n\tsuccessor\030\003 \001(\0132\031.wagtailproxy." +
+      "wire.Member\"!\n\004Kind\022\010\n\004LOST\020\000\022\017\n\013HANDED_" +
+      "OVER\020\001\"v\n\010HandOver\022\023\n\013incarnation\030\001 \001(\014\022" +
+      "\030\n\020age_milliseconds\030\002 \001(\004\022-\n\007records\030\003 \003" +
+      "(\0132\034.wagtailproxy.wire.EndRecord\022\014\n\004last" +
+      "\030\004 \001(\010\"\037\n\016HandOverAnswer\022\r\n\005taken\030\001 \001(\010\"" +
+      "H\n\010ViewPull\022\035\n\025configuration_version\030\001 \001" +
+      "(\004\022\035\n\025instance_list_version\030\002 \001(\004\"\365\001\n\004Vi" +
+      "ew\022\035\n\025configuration_version\030\001 \001(\004\022\024\n\014bas" +
+      "e_version\030\007 \001(\004\022.\n\tresources\030\002 \003(\0132\033.wag" +
+      "tailproxy.wire.Resource\022\035\n\025instance_list" +
+      "_version\030\003 \001(\004\022\025\n\rinstance_list\030\004 \001(\014\022&\n" +
+      "\005seals\030\005 \003(\0132\027.wagtailproxy.wire.Seal\022*\n" +
+      "\007members\030\006 \003(\0132\031.wagtailproxy.wire.Membe" +
+      "r\"I\n\010Resource\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(" +
+      "\t\022\017\n\007version\030\003 \001(\004\022\020\n\010document\030\004 \001(\014B\033\n\025" +
+      "org.wagtailproxy.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -196,7 +197,7 @@
     internal_static_wagtailproxy_wire_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wagtailproxy_wire_Heartbeat_descriptor,
-        new java.lang.String[] { "Member", "ConfigurationVersion", "InstanceListVersion", "SealCount", "ServiceDemands", "TeamDemands", "KnowsYouSealed", });
+        new java.lang.String[] { "Member", "ConfigurationVersion", "InstanceListVersion", "SealDigest", "ServiceDemands", "TeamDemands", "KnowsYouSealed", });
     internal_static_wagtailproxy_wire_Member_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_wagtailproxy_wire_Member_fieldAccessorTable = new
@@ -220,13 +221,13 @@
     internal_static_wagtailproxy_wire_JobAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wagtailproxy_wire_JobAnswer_descriptor,
-        new java.lang.String[] { "Status", "Body", });
+        new java.lang.String[] { "Status", "Body", "Failure", });
     internal_static_wagtailproxy_wire_EndRecord_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_wagtailproxy_wire_EndRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wagtailproxy_wire_EndRecord_descriptor,
-        new java.lang.String[] { "JobName", "ContentDigest", "Complete", "Document", });
+        new java.lang.String[] { "JobName", "ContentDigest", "Complete", "Document", "Trace", });
     internal_static_wagtailproxy_wire_StoreEnd_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_wagtailproxy_wire_StoreEnd_fieldAccessorTable = new
@@ -280,7 +281,7 @@
     internal_static_wagtailproxy_wire_View_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wagtailproxy_wire_View_descriptor,
-        new java.lang.String[] { "ConfigurationVersion", "Resources", "InstanceListVersion", "InstanceList", "Seals", "Members", });
+        new java.lang.String[] { "ConfigurationVersion", "BaseVersion", "Resources", "InstanceListVersion", "InstanceList", "Seals", "Members", });
     internal_static_wagtailproxy_wire_Resource_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_wagtailproxy_wire_Resource_fieldAccessorTable = new
--- a/wire/src/main/java/org/wagtailproxy/wire/View.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/View.java
@@ -67,6 +67,21 @@
     return configurationVersion_;
   }
 
+  public static final int BASE_VERSION_FIELD_NUMBER = 7;
+  private long baseVersion_ = 0L;
+  /**
+   * <pre>
+   * The resources are all those changed after this version.
+   * </pre>
+   *
+   * <code>uint64 base_version = 7;</code>
+   * @return The baseVersion.
+   */
+  @java.lang.Override
+  public long getBaseVersion() {
+    return baseVersion_;
+  }
+
   public static final int RESOURCES_FIELD_NUMBER = 2;
   @SuppressWarnings("serial")
   private java.util.List<org.wagtailproxy.wire.Resource> resources_;
@@ -244,6 +259,9 @@
     for (int i = 0; i < members_.size(); i++) {
       output.writeMessage(6, members_.get(i));
     }
+    if (baseVersion_ != 0L) {
+      output.writeUInt64(7, baseVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -287,6 +305,10 @@
           }
           size += 1 * count;
         }
+    if (baseVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, baseVersion_);
+    }
     return size;
   }
   @java.lang.Override
@@ -313,6 +335,8 @@
 
     if (getConfigurationVersion()
         != other.getConfigurationVersion()) return false;
+    if (getBaseVersion()
+        != other.getBaseVersion()) return false;
     if (!getResourcesList()
         .equals(other.getResourcesList())) return false;
     if (getInstanceListVersion()
@@ -337,6 +361,9 @@
     hash = (37 * hash) + CONFIGURATION_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigurationVersion());
+    hash = (37 * hash) + BASE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBaseVersion());
     if (getResourcesCount() > 0) {
       hash = (37 * hash) + RESOURCES_FIELD_NUMBER;
       hash = (53 * hash) + getResourcesList().hashCode();
@@ -490,13 +517,14 @@
       super.clear();
       bitField0_ = 0;
       configurationVersion_ = 0L;
+      baseVersion_ = 0L;
       if (resourcesBuilder_ == null) {
         resources_ = java.util.Collections.emptyList();
       } else {
         resources_ = null;
         resourcesBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000004);
       instanceListVersion_ = 0L;
       instanceList_ = com.google.protobuf.ByteString.EMPTY;
       if (sealsBuilder_ == null) {
@@ -505,14 +533,14 @@
         seals_ = null;
         sealsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000020);
       if (membersBuilder_ == null) {
         members_ = java.util.Collections.emptyList();
       } else {
         members_ = null;
         membersBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000020);
+      bitField0_ = (bitField0_ & ~0x00000040);
       return this;
     }
 
@@ -547,27 +575,27 @@
 
     private void buildPartialRepeatedFields(org.wagtailproxy.wire.View result) {
       if (resourcesBuilder_ == null) {
-        if (((bitField0_ & 0x00000002) != 0)) {
+        if (((bitField0_ & 0x00000004) != 0)) {
           resources_ = java.util.Collections.unmodifiableList(resources_);
-          bitField0_ = (bitField0_ & ~0x00000002);
+          bitField0_ = (bitField0_ & ~0x00000004);
         }
         result.resources_ = resources_;
       } else {
         result.resources_ = resourcesBuilder_.build();
       }
       if (sealsBuilder_ == null) {
-        if (((bitField0_ & 0x00000010) != 0)) {
+        if (((bitField0_ & 0x00000020) != 0)) {
           seals_ = java.util.Collections.unmodifiableList(seals_);
-          bitField0_ = (bitField0_ & ~0x00000010);
+          bitField0_ = (bitField0_ & ~0x00000020);
         }
         result.seals_ = seals_;
       } else {
         result.seals_ = sealsBuilder_.build();
       }
       if (membersBuilder_ == null) {
-        if (((bitField0_ & 0x00000020) != 0)) {
+        if (((bitField0_ & 0x00000040) != 0)) {
           members_ = java.util.Collections.unmodifiableList(members_);
-          bitField0_ = (bitField0_ & ~0x00000020);
+          bitField0_ = (bitField0_ & ~0x00000040);
         }
         result.members_ = members_;
       } else {
@@ -580,10 +608,13 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.configurationVersion_ = configurationVersion_;
       }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.instanceListVersion_ = instanceListVersion_;
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.baseVersion_ = baseVersion_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.instanceListVersion_ = instanceListVersion_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
         result.instanceList_ = instanceList_;
       }
     }
@@ -603,11 +634,14 @@
       if (other.getConfigurationVersion() != 0L) {
         setConfigurationVersion(other.getConfigurationVersion());
       }
+      if (other.getBaseVersion() != 0L) {
+        setBaseVersion(other.getBaseVersion());
+      }
       if (resourcesBuilder_ == null) {
         if (!other.resources_.isEmpty()) {
           if (resources_.isEmpty()) {
             resources_ = other.resources_;
-            bitField0_ = (bitField0_ & ~0x00000002);
+            bitField0_ = (bitField0_ & ~0x00000004);
           } else {
             ensureResourcesIsMutable();
             resources_.addAll(other.resources_);
@@ -620,7 +654,7 @@
             resourcesBuilder_.dispose();
             resourcesBuilder_ = null;
             resources_ = other.resources_;
-            bitField0_ = (bitField0_ & ~0x00000002);
+            bitField0_ = (bitField0_ & ~0x00000004);
             resourcesBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetResourcesFieldBuilder() : null;
@@ -639,7 +673,7 @@
         if (!other.seals_.isEmpty()) {
           if (seals_.isEmpty()) {
             seals_ = other.seals_;
-            bitField0_ = (bitField0_ & ~0x00000010);
+            bitField0_ = (bitField0_ & ~0x00000020);
           } else {
             ensureSealsIsMutable();
             seals_.addAll(other.seals_);
@@ -652,7 +686,7 @@
             sealsBuilder_.dispose();
             sealsBuilder_ = null;
             seals_ = other.seals_;
-            bitField0_ = (bitField0_ & ~0x00000010);
+            bitField0_ = (bitField0_ & ~0x00000020);
             sealsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetSealsFieldBuilder() : null;
@@ -665,7 +699,7 @@
         if (!other.members_.isEmpty()) {
           if (members_.isEmpty()) {
             members_ = other.members_;
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000040);
           } else {
             ensureMembersIsMutable();
             members_.addAll(other.members_);
@@ -678,7 +712,7 @@
             membersBuilder_.dispose();
             membersBuilder_ = null;
             members_ = other.members_;
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000040);
             membersBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetMembersFieldBuilder() : null;
@@ -731,12 +765,12 @@
             } // case 18
             case 24: {
               instanceListVersion_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
+              bitField0_ |= 0x00000008;
               break;
             } // case 24
             case 34: {
               instanceList_ = input.readBytes();
-              bitField0_ |= 0x00000008;
+              bitField0_ |= 0x00000010;
               break;
             } // case 34
             case 42: {
@@ -765,6 +799,11 @@
               }
               break;
             } // case 50
+            case 56: {
+              baseVersion_ = input.readUInt64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -814,12 +853,56 @@
       return this;
     }
 
+    private long baseVersion_ ;
+    /**
+     * <pre>
+     * The resources are all those changed after this version.
+     * </pre>
+     *
+     * <code>uint64 base_version = 7;</code>
+     * @return The baseVersion.
+     */
+    @java.lang.Override
+    public long getBaseVersion() {
+      return baseVersion_;
+    }
+    /**
+     * <pre>
+     * The resources are all those changed after this version.
+     * </pre>
+     *
+     * <code>uint64 base_version = 7;</code>
+     * @param value The baseVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBaseVersion(long value) {
+
+      baseVersion_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The resources are all those changed after this version.
+     * </pre>
+     *
+     * <code>uint64 base_version = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBaseVersion() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      baseVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
     private java.util.List<org.wagtailproxy.wire.Resource> resources_ =
       java.util.Collections.emptyList();
     private void ensureResourcesIsMutable() {
-      if (!((bitField0_ & 0x00000002) != 0)) {
+      if (!((bitField0_ & 0x00000004) != 0)) {
         resources_ = new java.util.ArrayList<org.wagtailproxy.wire.Resource>(resources_);
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000004;
        }
     }
 
@@ -963,7 +1046,7 @@
     public Builder clearResources() {
       if (resourcesBuilder_ == null) {
         resources_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000002);
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
       } else {
         resourcesBuilder_.clear();
@@ -1040,7 +1123,7 @@
         resourcesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wagtailproxy.wire.Resource, org.wagtailproxy.wire.Resource.Builder, org.wagtailproxy.wire.ResourceOrBuilder>(
                 resources_,
-                ((bitField0_ & 0x00000002) != 0),
+                ((bitField0_ & 0x00000004) != 0),
                 getParentForChildren(),
                 isClean());
         resources_ = null;
@@ -1065,7 +1148,7 @@
     public Builder setInstanceListVersion(long value) {
 
       instanceListVersion_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
@@ -1074,7 +1157,7 @@
      * @return This builder for chaining.
      */
     public Builder clearInstanceListVersion() {
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000008);
       instanceListVersion_ = 0L;
       onChanged();
       return this;
@@ -1097,7 +1180,7 @@
     public Builder setInstanceList(com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       instanceList_ = value;
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
@@ -1106,7 +1189,7 @@
      * @return This builder for chaining.
      */
     public Builder clearInstanceList() {
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000010);
       instanceList_ = getDefaultInstance().getInstanceList();
       onChanged();
       return this;
@@ -1115,9 +1198,9 @@
     private java.util.List<org.wagtailproxy.wire.Seal> seals_ =
       java.util.Collections.emptyList();
     private void ensureSealsIsMutable() {
-      if (!((bitField0_ & 0x00000010) != 0)) {
+      if (!((bitField0_ & 0x00000020) != 0)) {
         seals_ = new java.util.ArrayList<org.wagtailproxy.wire.Seal>(seals_);
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000020;
        }
     }
 
@@ -1261,7 +1344,7 @@
     public Builder clearSeals() {
       if (sealsBuilder_ == null) {
         seals_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000010);
+        bitField0_ = (bitField0_ & ~0x00000020);
         onChanged();
       } else {
         sealsBuilder_.clear();
@@ -1338,7 +1421,7 @@
         sealsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wagtailproxy.wire.Seal, org.wagtailproxy.wire.Seal.Builder, org.wagtailproxy.wire.SealOrBuilder>(
                 seals_,
-                ((bitField0_ & 0x00000010) != 0),
+                ((bitField0_ & 0x00000020) != 0),
                 getParentForChildren(),
                 isClean());
         seals_ = null;
@@ -1349,9 +1432,9 @@
     private java.util.List<org.wagtailproxy.wire.Member> members_ =
       java.util.Collections.emptyList();
     private void ensureMembersIsMutable() {
-      if (!((bitField0_ & 0x00000020) != 0)) {
+      if (!((bitField0_ & 0x00000040) != 0)) {
         members_ = new java.util.ArrayList<org.wagtailproxy.wire.Member>(members_);
-        bitField0_ |= 0x00000020;
+        bitField0_ |= 0x00000040;
        }
     }
 
@@ -1495,7 +1578,7 @@
     public Builder clearMembers() {
       if (membersBuilder_ == null) {
         members_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000020);
+        bitField0_ = (bitField0_ & ~0x00000040);
         onChanged();
       } else {
         membersBuilder_.clear();
@@ -1572,7 +1655,7 @@
         membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wagtailproxy.wire.Member, org.wagtailproxy.wire.Member.Builder, org.wagtailproxy.wire.MemberOrBuilder>(
                 members_,
-                ((bitField0_ & 0x00000020) != 0),
+                ((bitField0_ & 0x00000040) != 0),
                 getParentForChildren(),
                 isClean());
         members_ = null;
--- a/wire/src/main/java/org/wagtailproxy/wire/ViewOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/ViewOrBuilder.java
@@ -16,6 +16,16 @@
    */
   long getConfigurationVersion();
 
+  /**
+   * <pre>
+   * The resources are all those changed after this version.
+   * </pre>
+   *
+   * <code>uint64 base_version = 7;</code>
+   * @return The baseVersion.
+   */
+  long getBaseVersion();
+
   /**
    * <code>repeated .wagtailproxy.wire.Resource resources = 2;</code>
    */
