--- /dev/null
+++ b/control/src/main/java/org/wagtailproxy/control/BurnReport.java
@@ -0,0 +1,97 @@
+package org.wagtailproxy.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.wagtailproxy.burn.BurnCount;
+import org.wagtailproxy.burn.BurnWindow;
+
+/** Adds up the burn counts of all instances and tells which could not be asked. */
+final class BurnReport {
+
+    private final Map<String, Subject> mSubjects = new TreeMap<>();
+    private final List<String> mAsked = new ArrayList<>();
+    private final List<String> mUnasked = new ArrayList<>();
+
+    void add(JsonNode answer) {
+        mAsked.add(answer.path("instance").asText());
+        for (JsonNode each : answer.path("subjects")) {
+            Subject subject =
+                    mSubjects.computeIfAbsent(each.path("subject").asText(), key -> new Subject());
+            subject.mTargetPerMille =
+                    Math.max(subject.mTargetPerMille, each.path("targetPerMille").asInt(1));
+            for (BurnWindow window : BurnWindow.values()) {
+                JsonNode counts = each.path("windows").path(window.label());
+                subject.mCounts.merge(
+                        window,
+                        BurnCount.of(counts.path("met").asLong(), counts.path("missed").asLong()),
+                        BurnCount::plus);
+            }
+        }
+    }
+
+    void addUnasked(String address) {
+        mUnasked.add(address);
+    }
+
+    boolean isWhole() {
+        return mUnasked.isEmpty();
+    }
+
+    ObjectNode toJson() {
+        ObjectNode report = JsonNodeFactory.instance.objectNode();
+        report.put("whole", isWhole());
+        mAsked.forEach(report.putArray("asked")::add);
+        mUnasked.forEach(report.putArray("couldNotBeAsked")::add);
+        ObjectNode subjects = report.putObject("subjects");
+        mSubjects.forEach(
+                (name, subject) -> {
+                    ObjectNode node = subjects.putObject(name);
+                    node.put("targetPerMille", subject.mTargetPerMille);
+                    subject.mCounts.forEach(
+                            (window, count) -> {
+                                ObjectNode counts = node.putObject(window.label());
+                                counts.put("met", count.met());
+                                counts.put("missed", count.missed());
+                                counts.put("burnRate", count.rate(subject.mTargetPerMille));
+                            });
+                });
+        return report;
+    }
+
+    String toText() {
+        StringBuilder text = new StringBuilder();
+        text.append(
+                String.format(
+                        "%-28s %-7s %10s %10s %9s%n",
+                        "subject", "window", "met", "missed", "burn"));
+        mSubjects.forEach(
+                (name, subject) ->
+                        subject.mCounts.forEach(
+                                (window, count) ->
+                                        text.append(
+                                                String.format(
+                                                        "%-28s %-7s %10d %10d %9.2f%n",
+                                                        name,
+                                                        window.label(),
+                                                        count.met(),
+                                                        count.missed(),
+                                                        count.rate(subject.mTargetPerMille)))));
+        text.append("asked: ").append(mAsked.size()).append(" instances\n");
+        for (String address : mUnasked) {
+            text.append("COULD NOT BE ASKED: ").append(address).append("; its jobs are missing\n");
+        }
+        return text.toString();
+    }
+
+    /** The counts of one service or team. */
+    private static final class Subject {
+        private final Map<BurnWindow, BurnCount> mCounts = new EnumMap<>(BurnWindow.class);
+        private int mTargetPerMille = 1;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/wagtailproxy/control/package-info.java
@@ -0,0 +1,2 @@
+/** The command line {@code wagtailctl} for operators. */
+package org.wagtailproxy.control;
--- /dev/null
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/PlatformStandIn.java
@@ -0,0 +1,219 @@
+package org.wagtailproxy.integration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Base64;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Stands in for the platform: a key-value service and an instance list, with their faults. */
+final class PlatformStandIn implements Closeable {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final HttpServer mServer;
+    private final ExecutorService mThreads = Executors.newCachedThreadPool();
+    private final TreeMap<String, Entry> mEntries = new TreeMap<>();
+    private final TreeMap<String, Listing> mListings = new TreeMap<>();
+    private final AtomicLong mCalls = new AtomicLong();
+    private final AtomicInteger mLostAnswers = new AtomicInteger();
+    private TreeMap<String, Entry> mStale;
+    private long mStaleRevision;
+    private long mRevision = 1;
+    private long mListVersion = 1;
+    private byte[] mFrozenList;
+    private volatile boolean mDown;
+
+    PlatformStandIn(String host, int port) throws IOException {
+        mServer = HttpServer.create(new InetSocketAddress(host, port), 0);
+        mServer.setExecutor(mThreads);
+        mServer.createContext("/", this::serve);
+        mServer.start();
+    }
+
+    /** Makes every call fail, or answers again. */
+    void down(boolean down) {
+        mDown = down;
+    }
+
+    /** Applies the next writes but closes their connections without an answer. */
+    void loseAnswers(int writes) {
+        mLostAnswers.set(writes);
+    }
+
+    /** Serves reads from the present state until told otherwise. */
+    synchronized void staleReads(boolean stale) {
+        mStale = stale ? new TreeMap<>(mEntries) : null;
+        mStaleRevision = mRevision;
+    }
+
+    /** Serves the present list until told otherwise. */
+    synchronized void freezeList(boolean frozen) throws IOException {
+        mFrozenList = frozen ? list() : null;
+    }
+
+    synchronized void list(
+            String service, String host, int port, String zone, int slots, boolean leaving) {
+        mListings.put(host + ":" + port, new Listing(service, host, port, zone, slots, leaving));
+        mListVersion++;
+    }
+
+    synchronized void delist(String address) {
+        mListings.remove(address);
+        mListVersion++;
+    }
+
+    synchronized Map<String, Long> revisions(String prefix) {
+        Map<String, Long> revisions = new TreeMap<>();
+        mEntries.forEach(
+                (key, entry) -> {
+                    if (key.startsWith(prefix)) {
+                        revisions.put(key, entry.revision());
+                    }
+                });
+        return revisions;
+    }
+
+    long calls() {
+        return mCalls.get();
+    }
+
+    @Override
+    public void close() {
+        mServer.stop(0);
+        mThreads.shutdownNow();
+    }
+
+    private void serve(HttpExchange exchange) throws IOException {
+        mCalls.incrementAndGet();
+        byte[] body = exchange.getRequestBody().readAllBytes();
+        if (mDown) {
+            exchange.sendResponseHeaders(503, -1);
+            exchange.close();
+            return;
+        }
+        String path = exchange.getRequestURI().getPath();
+        byte[] answer = answer(path, body);
+        boolean lost =
+                path.equals("/v3/kv/txn") && mLostAnswers.getAndUpdate(n -> n > 0 ? n - 1 : 0) > 0;
+        if (lost) {
+            exchange.close();
+            return;
+        }
+        exchange.sendResponseHeaders(200, answer.length);
+        exchange.getResponseBody().write(answer);
+        exchange.close();
+    }
+
+    private synchronized byte[] answer(String path, byte[] body) throws IOException {
+        if (path.endsWith("/endpointslices")) {
+            return mFrozenList != null ? mFrozenList : list();
+        }
+        JsonNode request = MAPPER.readTree(body);
+        ObjectNode answer =
+                switch (path) {
+                    case "/v3/kv/range" -> range(request);
+                    case "/v3/kv/txn" -> transaction(request);
+                    case "/v3/lease/grant" -> MAPPER.createObjectNode().put("ID", "77");
+                    default -> MAPPER.createObjectNode();
+                };
+        return MAPPER.writeValueAsBytes(answer);
+    }
+
+    private ObjectNode range(JsonNode request) {
+        boolean stale = mStale != null;
+        return range(stale ? mStale : mEntries, stale ? mStaleRevision : mRevision, request);
+    }
+
+    private static ObjectNode range(
+            TreeMap<String, Entry> entries, long revision, JsonNode request) {
+        ObjectNode answer = MAPPER.createObjectNode();
+        answer.putObject("header").put("revision", Long.toString(revision));
+        ArrayNode found = answer.putArray("kvs");
+        String key = decode(request.path("key").asText());
+        String end =
+                request.has("range_end") ? decode(request.path("range_end").asText()) : key + '\0';
+        long least = request.path("min_mod_revision").asLong(0);
+        entries.subMap(key, end)
+                .forEach(
+                        (each, entry) -> {
+                            if (entry.revision() >= least) {
+                                found.addObject()
+                                        .put("key", encode(each))
+                                        .put("value", entry.value())
+                                        .put("mod_revision", Long.toString(entry.revision()));
+                            }
+                        });
+        return answer;
+    }
+
+    private ObjectNode transaction(JsonNode request) {
+        JsonNode compare = request.path("compare").path(0);
+        String key = decode(compare.path("key").asText());
+        Entry current = mEntries.get(key);
+        long revision = current == null ? 0 : current.revision();
+        ObjectNode answer = MAPPER.createObjectNode();
+        if (revision != compare.path("mod_revision").asLong()) {
+            answer.putObject("header").put("revision", Long.toString(mRevision));
+            answer.put("succeeded", false);
+            JsonNode read = request.path("failure").path(0).path("request_range");
+            answer.putArray("responses")
+                    .addObject()
+                    .set("response_range", range(mEntries, mRevision, read));
+            return answer;
+        }
+        mRevision++;
+        JsonNode put = request.path("success").path(0).path("request_put");
+        mEntries.put(key, new Entry(put.path("value").asText(), mRevision));
+        answer.putObject("header").put("revision", Long.toString(mRevision));
+        answer.put("succeeded", true);
+        return answer;
+    }
+
+    private byte[] list() throws IOException {
+        ObjectNode answer = MAPPER.createObjectNode();
+        answer.putObject("metadata").put("resourceVersion", Long.toString(mListVersion));
+        ArrayNode items = answer.putArray("items");
+        for (Listing listing : mListings.values()) {
+            ObjectNode item = items.addObject();
+            item.putObject("metadata")
+                    .putObject("labels")
+                    .put("kubernetes.io/service-name", listing.service())
+                    .put("wagtailproxy/slots", Integer.toString(listing.slots()));
+            item.putArray("ports").addObject().put("port", listing.port());
+            ObjectNode endpoint = item.putArray("endpoints").addObject();
+            endpoint.putArray("addresses").add(listing.host());
+            endpoint.put("zone", listing.zone());
+            endpoint.putObject("conditions")
+                    .put("ready", !listing.leaving())
+                    .put("terminating", listing.leaving());
+        }
+        return MAPPER.writeValueAsBytes(answer);
+    }
+
+    private static String decode(String text) {
+        return new String(Base64.getDecoder().decode(text));
+    }
+
+    private static String encode(String text) {
+        return Base64.getEncoder().encodeToString(text.getBytes());
+    }
+
+    /** One key, its value in base 64. */
+    private record Entry(String value, long revision) {}
+
+    /** One listed instance. */
+    private record Listing(
+            String service, String host, int port, String zone, int slots, boolean leaving) {}
+}
--- /dev/null
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/package-info.java
@@ -0,0 +1,2 @@
+/** Real entry processes against stand-ins, with faults between them. */
+package org.wagtailproxy.integration;
--- a/proxy/src/main/java/org/wagtailproxy/caller/JobRoutes.java
+++ b/proxy/src/main/java/org/wagtailproxy/caller/JobRoutes.java
@@ -121,10 +121,8 @@
         mJobs.run(name, spec.get()).thenAccept(reply -> SingleAnswers.answer(call, reply));
     }
 
-    private static Either<Failure, JobRequest> request(
-            HttpCall call, JobName name, boolean trace) {
-        Either<Failure, Long> wait =
-                call.number("waitMilliseconds", 0, LONGEST_WAIT_MILLISECONDS);
+    private static Either<Failure, JobRequest> request(HttpCall call, JobName name, boolean trace) {
+        Either<Failure, Long> wait = call.number("waitMilliseconds", 0, LONGEST_WAIT_MILLISECONDS);
         if (wait.isLeft()) {
             return Either.left(wait.getLeft());
         }
@@ -198,5 +196,4 @@
                             return null;
                         });
     }
-
 }
--- a/proxy/src/main/java/org/wagtailproxy/document/JobDocuments.java
+++ b/proxy/src/main/java/org/wagtailproxy/document/JobDocuments.java
@@ -112,8 +112,7 @@
         if (!inRange) {
             return Either.left(Json.malformed("declaredMilliseconds must be 1 to 86400000"));
         }
-        return Either.right(
-                TaskSpec.of(key, task.path("payload").asText(), declared.asLong()));
+        return Either.right(TaskSpec.of(key, task.path("payload").asText(), declared.asLong()));
     }
 
     static Either<Failure, JsonNode> checkFields(JsonNode node, Set<String> known) {
--- a/proxy/src/main/java/org/wagtailproxy/document/ResourceDocuments.java
+++ b/proxy/src/main/java/org/wagtailproxy/document/ResourceDocuments.java
@@ -131,7 +131,8 @@
         node.put("kind", resource.id().kind().word());
         node.put("name", resource.id().name());
         node.put("resourceVersion", resource.version());
-        JsonNode spec = parse(resource.document()).map(each -> each.path("spec")).getOrElse(Json.object());
+        JsonNode spec =
+                parse(resource.document()).map(each -> each.path("spec")).getOrElse(Json.object());
         if (spec.isObject()) {
             node.set("spec", spec);
         } else {
@@ -159,11 +160,19 @@
         double patience = fields.decimal("patience", DEFAULT_PATIENCE, 0, 1);
         double penalty = fields.decimal("remotePenalty", DEFAULT_REMOTE_PENALTY, 0, 100);
         int overcommit = fields.whole("overcommitPercent", 0, 0, 100);
-        Duration task = milliseconds(fields, "taskTimeoutMilliseconds", DEFAULT_TASK_TIMEOUT_MILLISECONDS);
-        Duration queue = milliseconds(fields, "queueTimeoutMilliseconds", DEFAULT_QUEUE_TIMEOUT_MILLISECONDS);
+        Duration task =
+                milliseconds(fields, "taskTimeoutMilliseconds", DEFAULT_TASK_TIMEOUT_MILLISECONDS);
+        Duration queue =
+                milliseconds(
+                        fields, "queueTimeoutMilliseconds", DEFAULT_QUEUE_TIMEOUT_MILLISECONDS);
         int longest = (int) Math.min(DEFAULT_MAXIMUM_DECLARED_MILLISECONDS, task.toMillis());
         Duration declared = milliseconds(fields, "maximumDeclaredMilliseconds", longest);
-        int latency = fields.whole("objectiveMilliseconds", DEFAULT_OBJECTIVE_MILLISECONDS, 1, LONGEST_MILLISECONDS);
+        int latency =
+                fields.whole(
+                        "objectiveMilliseconds",
+                        DEFAULT_OBJECTIVE_MILLISECONDS,
+                        1,
+                        LONGEST_MILLISECONDS);
         int target = fields.whole("objectivePerMille", DEFAULT_OBJECTIVE_PER_MILLE, 1, 999);
         if (fields.wrong().isPresent()) {
             return invalid(fields.wrong().get());
--- a/proxy/src/main/java/org/wagtailproxy/engine/DispatchEngine.java
+++ b/proxy/src/main/java/org/wagtailproxy/engine/DispatchEngine.java
@@ -108,8 +108,7 @@
         ServiceLane lane = mLanes.get(spec.service());
         Option<TeamSpec> team = mView.team(spec.team());
         if (lane == null || team.isEmpty()) {
-            return Either.left(
-                    Failure.of(FailureKind.UNKNOWN_SERVICE, spec.service().value()));
+            return Either.left(Failure.of(FailureKind.UNKNOWN_SERVICE, spec.service().value()));
         }
         Either<Failure, Integer> queued = lane.offer(tasks, spec.team(), team.get());
         if (queued.isRight()) {
@@ -228,8 +227,7 @@
     private Map<TeamName, Integer> demandByTeam() {
         Map<TeamName, Integer> demand = new HashMap<>();
         for (ServiceLane lane : mLanes.values()) {
-            lane.demandByTeam()
-                    .forEach((team, tasks) -> demand.merge(team, tasks, Integer::sum));
+            lane.demandByTeam().forEach((team, tasks) -> demand.merge(team, tasks, Integer::sum));
         }
         return demand;
     }
--- a/proxy/src/main/java/org/wagtailproxy/engine/ServiceLane.java
+++ b/proxy/src/main/java/org/wagtailproxy/engine/ServiceLane.java
@@ -60,8 +60,7 @@
         return locked(() -> queue(tasks, team, spec));
     }
 
-    private Either<Failure, Integer> queue(
-            List<QueuedTask> tasks, TeamName team, TeamSpec spec) {
+    private Either<Failure, Integer> queue(List<QueuedTask> tasks, TeamName team, TeamSpec spec) {
         if (!mDispatch.hasRunner()) {
             return refused(FailureKind.NO_BACKEND_SERVER, "none is listed for " + mName);
         }
--- a/proxy/src/main/java/org/wagtailproxy/home/EndFinder.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndFinder.java
@@ -122,7 +122,9 @@
     }
 
     private static Option<EndRecord> judge(
-            JobName name, Option<Seal> seal, List<CompletableFuture<Either<Failure, Envelope>>> calls) {
+            JobName name,
+            Option<Seal> seal,
+            List<CompletableFuture<Either<Failure, Envelope>>> calls) {
         boolean silent = false;
         for (CompletableFuture<Either<Failure, Envelope>> call : calls) {
             Either<Failure, Envelope> answer = call.join();
--- a/proxy/src/main/java/org/wagtailproxy/home/EndRecords.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndRecords.java
@@ -1,11 +1,11 @@
 package org.wagtailproxy.home;
 
 import com.google.protobuf.ByteString;
+import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import io.vavr.control.Option;
 import org.wagtailproxy.identity.Incarnation;
 import org.wagtailproxy.identity.JobName;
 import org.wagtailproxy.job.ContentDigest;
--- a/proxy/src/main/java/org/wagtailproxy/home/EndReplicator.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndReplicator.java
@@ -57,8 +57,8 @@
      * Replicates an end.
      *
      * @param record the end, not null
-     * @return completes with false if a neighbour refused because this instance is sealed, else with
-     *     true once the live neighbours keep it or did not answer in time
+     * @return completes with false if a neighbour refused because this instance is sealed, else
+     *     with true once the live neighbours keep it or did not answer in time
      */
     public CompletableFuture<Boolean> replicate(EndRecord record) {
         List<Member> neighbours = neighbours();
--- a/proxy/src/main/java/org/wagtailproxy/home/HeldIncarnations.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/HeldIncarnations.java
@@ -33,8 +33,7 @@
      * @param nowNanos the monotonic time in nanoseconds
      * @return the incarnations, never null
      */
-    public static HeldIncarnations of(
-            Incarnation own, SessionSettings settings, long nowNanos) {
+    public static HeldIncarnations of(Incarnation own, SessionSettings settings, long nowNanos) {
         HeldIncarnations held = new HeldIncarnations(own, settings);
         held.mHeld.put(own, held.windows(nowNanos));
         return held;
--- a/proxy/src/main/java/org/wagtailproxy/home/JobRequest.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/JobRequest.java
@@ -11,8 +11,7 @@
  * @param body the submitted document, empty unless it is submitted
  * @param waitMilliseconds the longest wait for its end
  */
-public record JobRequest(
-        JobOperation operation, JobName name, byte[] body, long waitMilliseconds) {
+public record JobRequest(JobOperation operation, JobName name, byte[] body, long waitMilliseconds) {
 
     private static final byte[] NO_BODY = new byte[0];
 
--- a/proxy/src/main/java/org/wagtailproxy/home/JobRouter.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/JobRouter.java
@@ -70,8 +70,7 @@
                         claimed ->
                                 claimed.isLeft()
                                         ? done(JobReply.refused(claimed.getLeft()))
-                                        : route(
-                                                request.named(claimed.get()), System.nanoTime()));
+                                        : route(request.named(claimed.get()), System.nanoTime()));
     }
 
     /**
@@ -156,8 +155,7 @@
             Either<Failure, Envelope> answer) {
         if (answer.isRight() && answer.get().hasJobAnswer()) {
             JobAnswer reply = answer.get().getJobAnswer();
-            boolean misdirected =
-                    reply.getFailure().equals(FailureKind.HOME_UNREACHABLE.slug());
+            boolean misdirected = reply.getFailure().equals(FailureKind.HOME_UNREACHABLE.slug());
             if (!misdirected) {
                 return done(reply(reply));
             }
@@ -193,8 +191,7 @@
                             seal.forEach(
                                     each ->
                                             mMembers.with(
-                                                    table ->
-                                                            table.seal(each, System.nanoTime())));
+                                                    table -> table.seal(each, System.nanoTime())));
                             boolean moved =
                                     seal.exists(each -> each.kind() == SealKind.HANDED_OVER);
                             return moved
@@ -264,8 +261,7 @@
             }
             Member successor = seal.get().successor().get();
             authority =
-                    new Authority(
-                            successor.incarnation(), Option.some(successor), Option.none());
+                    new Authority(successor.incarnation(), Option.some(successor), Option.none());
         }
         return authority;
     }
--- a/proxy/src/main/java/org/wagtailproxy/home/JobService.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/JobService.java
@@ -39,7 +39,9 @@
 import org.wagtailproxy.view.SharedView;
 import org.wagtailproxy.wire.EndRecord;
 
-/** Accepts jobs for the incarnations held here, accounts for their tasks and remembers their ends. */
+/**
+ * Accepts jobs for the incarnations held here, accounts for their tasks and remembers their ends.
+ */
 public final class JobService implements TaskOwner {
 
     private final JobTable mTable = new JobTable();
@@ -303,8 +305,7 @@
                 Failure.of(FailureKind.TASK_NOT_RUN, "no backend server took a task in time");
         JobName name = task.task().job();
         withLedger(
-                name,
-                ledger -> ledger.fail(task.task().index(), "", failure, System.nanoTime()));
+                name, ledger -> ledger.fail(task.task().index(), "", failure, System.nanoTime()));
         settle(name);
     }
 
@@ -383,8 +384,7 @@
         return switch (window(name)) {
             case NEVER_ISSUED ->
                     Failure.of(FailureKind.WRONG_SESSION, "the session was never issued");
-            case FORGOTTEN ->
-                    Failure.of(FailureKind.WINDOW_FORGOTTEN, "the session is too old");
+            case FORGOTTEN -> Failure.of(FailureKind.WINDOW_FORGOTTEN, "the session is too old");
             default -> Failure.of(FailureKind.JOB_NOT_FOUND, "no such job was accepted");
         };
     }
@@ -392,9 +392,7 @@
     private WindowState window(JobName name) {
         return name.session()
                 .flatMap(
-                        token ->
-                                mHeld.windows(token.incarnation())
-                                        .map(each -> state(each, token)))
+                        token -> mHeld.windows(token.incarnation()).map(each -> state(each, token)))
                 .getOrElse(WindowState.FORGOTTEN);
     }
 
@@ -489,9 +487,7 @@
         Option<JobEntry> settled =
                 mTable.with(
                         name,
-                        jobs ->
-                                Option.of(jobs.get(name))
-                                        .filter(JobEntry::settledForTheFirstTime));
+                        jobs -> Option.of(jobs.get(name)).filter(JobEntry::settledForTheFirstTime));
         settled.forEach(entry -> settle(name, entry));
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/home/NameClaims.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/NameClaims.java
@@ -66,7 +66,8 @@
         String key = name.key();
         if (key.length() > MAXIMUM_KEY_LENGTH) {
             return refused(
-                    FailureKind.MALFORMED_REQUEST, "a name without a session has at most 90 characters");
+                    FailureKind.MALFORMED_REQUEST,
+                    "a name without a session has at most 90 characters");
         }
         SessionToken known = mKnown.get(key);
         if (known != null) {
@@ -81,8 +82,7 @@
         if (write.isLeft()) {
             return find(name);
         }
-        SessionToken counting =
-                write.get().current().flatMap(NameClaims::decode).getOrElse(token);
+        SessionToken counting = write.get().current().flatMap(NameClaims::decode).getOrElse(token);
         return Either.right(keep(counting, key));
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/home/SealKeeper.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/SealKeeper.java
@@ -43,8 +43,7 @@
     private long mLeaseNanos;
     private boolean mBorn;
 
-    private SealKeeper(
-            KeyValueStore store, Members members, ViewExchange exchange, EventLog log) {
+    private SealKeeper(KeyValueStore store, Members members, ViewExchange exchange, EventLog log) {
         mStore = store;
         mMembers = members;
         mExchange = exchange;
@@ -83,8 +82,7 @@
      */
     public Either<Failure, Seal> seal(Seal seal) {
         String key = SEAL_PREFIX + seal.incarnation();
-        Either<Failure, StoreWrite> write =
-                mStore.compareAndPut(key, 0, encode(seal), lease());
+        Either<Failure, StoreWrite> write = mStore.compareAndPut(key, 0, encode(seal), lease());
         if (write.isLeft()) {
             return read(seal.incarnation())
                     .flatMap(found -> found.toEither(write.getLeft()))
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventLog.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventLog.java
@@ -31,8 +31,7 @@
      * @return the log, never null
      */
     public static EventLog of(InstanceSettings instance, Incarnation incarnation) {
-        return new EventLog(
-                instance.name(), instance.dataCentre().value(), incarnation.toString());
+        return new EventLog(instance.name(), instance.dataCentre().value(), incarnation.toString());
     }
 
     /**
--- a/proxy/src/main/java/org/wagtailproxy/observe/Metrics.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/Metrics.java
@@ -17,7 +17,11 @@
     private final Counter mRefusals =
             counter("wagtailproxy_refusals", "Refused requests by failure.", "failure");
     private final Counter mSends =
-            counter("wagtailproxy_task_sends", "Sent tasks by service and result.", "service", "result");
+            counter(
+                    "wagtailproxy_task_sends",
+                    "Sent tasks by service and result.",
+                    "service",
+                    "result");
     private final Counter mPlatformCalls =
             counter("wagtailproxy_platform_calls", "Calls to the platform.", "call", "result");
     private final Counter mControlBytes =
@@ -25,9 +29,13 @@
     private final Counter mPeerBytes =
             counter("wagtailproxy_peer_bytes", "All bytes to and from peers.", "direction");
     private final Counter mReplications =
-            counter("wagtailproxy_replications", "Ends by how many neighbours keep them.", "replicas");
+            counter(
+                    "wagtailproxy_replications",
+                    "Ends by how many neighbours keep them.",
+                    "replicas");
     private final Gauge mDemand = gauge("wagtailproxy_demand_tasks", "Tasks queued or in flight.");
-    private final Gauge mEjected = gauge("wagtailproxy_ejected_backend_servers", "Ejected servers.");
+    private final Gauge mEjected =
+            gauge("wagtailproxy_ejected_backend_servers", "Ejected servers.");
     private final Gauge mRunners = gauge("wagtailproxy_listed_backend_servers", "Listed servers.");
     private final Histogram mJobSeconds =
             Histogram.builder()
--- a/proxy/src/main/java/org/wagtailproxy/operator/ResourceRoutes.java
+++ b/proxy/src/main/java/org/wagtailproxy/operator/ResourceRoutes.java
@@ -61,8 +61,7 @@
         Option<ResourceId> id = path.size() == 4 ? id(path.get(2), path.get(3)) : Option.none();
         if (id.isEmpty()) {
             call.refuse(
-                    Failure.of(
-                            FailureKind.NO_SUCH_ADDRESS, "expected /v1/resources/KIND/NAME"));
+                    Failure.of(FailureKind.NO_SUCH_ADDRESS, "expected /v1/resources/KIND/NAME"));
             return;
         }
         switch (call.method()) {
@@ -75,8 +74,7 @@
 
     private void list(HttpCall call) {
         Either<Failure, Long> after = call.number("after", 0, Long.MAX_VALUE);
-        Either<Failure, Long> wait =
-                call.number("waitMilliseconds", 0, LONGEST_WAIT_MILLISECONDS);
+        Either<Failure, Long> wait = call.number("waitMilliseconds", 0, LONGEST_WAIT_MILLISECONDS);
         if (after.isLeft() || wait.isLeft()) {
             call.refuse(after.isLeft() ? after.getLeft() : wait.getLeft());
             return;
@@ -112,6 +110,12 @@
             call.refuse(spec.getLeft());
             return;
         }
+        if (call.parameter("dryRun").contains("true")) {
+            ObjectNode node = Json.object();
+            node.put("valid", true);
+            call.answer(node);
+            return;
+        }
         mBlocking.execute(() -> write(call, id, spec.get()));
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/operator/ResourceWriter.java
+++ b/proxy/src/main/java/org/wagtailproxy/operator/ResourceWriter.java
@@ -52,8 +52,7 @@
         String writeId = UUID.randomUUID().toString();
         String document = ResourceDocuments.envelope(spec, writeId);
         String key = PlatformPoller.RESOURCE_PREFIX + id;
-        Either<Failure, StoreWrite> write =
-                mStore.compareAndPut(key, expectedVersion, document, 0);
+        Either<Failure, StoreWrite> write = mStore.compareAndPut(key, expectedVersion, document, 0);
         Either<Failure, Resource> accepted =
                 write.isRight()
                         ? judge(id, write.get(), document, writeId)
@@ -71,8 +70,7 @@
         return own.map(entry -> Resource.of(id, entry.revision(), entry.value()))
                 .toEither(
                         () -> {
-                            long current =
-                                    write.current().map(StoreEntry::revision).getOrElse(0L);
+                            long current = write.current().map(StoreEntry::revision).getOrElse(0L);
                             return Failure.of(
                                     FailureKind.VERSION_CONFLICT,
                                     "the current version is " + current);
--- a/proxy/src/main/java/org/wagtailproxy/operator/StatusRoutes.java
+++ b/proxy/src/main/java/org/wagtailproxy/operator/StatusRoutes.java
@@ -126,8 +126,7 @@
         long nowNanos = System.nanoTime();
         write(array.addObject(), self, true);
         for (Member member : mMembers.with(table -> table.members())) {
-            boolean sealed =
-                    mMembers.with(table -> table.sealOf(member.incarnation()).isDefined());
+            boolean sealed = mMembers.with(table -> table.sealOf(member.incarnation()).isDefined());
             boolean live = mMembers.with(table -> table.live(nowNanos)).contains(member);
             if (!sealed) {
                 write(array.addObject(), member, live);
--- a/proxy/src/main/java/org/wagtailproxy/peer/DemandBoard.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/DemandBoard.java
@@ -62,8 +62,7 @@
      */
     public void prune(long nowNanos) {
         List<Member> live = mMembers.with(table -> table.live(nowNanos));
-        mTold.keySet()
-                .removeIf(each -> live.stream().noneMatch(m -> m.incarnation().equals(each)));
+        mTold.keySet().removeIf(each -> live.stream().noneMatch(m -> m.incarnation().equals(each)));
     }
 
     /**
--- a/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
@@ -67,8 +67,7 @@
         long nowNanos = System.nanoTime();
         List<HostAddress> addresses = addresses();
         int neighbours =
-                mMembers.with(
-                        table -> (int) addresses.stream().filter(table::isNeighbour).count());
+                mMembers.with(table -> (int) addresses.stream().filter(table::isNeighbour).count());
         double stretch =
                 HeartbeatPace.stretch(
                         neighbours,
@@ -138,8 +137,7 @@
     private void send(HostAddress address) {
         long sentNanos = System.nanoTime();
         Duration doubled = interval(address).multipliedBy(2);
-        Duration timeout =
-                doubled.compareTo(SHORTEST_TIMEOUT) < 0 ? SHORTEST_TIMEOUT : doubled;
+        Duration timeout = doubled.compareTo(SHORTEST_TIMEOUT) < 0 ? SHORTEST_TIMEOUT : doubled;
         Envelope.Builder request = Envelope.newBuilder().setHeartbeat(own(Option.none()));
         int requestBytes = request.getHeartbeat().getSerializedSize() + FRAME_BYTES;
         mClient.call(address, request, timeout)
--- a/proxy/src/main/java/org/wagtailproxy/peer/PeerClient.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/PeerClient.java
@@ -42,16 +42,18 @@
     /**
      * Creates a client without connections.
      *
+     * @param source the host that calls come from, not null
      * @param group the threads for input and output, not null
      * @param metrics where bytes are counted, not null
      * @return the client, never null
      */
-    public static PeerClient of(EventLoopGroup group, Metrics metrics) {
+    public static PeerClient of(String source, EventLoopGroup group, Metrics metrics) {
         Objects.requireNonNull(metrics, "metrics");
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(group)
                         .channel(NioSocketChannel.class)
+                        .localAddress(source, 0)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
                         .handler(
@@ -102,8 +104,7 @@
     private PeerConnection connection(HostAddress address) {
         return mConnections.compute(
                 address,
-                (key, current) ->
-                        current != null && current.usable() ? current : connect(address));
+                (key, current) -> current != null && current.usable() ? current : connect(address));
     }
 
     private PeerConnection connect(HostAddress address) {
@@ -122,8 +123,7 @@
                                                 io.netty.channel.ConnectTimeoutException);
                         FailureKind kind =
                                 refused ? FailureKind.PEER_REFUSED : FailureKind.PEER_UNREACHABLE;
-                        connection.failed(
-                                Failure.of(kind, "no connection to " + address));
+                        connection.failed(Failure.of(kind, "no connection to " + address));
                     }
                 });
         return connection;
--- a/proxy/src/main/java/org/wagtailproxy/peer/PeerServer.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/PeerServer.java
@@ -85,8 +85,7 @@
             int correlation = request.getCorrelation();
             mHandler.handle(
                     request,
-                    answer ->
-                            context.writeAndFlush(answer.setCorrelation(correlation).build()));
+                    answer -> context.writeAndFlush(answer.setCorrelation(correlation).build()));
         }
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/peer/ViewExchange.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/ViewExchange.java
@@ -145,7 +145,8 @@
         List<HostAddress> addresses =
                 mMembers.with(
                         table ->
-                                table.liveIn(mMembers.self().dataCentre(), System.nanoTime())
+                                table
+                                        .liveIn(mMembers.self().dataCentre(), System.nanoTime())
                                         .stream()
                                         .map(member -> member.peerAddress())
                                         .toList());
@@ -193,8 +194,7 @@
 
     private void take(View view) {
         List<Resource> resources = new ArrayList<>();
-        view.getResourcesList()
-                .forEach(message -> Wire.resource(message).forEach(resources::add));
+        view.getResourcesList().forEach(message -> Wire.resource(message).forEach(resources::add));
         boolean seamless = mView.completeVersion() >= view.getBaseVersion();
         mView.merge(resources, seamless ? view.getConfigurationVersion() : 0);
         if (!view.getInstanceList().isEmpty()) {
@@ -202,9 +202,7 @@
         }
         long nowNanos = System.nanoTime();
         view.getMembersList()
-                .forEach(
-                        message ->
-                                Wire.member(message).forEach(member -> told(member, nowNanos)));
+                .forEach(message -> Wire.member(message).forEach(member -> told(member, nowNanos)));
         view.getSealsList().forEach(message -> Wire.seal(message).forEach(this::seal));
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/platform/HttpKeyValueStore.java
+++ b/proxy/src/main/java/org/wagtailproxy/platform/HttpKeyValueStore.java
@@ -73,7 +73,8 @@
     public Either<Failure, Long> grantLease(long seconds) {
         ObjectNode request = Json.object();
         request.put("TTL", Long.toString(seconds));
-        return mHttp.post("/v3/lease/grant", "lease", request).map(node -> node.path("ID").asLong());
+        return mHttp.post("/v3/lease/grant", "lease", request)
+                .map(node -> node.path("ID").asLong());
     }
 
     private static StoreWrite write(JsonNode node) {
--- a/proxy/src/main/java/org/wagtailproxy/platform/PlatformHttp.java
+++ b/proxy/src/main/java/org/wagtailproxy/platform/PlatformHttp.java
@@ -91,6 +91,7 @@
 
     private static Either<Failure, JsonNode> unavailable(String detail) {
         return Either.left(
-                Failure.of(FailureKind.STORE_UNAVAILABLE, "the platform did not answer: " + detail));
+                Failure.of(
+                        FailureKind.STORE_UNAVAILABLE, "the platform did not answer: " + detail));
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/serve/Instance.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/Instance.java
@@ -61,6 +61,7 @@
 import org.wagtailproxy.platform.PlatformPoller;
 import org.wagtailproxy.session.RateBudget;
 import org.wagtailproxy.settings.Settings;
+import org.wagtailproxy.settings.Settings.InstanceSettings;
 import org.wagtailproxy.view.SharedView;
 
 /** One entry instance: its parts, its recurring work, its start and its stop. */
@@ -84,6 +85,10 @@
     private final Members mMembers;
     private final PeerClient mPeerClient;
     private final SharedView mView;
+    private final KeyValueStore mStore;
+    private final DemandBoard mBoard;
+    private final EndFinder mFinder;
+    private final JobRouter mRouter;
     private final ViewExchange mExchange;
     private final PlatformPoller mPoller;
     private final SealKeeper mSeals;
@@ -101,72 +106,33 @@
         Incarnation incarnation = Incarnation.draw(new SecureRandom());
         mLog = EventLog.of(settings.instance(), incarnation);
         mExecutors = mCloser.register(new Executors());
-        Member self =
-                Member.of(
-                        incarnation,
-                        settings.instance().dataCentre(),
-                        settings.instance().peerAddress(),
-                        settings.instance().callerAddress());
+        Member self = self(settings.instance(), incarnation);
         mMembers = Members.of(self, MemberTable.of(self, settings.peers().timing(), nowNanos));
         EventLoopGroup network =
                 new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
         mCloser.register(() -> network.shutdownGracefully(0, 1, TimeUnit.SECONDS));
-        mPeerClient = mCloser.register(PeerClient.of(network, mMetrics));
+        HostAddress peerListen = settings.instance().peerListenAddress();
+        mPeerClient = mCloser.register(PeerClient.of(peerListen.host(), network, mMetrics));
         mView = SharedView.of(mLog);
         mExchange = ViewExchange.of(mMembers, mPeerClient, mView, mLog);
-        KeyValueStore store = HttpKeyValueStore.of(platform(settings.platform().storeAddress()));
+        mStore = HttpKeyValueStore.of(platform(settings.platform().storeAddress()));
         InstanceListReader list =
                 InstanceListReader.of(platform(settings.platform().listAddress()));
-        mPoller = PlatformPoller.of(store, list, mView, mMembers, mExchange, mLog);
-        mSeals = SealKeeper.of(store, mMembers, mExchange, mLog);
+        mPoller = PlatformPoller.of(mStore, list, mView, mMembers, mExchange, mLog);
+        mSeals = SealKeeper.of(mStore, mMembers, mExchange, mLog);
         mHeld = HeldIncarnations.of(incarnation, settings.sessions(), nowNanos);
-        DemandBoard board = DemandBoard.of(mMembers);
-        mEngine =
-                DispatchEngine.of(
-                        self.dataCentre(),
-                        mView,
-                        board,
-                        BackendClient.of(httpClient()),
-                        mExecutors.mWorkers,
-                        mMetrics);
-        int replicas = settings.peers().replicas();
-        EndReplicator replicator = EndReplicator.of(mMembers, mPeerClient, mMetrics, replicas);
-        mPublisher = EndPublisher.of(replicator, mMembers, mView, mBurn, mMetrics, mLog);
+        mBoard = DemandBoard.of(mMembers);
+        mEngine = engine();
+        mPublisher = publisher();
         long outcomeBytes = settings.limits().outcomeBytes();
         mJobs = JobService.of(mHeld, mView, mEngine, mPublisher, outcomeBytes, mMetrics, mLog);
-        EndFinder finder = EndFinder.of(mMembers, mPeerClient, mRecords, mJobs);
-        RateBudget budget = RateBudget.of(settings.limits().claimsPerSecond(), nowNanos);
-        NameClaims claims = NameClaims.of(store, mSeals, mHeld, budget);
-        JobRouter router =
-                new JobRouter.Builder()
-                        .local(mHeld, mJobs)
-                        .remote(mMembers, mPeerClient, finder)
-                        .store(mSeals, claims, mExecutors.mBlocking)
-                        .build();
-        mHandOvers =
-                new HandOvers.Builder()
-                        .local(mHeld, mJobs, mRecords)
-                        .remote(mMembers, mPeerClient, mExchange)
-                        .build(mSeals, mLog);
-        mHeartbeats =
-                new Heartbeats.Builder()
-                        .peers(settings.peers(), mMembers, mPeerClient)
-                        .views(mView, mExchange)
-                        .demands(mEngine, board)
-                        .build(mLog);
-        PeerRequests requests =
-                new PeerRequests(
-                        mMembers,
-                        router,
-                        mRecords,
-                        finder,
-                        mHandOvers,
-                        mHeartbeats,
-                        mExchange,
-                        mExecutors);
+        mFinder = EndFinder.of(mMembers, mPeerClient, mRecords, mJobs);
+        mRouter = router(nowNanos);
+        mHandOvers = handOvers();
+        mHeartbeats = heartbeats();
         mEngine.serve(mJobs);
-        mCloser.register(PeerServer.start(self.peerAddress(), network, requests, mMetrics));
-        mFront = mCloser.register(front(router, ResourceWriter.of(store, mPoller)));
+        mCloser.register(PeerServer.start(peerListen, network, requests(), mMetrics));
+        mFront = mCloser.register(front());
     }
 
     /**
@@ -179,7 +145,8 @@
     public static Instance start(Settings settings) throws IOException {
         Instance instance = new Instance(Objects.requireNonNull(settings, "settings"));
         instance.scheduleWork();
-        instance.mLog.event(EventName.INSTANCE_STARTED)
+        instance.mLog
+                .event(EventName.INSTANCE_STARTED)
                 .with(EventField.ADDRESS, settings.instance().callerAddress())
                 .info();
         return instance;
@@ -231,8 +198,70 @@
         mCloser.close();
     }
 
-    private HttpFront front(JobRouter router, ResourceWriter writer) throws IOException {
-        JobRoutes jobs = JobRoutes.of(router, mJobs, mHeld, mLifecycle);
+    private static Member self(InstanceSettings settings, Incarnation incarnation) {
+        return Member.of(
+                incarnation,
+                settings.dataCentre(),
+                settings.peerAddress(),
+                settings.callerAddress());
+    }
+
+    private DispatchEngine engine() {
+        return DispatchEngine.of(
+                mMembers.self().dataCentre(),
+                mView,
+                mBoard,
+                BackendClient.of(httpClient()),
+                mExecutors.mWorkers,
+                mMetrics);
+    }
+
+    private EndPublisher publisher() {
+        EndReplicator replicator =
+                EndReplicator.of(mMembers, mPeerClient, mMetrics, mSettings.peers().replicas());
+        return EndPublisher.of(replicator, mMembers, mView, mBurn, mMetrics, mLog);
+    }
+
+    private JobRouter router(long nowNanos) {
+        RateBudget budget = RateBudget.of(mSettings.limits().claimsPerSecond(), nowNanos);
+        NameClaims claims = NameClaims.of(mStore, mSeals, mHeld, budget);
+        return new JobRouter.Builder()
+                .local(mHeld, mJobs)
+                .remote(mMembers, mPeerClient, mFinder)
+                .store(mSeals, claims, mExecutors.mBlocking)
+                .build();
+    }
+
+    private HandOvers handOvers() {
+        return new HandOvers.Builder()
+                .local(mHeld, mJobs, mRecords)
+                .remote(mMembers, mPeerClient, mExchange)
+                .build(mSeals, mLog);
+    }
+
+    private Heartbeats heartbeats() {
+        return new Heartbeats.Builder()
+                .peers(mSettings.peers(), mMembers, mPeerClient)
+                .views(mView, mExchange)
+                .demands(mEngine, mBoard)
+                .build(mLog);
+    }
+
+    private PeerRequests requests() {
+        return new PeerRequests(
+                mMembers,
+                mRouter,
+                mRecords,
+                mFinder,
+                mHandOvers,
+                mHeartbeats,
+                mExchange,
+                mExecutors);
+    }
+
+    private HttpFront front() throws IOException {
+        ResourceWriter writer = ResourceWriter.of(mStore, mPoller);
+        JobRoutes jobs = JobRoutes.of(mRouter, mJobs, mHeld, mLifecycle);
         ResourceRoutes resources = ResourceRoutes.of(mView, writer, mExecutors.mBlocking);
         StatusRoutes status = StatusRoutes.of(mLifecycle, mMembers, mView, mBurn, mMetrics);
         Map<String, HttpRoute> routes = new HashMap<>();
@@ -246,7 +275,7 @@
         routes.put("health/ready", status::ready);
         routes.put("metrics", status::metrics);
         return HttpFront.start(
-                mSettings.instance().callerAddress(),
+                mSettings.instance().callerListenAddress(),
                 routes,
                 mSettings.limits().bodyBytes(),
                 mExecutors.mHttp,
@@ -305,8 +334,7 @@
     }
 
     private PlatformHttp platform(HostAddress address) {
-        return PlatformHttp.of(
-                httpClient(), address, mSettings.platform().callTimeout(), mMetrics);
+        return PlatformHttp.of(httpClient(), address, mSettings.platform().callTimeout(), mMetrics);
     }
 
     private HttpClient httpClient() {
@@ -322,8 +350,7 @@
                 () -> guarded(work), 0, interval.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void loop(
-            String name, Supplier<Duration> interval, Runnable work) {
+    private void loop(String name, Supplier<Duration> interval, Runnable work) {
         Thread thread =
                 new Thread(
                         () -> {
@@ -346,8 +373,7 @@
         }
     }
 
-    private static boolean await(
-            BooleanSupplier condition, Duration atMost) {
+    private static boolean await(BooleanSupplier condition, Duration atMost) {
         long endNanos = System.nanoTime() + atMost.toNanos();
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() - endNanos >= 0 || !pause(PAUSE_MILLISECONDS)) {
--- a/proxy/src/main/java/org/wagtailproxy/serve/PeerRequests.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/PeerRequests.java
@@ -66,13 +66,22 @@
         Objects.requireNonNull(reply, "reply");
         switch (request.getBodyCase()) {
             case HEARTBEAT ->
-                    on(mExecutors.mControl, () -> reply.accept(mHeartbeats.handle(request.getHeartbeat())));
+                    on(
+                            mExecutors.mControl,
+                            () -> reply.accept(mHeartbeats.handle(request.getHeartbeat())));
             case VIEW_PULL ->
-                    on(mExecutors.mControl, () -> reply.accept(mExchange.handle(request.getViewPull())));
-            case VIEW -> on(mExecutors.mWorkers, () -> reply.accept(mExchange.handle(request.getView())));
+                    on(
+                            mExecutors.mControl,
+                            () -> reply.accept(mExchange.handle(request.getViewPull())));
+            case VIEW ->
+                    on(
+                            mExecutors.mWorkers,
+                            () -> reply.accept(mExchange.handle(request.getView())));
             case JOB_CALL -> on(mExecutors.mWorkers, () -> job(request, reply));
-            case STORE_END -> on(mExecutors.mWorkers, () -> reply.accept(store(request.getStoreEnd())));
-            case FIND_END -> on(mExecutors.mWorkers, () -> reply.accept(find(request.getFindEnd())));
+            case STORE_END ->
+                    on(mExecutors.mWorkers, () -> reply.accept(store(request.getStoreEnd())));
+            case FIND_END ->
+                    on(mExecutors.mWorkers, () -> reply.accept(find(request.getFindEnd())));
             case HAND_OVER -> on(mExecutors.mBlocking, () -> reply.accept(handOver(request)));
             default -> {
                 // A newer peer may ask what this version does not know; its call times out.
--- a/proxy/src/main/java/org/wagtailproxy/settings/Settings.java
+++ b/proxy/src/main/java/org/wagtailproxy/settings/Settings.java
@@ -29,12 +29,17 @@
      * @param dataCentre its data centre
      * @param callerAddress where callers and operators reach it
      * @param peerAddress where other instances reach it
+     * @param callerListenAddress where it listens for callers and operators
+     * @param peerListenAddress where it listens for other instances, whose host is also the source
+     *     of its calls to them
      */
     public record InstanceSettings(
             String name,
             DataCentre dataCentre,
             HostAddress callerAddress,
-            HostAddress peerAddress) {}
+            HostAddress peerAddress,
+            HostAddress callerListenAddress,
+            HostAddress peerListenAddress) {}
 
     /**
      * Where the platform is and how it is called.
--- a/proxy/src/main/java/org/wagtailproxy/settings/SettingsProblem.java
+++ b/proxy/src/main/java/org/wagtailproxy/settings/SettingsProblem.java
@@ -54,7 +54,10 @@
 
     @Override
     public String toString() {
-        return key + ": " + kind.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ')
-                + ": " + detail;
+        return key
+                + ": "
+                + kind.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ')
+                + ": "
+                + detail;
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/settings/SettingsReader.java
+++ b/proxy/src/main/java/org/wagtailproxy/settings/SettingsReader.java
@@ -33,7 +33,13 @@
     private static final Map<String, Set<String>> KEYS =
             Map.of(
                     "instance",
-                    Set.of("name", "data-centre", "caller-address", "peer-address"),
+                    Set.of(
+                            "name",
+                            "data-centre",
+                            "caller-address",
+                            "peer-address",
+                            "caller-listen-address",
+                            "peer-listen-address"),
                     "platform",
                     Set.of("store-address", "list-address", "poll-interval", "call-timeout"),
                     "peers",
@@ -96,7 +102,10 @@
         Set<String> known = KEYS.get(section);
         if (known == null) {
             String name = section == null ? "(before the first section)" : section;
-            problem(name, Kind.UNKNOWN_SECTION, "known are " + KEYS.keySet().stream().sorted().toList());
+            problem(
+                    name,
+                    Kind.UNKNOWN_SECTION,
+                    "known are " + KEYS.keySet().stream().sorted().toList());
             return;
         }
         SubnodeConfiguration node = configuration.getSection(section);
@@ -106,7 +115,10 @@
                             String key = raw.replace("..", ".");
                             String full = section + "." + key;
                             if (!known.contains(key)) {
-                                problem(full, Kind.UNKNOWN_KEY, "known are " + known.stream().sorted().toList());
+                                problem(
+                                        full,
+                                        Kind.UNKNOWN_KEY,
+                                        "known are " + known.stream().sorted().toList());
                             } else if (node.getList(raw).size() > 1) {
                                 problem(full, Kind.DUPLICATE_KEY, "given more than once");
                             } else {
@@ -133,18 +145,32 @@
     private InstanceSettings instance() {
         HostAddress caller = address("instance.caller-address");
         HostAddress peer = address("instance.peer-address");
-        if (caller != null && caller.equals(peer)) {
-            problem(
-                    "instance.peer-address",
-                    Kind.DUPLICATE_ADDRESS,
-                    "also given as instance.caller-address");
-        }
+        HostAddress callerListen = addressOr("instance.caller-listen-address", caller);
+        HostAddress peerListen = addressOr("instance.peer-listen-address", peer);
+        checkDistinct("instance.peer-address", peer, "instance.caller-address", caller);
+        checkDistinct(
+                "instance.peer-listen-address",
+                peerListen,
+                "instance.caller-listen-address",
+                callerListen);
         String dataCentre = name("instance.data-centre");
         return new InstanceSettings(
                 name("instance.name"),
                 dataCentre == null ? null : DataCentre.of(dataCentre),
                 caller,
-                peer);
+                peer,
+                callerListen,
+                peerListen);
+    }
+
+    private void checkDistinct(String key, HostAddress address, String other, HostAddress taken) {
+        if (address != null && address.equals(taken)) {
+            problem(key, Kind.DUPLICATE_ADDRESS, "also given as " + other);
+        }
+    }
+
+    private HostAddress addressOr(String key, HostAddress preset) {
+        return mValues.containsKey(key) ? address(key) : preset;
     }
 
     private PlatformSettings platform() {
