Withhold ends that no neighbour keeps while one may be alive

Cause: a home cut off just as a job settled got no receipt from any neighbour, but its proof of authority was still fresh, so it showed the end "complete". The neighbours then sealed it and, holding no record, told "failed" for the same job.

Ruled out: a record arriving after the fence (the holders refuse it); the pause of the process (the home was running throughout).

Change: an end is shown only if a neighbour keeps it, or if every neighbour's address refused a connection within the withholding time.

Conclusion: freshness of proof is not enough; the end itself has to be safe. Cost: with one silent neighbour only, ends wait until it is sealed.

--- a/decisions/src/main/java/org/wagtailproxy/membership/MemberTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/membership/MemberTable.java
@@ -275,15 +275,21 @@
     /**
      * Decides whether this instance may make another end visible.
      *
+     * <p>An end that no neighbour keeps is only shown if no neighbour can be alive: otherwise it
+     * would be lost with this instance, or contradicted by a neighbour that seals it.
+     *
+     * @param replicas how many neighbours keep the end
      * @param nowNanos the monotonic time in nanoseconds
-     * @return true if it cannot have been sealed
+     * @return true if this instance cannot have been sealed and the end is safe
      */
-    public boolean mayPublish(long nowNanos) {
+    public boolean mayPublish(int replicas, long nowNanos) {
         if (mSeals.containsKey(mSelf.incarnation())) {
             return false;
         }
         boolean proved = nowNanos - mProofNanos < mTiming.withhold().toNanos();
-        return proved || neighbourAddresses().isEmpty();
+        TreeSet<HostAddress> neighbours = neighbourAddresses();
+        boolean alone = neighbours.stream().allMatch(each -> isRefused(each, nowNanos));
+        return neighbours.isEmpty() || (proved && (replicas > 0 || alone));
     }
 
     /**
@@ -400,11 +406,10 @@
     }
 
     private boolean accounted(HostAddress address, long nowNanos) {
-        long withhold = mTiming.withhold().toNanos();
-        Long refused = mRefusedNanos.get(address);
-        if (refused != null && nowNanos - refused < withhold) {
+        if (isRefused(address, nowNanos)) {
             return true;
         }
+        long withhold = mTiming.withhold().toNanos();
         for (Known known : mKnown.values()) {
             boolean here = known.mMember.peerAddress().equals(address) && !known.mReplaced;
             if (here && known.mEverHeard && nowNanos - known.mHeardNanos < withhold) {
@@ -414,6 +419,11 @@
         return false;
     }
 
+    private boolean isRefused(HostAddress address, long nowNanos) {
+        Long refused = mRefusedNanos.get(address);
+        return refused != null && nowNanos - refused < mTiming.withhold().toNanos();
+    }
+
     private TreeSet<HostAddress> neighbourAddresses() {
         TreeSet<HostAddress> addresses = new TreeSet<>();
         for (EntryListing listing : mListed.values()) {
--- /dev/null
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/SameEndIT.java
@@ -0,0 +1,207 @@
+package org.wagtailproxy.integration;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.Test;
+import org.wagtailproxy.integration.Caller.Answer;
+import org.wagtailproxy.integration.Cluster.Entry;
+import org.wagtailproxy.integration.FaultProxy.Fault;
+
+/** Every job ends complete or failed, and everyone who asks hears the same end. */
+class SameEndIT {
+
+    @Test
+    void testEndThatWasSeenOutlivesTheCrashOfItsHome() throws Exception {
+        try (Cluster cluster = Cluster.start(1, 3, 1, 1)) {
+            Entry home = cluster.entry(0);
+            List<String> names = submit(cluster, home, "seen", 5, 50, 2);
+            for (String name : names) {
+                Answer end = cluster.caller().awaitEnd(cluster.entry(1), name, 20);
+                assertThat(end.state(), is("complete"));
+            }
+            home.process().kill();
+            for (String name : names) {
+                Answer end = cluster.caller().awaitEnd(cluster.entry(2), name, 20);
+                assertThat(end.state(), is("complete"));
+                assertThat(Caller.wrongAnswers(end.body(), 50, 2), is(Optional.empty()));
+            }
+        }
+    }
+
+    @Test
+    void testPausedHomeThatWakesAfterItWasSealedTellsNoOtherEnd() throws Exception {
+        try (Cluster cluster = Cluster.start(1, 3, 1, 1)) {
+            Entry home = cluster.entry(0);
+            Ends ends = new Ends(cluster);
+            List<String> names = submit(cluster, home, "frozen", 8, 40, 100);
+            home.process().pause();
+            cluster.delist(home);
+            for (String name : names) {
+                cluster.caller().awaitEnd(cluster.entry(1), name, 30);
+            }
+            ends.ask(names);
+            home.process().resume();
+            for (int round = 0; round < 40; round++) {
+                ends.ask(names);
+                Thread.sleep(50);
+            }
+            assertThat(ends.contradictions(), is(empty()));
+            assertThat(ends.known(), is(names.size()));
+        }
+    }
+
+    @Test
+    void testIsolatedHomeWithholdsEndsAndNobodyHearsTwo() throws Exception {
+        try (Cluster cluster = Cluster.start(1, 3, 1, 1)) {
+            Entry home = cluster.entry(0);
+            Ends ends = new Ends(cluster);
+            List<String> names = submit(cluster, home, "isolated", 8, 40, 150);
+            cluster.isolate(home, Fault.FREEZE);
+            home.platformProxy().fault(Fault.FREEZE);
+            cluster.delist(home);
+            for (int round = 0; round < 120; round++) {
+                ends.ask(names);
+                Thread.sleep(50);
+            }
+            cluster.isolate(home, Fault.NONE);
+            home.platformProxy().fault(Fault.NONE);
+            for (String name : names) {
+                cluster.caller().awaitEnd(cluster.entry(2), name, 30);
+            }
+            ends.ask(names);
+            assertThat(ends.contradictions(), is(empty()));
+            assertThat(ends.known(), is(names.size()));
+        }
+    }
+
+    @Test
+    void testFrozenListAloneBringsNoVerdict() throws Exception {
+        try (Cluster cluster = Cluster.start(1, 3, 1, 1)) {
+            Entry home = cluster.entry(0);
+            List<String> names = submit(cluster, home, "lagging", 3, 20, 100);
+            cluster.platform().freezeList(true);
+            home.process().pause();
+            cluster.delist(home);
+            Thread.sleep(5000);
+            for (String name : names) {
+                Answer answer = cluster.caller().get(cluster.entry(1), name, 0);
+                assertThat(answer.type(), is("home-unreachable"));
+            }
+            home.process().resume();
+            Ends ends = new Ends(cluster);
+            for (String name : names) {
+                Answer end = cluster.caller().awaitEnd(cluster.entry(1), name, 30);
+                assertThat(end.state(), is("complete"));
+            }
+            ends.ask(names);
+            assertThat(ends.contradictions(), is(empty()));
+        }
+    }
+
+    @Test
+    void testDelistedHomeThatIsAliveKeepsItsJobs() throws Exception {
+        try (Cluster cluster = Cluster.start(1, 3, 1, 1)) {
+            Entry home = cluster.entry(0);
+            cluster.delist(home);
+            Thread.sleep(5000);
+            List<String> names = submit(cluster, home, "delisted", 3, 20, 20);
+            for (String name : names) {
+                Answer end = cluster.caller().awaitEnd(cluster.entry(1), name, 20);
+                assertThat(end.state(), is("complete"));
+            }
+        }
+    }
+
+    @Test
+    void testDataCentreCutOffFromAllElseGoesOnServing() throws Exception {
+        try (Cluster cluster = Cluster.start(2, 2, 1, 1)) {
+            cluster.cut(1, 2, Fault.FREEZE);
+            for (Entry entry : cluster.entriesIn(1)) {
+                entry.platformProxy().fault(Fault.FREEZE);
+                cluster.delist(entry);
+            }
+            Thread.sleep(3000);
+            List<String> names = submit(cluster, cluster.entry(0), "alone", 3, 20, 20);
+            for (String name : names) {
+                Answer end = cluster.caller().awaitEnd(cluster.entry(1), name, 20);
+                assertThat(end.state(), is("complete"));
+            }
+        }
+    }
+
+    private static List<String> submit(
+            Cluster cluster, Entry home, String prefix, int jobs, int tasks, long milliseconds)
+            throws IOException, InterruptedException {
+        String session = cluster.caller().session(home);
+        List<String> names = new ArrayList<>();
+        for (int index = 0; index < jobs; index++) {
+            String name = session + "." + prefix + index;
+            cluster.caller().submit(home, name, Caller.job(tasks, milliseconds));
+            names.add(name);
+        }
+        return names;
+    }
+
+    /** Collects every end that anyone was told of each job. */
+    private static final class Ends {
+        private final Cluster mCluster;
+        private final Map<String, Set<String>> mTold = new ConcurrentHashMap<>();
+        private int mSilences;
+
+        private Ends(Cluster cluster) {
+            mCluster = cluster;
+        }
+
+        private void ask(List<String> names) {
+            for (Entry entry : mCluster.entries()) {
+                for (String name : names) {
+                    askOne(entry, name);
+                }
+            }
+        }
+
+        private void askOne(Entry entry, String name) {
+            try {
+                String path = "/v1/jobs/" + name;
+                Answer answer = Impatient.get(entry, path);
+                if (answer.ended()) {
+                    mTold.computeIfAbsent(name, key -> ConcurrentHashMap.newKeySet())
+                            .add(answer.state());
+                }
+            } catch (IOException silent) {
+                mSilences++;
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        private int known() {
+            return mTold.size();
+        }
+
+        private Set<String> contradictions() {
+            Map<String, Set<String>> sorted = new TreeMap<>(mTold);
+            Set<String> contradictions = new TreeSet<>();
+            sorted.forEach(
+                    (name, states) -> {
+                        if (states.size() > 1) {
+                            contradictions.add(name + states);
+                        }
+                    });
+            System.out.println(
+                    "ends told of " + mTold.size() + " jobs, " + mSilences + " silences");
+            return contradictions;
+        }
+    }
+}
--- a/proxy/src/main/java/org/wagtailproxy/home/EndPublisher.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndPublisher.java
@@ -77,7 +77,7 @@
     public void publish(JobName name, EndRecord record, Consumer<EndRecord> publish) {
         mReplicator
                 .replicate(record)
-                .thenAccept(allowed -> replicated(name, record, publish, allowed));
+                .thenAccept(replicas -> replicated(name, record, publish, replicas));
     }
 
     /** Publishes what was withheld and may be shown now; called several times a second. */
@@ -123,8 +123,9 @@
     }
 
     private void replicated(
-            JobName name, EndRecord record, Consumer<EndRecord> publish, boolean allowed) {
-        if (allowed && mMembers.with(table -> table.mayPublish(System.nanoTime()))) {
+            JobName name, EndRecord record, Consumer<EndRecord> publish, int replicas) {
+        boolean fenced = replicas < 0;
+        if (!fenced && mMembers.with(table -> table.mayPublish(replicas, System.nanoTime()))) {
             publish.accept(record);
             return;
         }
--- a/proxy/src/main/java/org/wagtailproxy/home/EndReplicator.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndReplicator.java
@@ -44,7 +44,7 @@
      * @param members the members, not null
      * @param client how they are called, not null
      * @param metrics the metrics, not null
-     * @param replicas how many neighbours keep each end, 0 to 2
+     * @param replicas how many neighbours keep each end, 1 or 2
      * @return the replicator, never null
      */
     public static EndReplicator of(
@@ -60,7 +60,7 @@
      * @return completes with false if a neighbour refused because this instance is sealed, else
      *     with true once the live neighbours keep it or did not answer in time
      */
-    public CompletableFuture<Boolean> replicate(EndRecord record) {
+    public CompletableFuture<Integer> replicate(EndRecord record) {
         List<Member> neighbours = neighbours();
         AtomicInteger kept = new AtomicInteger();
         AtomicBoolean fenced = new AtomicBoolean();
@@ -89,7 +89,7 @@
                 .thenApply(
                         done -> {
                             mMetrics.replicated(kept.get());
-                            return !fenced.get();
+                            return fenced.get() ? -1 : kept.get();
                         });
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/settings/Settings.java
+++ b/proxy/src/main/java/org/wagtailproxy/settings/Settings.java
@@ -62,7 +62,7 @@
      * @param heartbeatInterval between heartbeats to each neighbour
      * @param remoteHeartbeatInterval between heartbeats to each instance elsewhere
      * @param controlBytesPerSecond the bound on heartbeat bytes, sent and received
-     * @param replicas how many neighbours keep each end, 0 to 2
+     * @param replicas how many neighbours keep each end, 1 or 2
      * @param timing how long silence is borne
      */
     public record PeerSettings(
--- a/proxy/src/main/java/org/wagtailproxy/settings/SettingsReader.java
+++ b/proxy/src/main/java/org/wagtailproxy/settings/SettingsReader.java
@@ -187,7 +187,7 @@
                 duration("peers.heartbeat-interval", "500ms", "50ms", "5s"),
                 duration("peers.remote-heartbeat-interval", "2s", "50ms", "10s"),
                 (int) number("peers.control-bytes-per-second", "2048", 256, 1_000_000),
-                (int) number("peers.replicas", "2", 0, 2),
+                (int) number("peers.replicas", "2", 1, 2),
                 timing());
     }
 
