Prove answers, refusals, stops and configuration; mend what failed

Four faults were found by the new integration tests:

A job whose last open task failed was judged complete, and writing its document threw; callers waited for ever. Cause: the ledger took "no open task" for "complete" before it had noted the failure. The failure is now noted first. An instance that had taken over an incarnation could not hand it on: the seal of the first stop named the earlier successor for good. Now only the stopping instance's own incarnation is sealed, and whatever it holds goes with it. With only stale reads from the store, a version that an instance had accepted did not reach other data centres, since heartbeats told the complete version only. They now tell the highest.

Ruled out for 1: the HTTP client's timeout (it fires, tried alone).

--- a/decisions/src/main/java/org/wagtailproxy/configuration/ConfigurationView.java
+++ b/decisions/src/main/java/org/wagtailproxy/configuration/ConfigurationView.java
@@ -16,6 +16,7 @@
 
     private final Map<ResourceId, Resource> mResources = new TreeMap<>();
     private long mCompleteVersion;
+    private long mHighestVersion;
 
     private ConfigurationView() {}
 
@@ -40,6 +41,7 @@
             return false;
         }
         mResources.put(resource.id(), resource);
+        mHighestVersion = Math.max(mHighestVersion, resource.version());
         return true;
     }
 
@@ -70,6 +72,15 @@
         return mCompleteVersion;
     }
 
+    /**
+     * Returns the highest version held, whether or not something below it is missing.
+     *
+     * @return the revision, 0 if nothing was ever read
+     */
+    public long highestVersion() {
+        return Math.max(mCompleteVersion, mHighestVersion);
+    }
+
     /**
      * Returns the version of a resource that is in force.
      *
--- a/decisions/src/main/java/org/wagtailproxy/job/JobLedger.java
+++ b/decisions/src/main/java/org/wagtailproxy/job/JobLedger.java
@@ -126,6 +126,7 @@
         if (mStates[index].isFinal()) {
             return;
         }
+        mFailure = mFailure.orElse(Option.some(failure));
         end(index, finalState(failure), backendServer, failure.kind().slug(), nowNanos);
         failJob(failure, nowNanos);
     }
@@ -138,10 +139,10 @@
      */
     public void failJob(Failure failure, long nowNanos) {
         Objects.requireNonNull(failure, "failure");
-        if (mFailure.isDefined() || (mOpenTasks == 0 && allAnswered())) {
+        if (isSettled()) {
             return;
         }
-        mFailure = Option.some(failure);
+        mFailure = mFailure.orElse(Option.some(failure));
         for (int index = 0; index < mStates.length; index++) {
             if (mStates[index] == TaskState.QUEUED) {
                 end(index, TaskState.NOT_RUN, "", failure.kind().slug(), nowNanos);
@@ -254,10 +255,6 @@
         return mOpenTasks;
     }
 
-    private boolean allAnswered() {
-        return mFailure.isEmpty();
-    }
-
     private void end(int index, TaskState state, String server, String reason, long nowNanos) {
         mStates[index] = state;
         mOpenTasks--;
--- /dev/null
+++ b/decisions/src/test/java/org/wagtailproxy/job/JobLedgerTest.java
@@ -0,0 +1,126 @@
+package org.wagtailproxy.job;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.JobName;
+import org.wagtailproxy.identity.ServiceName;
+import org.wagtailproxy.identity.TeamName;
+
+class JobLedgerTest {
+
+    private static final Failure UNKNOWN = Failure.of(FailureKind.TASK_OUTCOME_UNKNOWN, "");
+
+    @Test
+    void testFailureOfTheLastOpenTaskFailsTheJob() {
+        JobLedger ledger = ledger(1);
+        ledger.start(0, "a", 0);
+        ledger.fail(0, "a", UNKNOWN, 0);
+        assertThat(ledger.state(), is(JobState.FAILED));
+    }
+
+    @Test
+    void testFailureEndsQueuedTasksAndAwaitsSentOnes() {
+        JobLedger ledger = ledger(3);
+        ledger.start(0, "a", 0);
+        ledger.start(1, "a", 0);
+        ledger.fail(0, "a", UNKNOWN, 0);
+        assertThat(ledger.taskState(2), is(TaskState.NOT_RUN));
+        assertThat(ledger.isSettled(), is(false));
+        ledger.answer(1, "a", "x", 0);
+        assertThat(ledger.state(), is(JobState.FAILED));
+    }
+
+    @Test
+    void testCompleteJobCannotBeFailedAfterwards() {
+        JobLedger ledger = ledger(1);
+        ledger.start(0, "a", 0);
+        ledger.answer(0, "a", "x", 0);
+        ledger.failJob(UNKNOWN, 0);
+        assertThat(ledger.state(), is(JobState.COMPLETE));
+    }
+
+    @Test
+    void testTaskThatWasNotRunMayStartAgain() {
+        JobLedger ledger = ledger(1);
+        ledger.start(0, "a", 0);
+        assertThat(ledger.start(0, "b", 0), is(false));
+        assertThat(ledger.queueAgain(0, "a", "refused", 0), is(true));
+        assertThat(ledger.start(0, "b", 0), is(true));
+    }
+
+    /** Under any order of events a task runs at most once and the end never changes. */
+    @Property(tries = 500)
+    void testAnyOrderOfEventsAccountsForEveryTask(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 12) int tasks) {
+        Random random = new Random(seed);
+        JobLedger ledger = ledger(tasks);
+        int[] running = new int[tasks];
+        int[] executed = new int[tasks];
+        JobState end = JobState.RUNNING;
+        for (int step = 0; step < tasks * 20; step++) {
+            int index = random.nextInt(tasks);
+            apply(random.nextInt(5), ledger, index, running, executed);
+            assertThat(executed[index], lessThanOrEqualTo(1));
+            if (end != JobState.RUNNING) {
+                assertThat(ledger.state(), is(end));
+            }
+            end = ledger.state();
+        }
+        if (end == JobState.COMPLETE) {
+            for (int index = 0; index < tasks; index++) {
+                assertThat(ledger.answer(index).get(), is("answer " + index));
+            }
+        }
+    }
+
+    private static void apply(
+            int event, JobLedger ledger, int index, int[] running, int[] executed) {
+        switch (event) {
+            case 0, 1 -> {
+                if (ledger.start(index, "a", 0)) {
+                    running[index]++;
+                    executed[index]++;
+                }
+            }
+            case 2 -> {
+                if (running[index] > 0) {
+                    running[index] = 0;
+                    ledger.answer(index, "a", "answer " + index, 0);
+                }
+            }
+            case 3 -> {
+                if (running[index] > 0) {
+                    running[index] = 0;
+                    executed[index]--;
+                    ledger.queueAgain(index, "a", "refused", 0);
+                }
+            }
+            default -> {
+                if (running[index] > 0 && index % 4 == 0) {
+                    running[index] = 0;
+                    ledger.fail(index, "a", UNKNOWN, 0);
+                }
+            }
+        }
+    }
+
+    private static JobLedger ledger(int tasks) {
+        List<TaskSpec> specs = new ArrayList<>();
+        for (int index = 0; index < tasks; index++) {
+            specs.add(TaskSpec.of("t" + index, "p", 1));
+        }
+        JobSpec spec = JobSpec.of(ServiceName.of("s"), TeamName.of("t"), "purpose", specs);
+        return JobLedger.of(JobName.parse("job").get(), spec, 0);
+    }
+}
--- /dev/null
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/TrueRefusalIT.java
@@ -0,0 +1,147 @@
+package org.wagtailproxy.integration;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.wagtailproxy.integration.Caller.Answer;
+import org.wagtailproxy.integration.Cluster.Entry;
+
+/** A refusal that says that nothing was executed is true. */
+class TrueRefusalIT {
+
+    @Test
+    void testRefusalsUnderOverloadStartNothing() throws Exception {
+        try (Cluster cluster = Cluster.start(1, 2, 4)) {
+            redeclare(cluster, "service", Cluster.SERVICE, "{\"queueLimit\": 150}");
+            List<String> refused = refusedOf(cluster, "overload", 12, Caller.job(50, 20));
+            assertThat(refused.size(), greaterThan(0));
+            assertNothingStarted(cluster, refused);
+        }
+    }
+
+    @Test
+    void testRefusalsForTheQuotaStartNothing() throws Exception {
+        try (Cluster cluster = Cluster.start(1, 2, 1)) {
+            redeclare(cluster, "team", Cluster.TEAM, "{\"quota\": 4, \"queueLimit\": 60}");
+            List<String> refused = refusedOf(cluster, "quota", 6, Caller.job(50, 20));
+            assertThat(refused.size(), greaterThan(0));
+            assertNothingStarted(cluster, refused);
+        }
+    }
+
+    @Test
+    void testRefusalsDuringADrainStartNothing() throws Exception {
+        try (Cluster cluster = Cluster.start(1, 1, 1)) {
+            Entry home = cluster.entry(0);
+            String session = cluster.caller().session(home);
+            String last = session + ".last";
+            cluster.caller().submit(home, last, Caller.job(20, 2000));
+            home.process().terminate();
+            Thread.sleep(300);
+            String late = session + ".late";
+            Answer answer = cluster.caller().submit(home, late, Caller.job(5, 1));
+            assertThat(answer.type(), is("draining"));
+            assertThat(answer.executed(), is("no"));
+            assertThat(home.process().awaitExit(40), is(0));
+            assertNothingStarted(cluster, List.of(late));
+            assertThat(cluster.witness().startsOf(last).size(), is(20));
+        }
+    }
+
+    @Test
+    void testBadInputIsRefusedWithATypeAndStartsNothing() throws Exception {
+        try (Cluster cluster = Cluster.start(1, 1, 1)) {
+            Entry entry = cluster.entry(0);
+            String session = cluster.caller().session(entry);
+            String strange = Caller.job(1, 1).replace(Cluster.SERVICE, "nosuch");
+            String teamless = Caller.job(1, 1).replace(Cluster.TEAM, "nosuch");
+            String long1 = Caller.job(1, 1).replace("Milliseconds\":1", "Milliseconds\":99999");
+            String foreign = "0".repeat(32) + ".0";
+            expect(cluster, session + ".a", "{\"service\":", "malformed-request", "no");
+            expect(cluster, session + ".b", Caller.job(941, 1), "too-many-tasks", "no");
+            expect(cluster, session + ".c", strange, "unknown-service", "no");
+            expect(cluster, session + ".d", teamless, "unknown-team", "no");
+            expect(cluster, session + ".e", long1, "never-runnable", "no");
+            expect(cluster, session + "9.f", Caller.job(1, 1), "wrong-session", "no");
+            expect(cluster, foreign + ".g", Caller.job(1, 1), "home-unreachable", "unknown");
+            expect(cluster, session + ".h", "x".repeat(4_100_000), "body-too-large", "no");
+            expect(cluster, session + ".i%2F", Caller.job(1, 1), "malformed-request", "no");
+            assertThat(cluster.witness().tasks(), is(0));
+            cluster.caller().submit(entry, session + ".j", Caller.job(1, 1));
+            expect(cluster, session + ".j", Caller.job(2, 1), "name-conflict", "no");
+        }
+    }
+
+    @Test
+    void testServiceWithoutBackendServersRefusesAtOnce() throws Exception {
+        try (Cluster cluster = Cluster.start(1, 1)) {
+            Entry entry = cluster.entry(0);
+            String name = cluster.caller().session(entry) + ".none";
+            expect(cluster, name, Caller.job(1, 1), "no-backend-server", "no");
+        }
+    }
+
+    private static void expect(
+            Cluster cluster, String name, String body, String type, String executed)
+            throws Exception {
+        Answer answer = cluster.caller().submit(cluster.entry(0), name, body);
+        assertThat(answer.toString(), answer.type(), is(type));
+        assertThat(answer.executed(), is(executed));
+        assertThat(answer.body().toString().contains("Exception"), is(false));
+    }
+
+    static void redeclare(Cluster cluster, String kind, String name, String spec) throws Exception {
+        Entry entry = cluster.entry(0);
+        String path = "/v1/resources/" + kind + "/" + name;
+        long version =
+                cluster.caller()
+                        .send(entry, "GET", path, "")
+                        .body()
+                        .path("resourceVersion")
+                        .asLong();
+        Answer answer =
+                cluster.caller().send(entry, "PUT", path + "?resourceVersion=" + version, spec);
+        assertThat(answer.toString(), answer.status(), is(200));
+        long accepted = answer.body().path("resourceVersion").asLong();
+        for (Entry each : cluster.entries()) {
+            Await.until(
+                    "the new version is in force on " + each,
+                    13,
+                    () -> cluster.caller().versions(each).get(kind + "/" + name) >= accepted);
+        }
+    }
+
+    private static List<String> refusedOf(Cluster cluster, String prefix, int jobs, String body)
+            throws Exception {
+        String session = cluster.caller().session(cluster.entry(0));
+        List<String> refused = new ArrayList<>();
+        List<String> accepted = new ArrayList<>();
+        for (int index = 0; index < jobs; index++) {
+            String name = session + "." + prefix + index;
+            Answer answer = cluster.caller().submit(cluster.entry(1), name, body);
+            if (answer.executed().equals("no")) {
+                refused.add(name);
+            } else {
+                accepted.add(name);
+            }
+        }
+        for (String name : accepted) {
+            cluster.caller().awaitEnd(cluster.entry(0), name, 60);
+        }
+        assertThat(accepted, is(not(empty())));
+        return refused;
+    }
+
+    private static void assertNothingStarted(Cluster cluster, List<String> names) {
+        for (String name : names) {
+            assertThat(cluster.witness().startsOf(name), is(Map.of()));
+        }
+    }
+}
--- a/proxy/src/main/java/org/wagtailproxy/engine/DispatchEngine.java
+++ b/proxy/src/main/java/org/wagtailproxy/engine/DispatchEngine.java
@@ -27,6 +27,7 @@
 import org.wagtailproxy.identity.TeamName;
 import org.wagtailproxy.job.JobSpec;
 import org.wagtailproxy.membership.EntryListing;
+import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.Metrics;
 import org.wagtailproxy.peer.DemandBoard;
 import org.wagtailproxy.peer.DemandSource;
@@ -43,6 +44,7 @@
     private final BackendClient mBackend;
     private final Executor mExecutor;
     private final Metrics mMetrics;
+    private final EventLog mLog;
     private final TeamQuotas mQuotas = TeamQuotas.of();
     private final Map<ServiceName, ServiceLane> mLanes = new ConcurrentHashMap<>();
     private volatile TaskOwner mOwner;
@@ -53,13 +55,15 @@
             DemandBoard board,
             BackendClient backend,
             Executor executor,
-            Metrics metrics) {
+            Metrics metrics,
+            EventLog log) {
         mHome = home;
         mView = view;
         mBoard = board;
         mBackend = backend;
         mExecutor = executor;
         mMetrics = metrics;
+        mLog = log;
     }
 
     /**
@@ -71,6 +75,7 @@
      * @param backend how tasks are sent, not null
      * @param executor runs what follows an answer, not null
      * @param metrics the metrics, not null
+     * @param log the log, not null
      * @return the engine, never null
      */
     public static DispatchEngine of(
@@ -79,9 +84,10 @@
             DemandBoard board,
             BackendClient backend,
             Executor executor,
-            Metrics metrics) {
+            Metrics metrics,
+            EventLog log) {
         Objects.requireNonNull(home, "home");
-        return new DispatchEngine(home, view, board, backend, executor, metrics);
+        return new DispatchEngine(home, view, board, backend, executor, metrics, log);
     }
 
     /**
@@ -235,6 +241,6 @@
     private ServiceLane lane(ServiceName name, ServiceSpec spec) {
         ServiceDispatch dispatch =
                 ServiceDispatch.of(mHome, spec.tuning(), mQuotas, new SplittableRandom());
-        return new ServiceLane(name, dispatch, mBackend, mExecutor, mOwner, mMetrics);
+        return new ServiceLane(name, dispatch, mBackend, mExecutor, mOwner, mMetrics, mLog);
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/engine/ServiceLane.java
+++ b/proxy/src/main/java/org/wagtailproxy/engine/ServiceLane.java
@@ -22,6 +22,9 @@
 import org.wagtailproxy.identity.JobName;
 import org.wagtailproxy.identity.ServiceName;
 import org.wagtailproxy.identity.TeamName;
+import org.wagtailproxy.observe.EventField;
+import org.wagtailproxy.observe.EventLog;
+import org.wagtailproxy.observe.EventName;
 import org.wagtailproxy.observe.Metrics;
 
 /** Drives the dispatch of one service under its own lock. */
@@ -33,6 +36,7 @@
     private final Executor mExecutor;
     private final TaskOwner mOwner;
     private final Metrics mMetrics;
+    private final EventLog mLog;
     private final ReentrantLock mLock = new ReentrantLock();
     private volatile Duration mTaskTimeout = Duration.ofSeconds(1);
 
@@ -42,7 +46,9 @@
             BackendClient backend,
             Executor executor,
             TaskOwner owner,
-            Metrics metrics) {
+            Metrics metrics,
+            EventLog log) {
+        mLog = log;
         mName = name;
         mDispatch = dispatch;
         mBackend = backend;
@@ -126,7 +132,13 @@
         CompletableFuture<SendOutcome> sending =
                 mBackend.send(
                         assignment.runner(), task.get().name(), task.get().payload(), mTaskTimeout);
-        sending.thenAcceptAsync(outcome -> finished(assignment, outcome, sentNanos), mExecutor);
+        sending.thenAcceptAsync(outcome -> finished(assignment, outcome, sentNanos), mExecutor)
+                .exceptionally(this::defect);
+    }
+
+    private Void defect(Throwable cause) {
+        mLog.event(EventName.DEFECT).with(EventField.SERVICE, mName).error(cause);
+        return null;
     }
 
     private void finished(Assignment assignment, SendOutcome outcome, long sentNanos) {
--- a/proxy/src/main/java/org/wagtailproxy/home/HandOvers.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/HandOvers.java
@@ -4,9 +4,11 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.wagtailproxy.failure.Failure;
@@ -51,6 +53,7 @@
     private final SealKeeper mSeals;
     private final ViewExchange mExchange;
     private final EventLog mLog;
+    private final Map<Incarnation, Set<Incarnation>> mPrepared = new ConcurrentHashMap<>();
     private final Map<Incarnation, Seal> mUnwritten = new ConcurrentHashMap<>();
 
     private HandOvers(Builder builder) {
@@ -65,17 +68,23 @@
     }
 
     /**
-     * Hands every incarnation held here over; no job may be open.
+     * Hands every incarnation held here over to one successor; no job may be open.
      *
-     * @return true if every one was taken
+     * @return true if they were taken
      */
     public boolean handOver() {
-        List<Member> successors = successors();
-        boolean all = true;
-        for (Map.Entry<Incarnation, SessionWindows> held : mHeld.all().entrySet()) {
-            all &= handOver(held.getKey(), held.getValue(), successors);
+        for (Member successor : successors()) {
+            Outcome outcome = handOver(successor);
+            if (outcome == Outcome.TAKEN) {
+                give(successor);
+                return true;
+            }
+            if (outcome == Outcome.UNKNOWN) {
+                break;
+            }
         }
-        return all;
+        mLog.event(EventName.HAND_OVER_FAILED).warn();
+        return false;
     }
 
     /**
@@ -87,14 +96,17 @@
     public HandOverAnswer take(HandOver part) {
         HandOverAnswer.Builder answer = HandOverAnswer.newBuilder();
         Option<Incarnation> incarnation = Wire.incarnation(part.getIncarnation());
-        if (incarnation.isEmpty() || mMembers.self().leaving()) {
+        Option<Incarnation> sender = Wire.incarnation(part.getSender());
+        if (incarnation.isEmpty() || sender.isEmpty() || mMembers.self().leaving()) {
             return answer.build();
         }
-        boolean stored = store(incarnation.get(), part.getRecordsList());
-        if (!stored) {
-            return answer.build();
+        boolean taken = store(sender.get(), incarnation.get(), part.getRecordsList());
+        if (taken && part.getLast()) {
+            prepare(sender.get(), incarnation.get(), part.getAgeMilliseconds());
+        }
+        if (taken && part.getFinal()) {
+            taken = adopt(sender.get());
         }
-        boolean taken = !part.getLast() || adopt(incarnation.get(), part);
         return answer.setTaken(taken).build();
     }
 
@@ -107,33 +119,43 @@
         }
     }
 
-    private boolean store(Incarnation home, List<EndRecord> records) {
+    private boolean store(Incarnation sender, Incarnation home, List<EndRecord> records) {
         long nowNanos = System.nanoTime();
         for (EndRecord record : records) {
             Either<Failure, JobName> name = JobName.parse(record.getJobName());
-            if (name.isLeft() || !mRecords.store(home, home, name.get(), record, nowNanos)) {
+            boolean kept =
+                    name.isRight() && mRecords.store(sender, home, name.get(), record, nowNanos);
+            if (!kept) {
                 return false;
             }
         }
         return true;
     }
 
-    private boolean adopt(Incarnation incarnation, HandOver part) {
-        Seal seal = Seal.handedOver(incarnation, mMembers.self());
+    private void prepare(Incarnation sender, Incarnation incarnation, long ageMilliseconds) {
+        long ageNanos = TimeUnit.MILLISECONDS.toNanos(ageMilliseconds);
+        mHeld.prepare(incarnation, ageNanos, System.nanoTime());
+        mPrepared.computeIfAbsent(sender, key -> ConcurrentHashMap.newKeySet()).add(incarnation);
+    }
+
+    /** Authority passes with the seal of the sender; what it took over before goes with it. */
+    private boolean adopt(Incarnation sender) {
+        Seal seal = Seal.handedOver(sender, mMembers.self());
         Either<Failure, Seal> counting = mSeals.seal(seal);
         if (counting.isRight() && !isMine(counting.get())) {
             return false;
         }
         if (counting.isLeft()) {
-            mUnwritten.put(incarnation, seal);
+            mUnwritten.put(sender, seal);
             mMembers.with(table -> table.seal(seal, System.nanoTime()));
             mExchange.push(seal, PUSH_TIMEOUT);
         }
-        long ageNanos = TimeUnit.MILLISECONDS.toNanos(part.getAgeMilliseconds());
-        mHeld.prepare(incarnation, ageNanos, System.nanoTime());
-        mRecords.all(incarnation).forEach(mJobs::adopt);
-        mHeld.activate(incarnation);
-        mLog.event(EventName.TAKEN_OVER).with(EventField.SUBJECT, incarnation).info();
+        for (Incarnation incarnation : mPrepared.getOrDefault(sender, Set.of())) {
+            mRecords.all(incarnation).forEach(mJobs::adopt);
+            mHeld.activate(incarnation);
+            mLog.event(EventName.TAKEN_OVER).with(EventField.SUBJECT, incarnation).info();
+        }
+        mPrepared.remove(sender);
         return true;
     }
 
@@ -143,33 +165,30 @@
                 && seal.successor().exists(each -> each.incarnation().equals(self));
     }
 
-    private boolean handOver(
-            Incarnation incarnation, SessionWindows windows, List<Member> successors) {
-        for (Member successor : successors) {
-            Outcome outcome = handOver(incarnation, windows, successor);
-            if (outcome == Outcome.TAKEN) {
-                give(incarnation, successor);
-                return true;
-            }
-            if (outcome == Outcome.UNKNOWN) {
-                break;
-            }
-        }
-        mLog.event(EventName.HAND_OVER_FAILED).with(EventField.SUBJECT, incarnation).warn();
-        return false;
-    }
-
-    private void give(Incarnation incarnation, Member successor) {
-        Seal seal = Seal.handedOver(incarnation, successor);
+    private void give(Member successor) {
+        Seal seal = Seal.handedOver(mMembers.self().incarnation(), successor);
         mMembers.with(table -> table.seal(seal, System.nanoTime()));
-        mHeld.release(incarnation);
+        mHeld.all().keySet().forEach(mHeld::release);
         mExchange.push(seal, PUSH_TIMEOUT).join();
         mLog.event(EventName.HANDED_OVER)
-                .with(EventField.SUBJECT, incarnation)
+                .with(EventField.SUBJECT, seal.incarnation())
                 .with(EventField.ADDRESS, successor.peerAddress())
                 .info();
     }
 
+    private Outcome handOver(Member successor) {
+        Incarnation own = mMembers.self().incarnation();
+        Map<Incarnation, SessionWindows> others = new HashMap<>(mHeld.all());
+        SessionWindows ownWindows = others.remove(own);
+        for (Map.Entry<Incarnation, SessionWindows> held : others.entrySet()) {
+            Outcome outcome = handOver(held.getKey(), held.getValue(), successor);
+            if (outcome != Outcome.TAKEN) {
+                return Outcome.REFUSED;
+            }
+        }
+        return handOver(own, ownWindows, successor);
+    }
+
     private Outcome handOver(Incarnation incarnation, SessionWindows windows, Member successor) {
         HandOver.Builder part = part(incarnation);
         int bytes = 0;
@@ -184,6 +203,7 @@
                 bytes = 0;
             }
         }
+        part.setLast(true).setFinal(incarnation.equals(mMembers.self().incarnation()));
         return sendLast(successor, part, windows);
     }
 
@@ -192,7 +212,7 @@
         Outcome outcome = Outcome.UNKNOWN;
         for (int attempt = 0; attempt < LAST_ATTEMPTS; attempt++) {
             long age = TimeUnit.NANOSECONDS.toMillis(windows.ageNanos(System.nanoTime()));
-            part.setLast(true).setAgeMilliseconds(age);
+            part.setAgeMilliseconds(age);
             outcome = send(successor, part);
             if (outcome != Outcome.UNKNOWN) {
                 break;
@@ -214,8 +234,10 @@
         return answer.get().getHandOverAnswer().getTaken() ? Outcome.TAKEN : Outcome.REFUSED;
     }
 
-    private static HandOver.Builder part(Incarnation incarnation) {
-        return HandOver.newBuilder().setIncarnation(Wire.incarnation(incarnation));
+    private HandOver.Builder part(Incarnation incarnation) {
+        return HandOver.newBuilder()
+                .setSender(Wire.incarnation(mMembers.self().incarnation()))
+                .setIncarnation(Wire.incarnation(incarnation));
     }
 
     private List<Member> successors() {
--- a/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
@@ -185,7 +185,7 @@
         }
         mBoard.tell(member, heartbeat);
         boolean ahead =
-                heartbeat.getConfigurationVersion() > mView.completeVersion()
+                heartbeat.getConfigurationVersion() > mView.highestVersion()
                         || heartbeat.getInstanceListVersion() > mView.list().version()
                         || heartbeat.getSealDigest() != sealDigest();
         if (ahead || !known) {
@@ -214,7 +214,7 @@
         Heartbeat.Builder heartbeat =
                 Heartbeat.newBuilder()
                         .setMember(Wire.member(mMembers.self()))
-                        .setConfigurationVersion(mView.completeVersion())
+                        .setConfigurationVersion(mView.highestVersion())
                         .setInstanceListVersion(mView.list().version())
                         .setSealDigest(sealDigest())
                         .addAllServiceDemands(mDemands.serviceDemands())
--- a/proxy/src/main/java/org/wagtailproxy/serve/Instance.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/Instance.java
@@ -213,7 +213,8 @@
                 mBoard,
                 BackendClient.of(httpClient()),
                 mExecutors.mWorkers,
-                mMetrics);
+                mMetrics,
+                mLog);
     }
 
     private EndPublisher publisher() {
--- a/proxy/src/main/java/org/wagtailproxy/view/SharedView.java
+++ b/proxy/src/main/java/org/wagtailproxy/view/SharedView.java
@@ -40,6 +40,7 @@
     private volatile InstanceList mList = InstanceList.empty();
     private volatile byte[] mListDocument = new byte[0];
     private volatile long mCompleteVersion;
+    private volatile long mHighestVersion;
 
     private SharedView(EventLog log) {
         mLog = log;
@@ -75,6 +76,7 @@
         synchronized (mLock) {
             changed = mConfiguration.mergeComplete(resources, completeVersion);
             mCompleteVersion = mConfiguration.completeVersion();
+            mHighestVersion = mConfiguration.highestVersion();
             if (!changed.isEmpty()) {
                 decode();
             }
@@ -122,6 +124,15 @@
         return mCompleteVersion;
     }
 
+    /**
+     * Returns the highest version held, whether or not something below it is missing.
+     *
+     * @return the revision, 0 before the first read
+     */
+    public long highestVersion() {
+        return mHighestVersion;
+    }
+
     /**
      * Returns a service in force.
      *
--- a/wire/src/main/java/org/wagtailproxy/wire/HandOver.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/HandOver.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * Part of a leaving home's session table. The last part transfers the incarnation.
+ * Part of a leaving home's session table, first of the incarnations that it took over itself. The
+ * final part transfers authority over all of them at once.
  * </pre>
  *
  * Protobuf type {@code wagtailproxy.wire.HandOver}
@@ -33,6 +34,7 @@
   }
   private HandOver() {
     incarnation_ = com.google.protobuf.ByteString.EMPTY;
+    sender_ = com.google.protobuf.ByteString.EMPTY;
     records_ = java.util.Collections.emptyList();
   }
 
@@ -65,6 +67,17 @@
     return incarnation_;
   }
 
+  public static final int SENDER_FIELD_NUMBER = 5;
+  private com.google.protobuf.ByteString sender_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <code>bytes sender = 5;</code>
+   * @return The sender.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getSender() {
+    return sender_;
+  }
+
   public static final int AGE_MILLISECONDS_FIELD_NUMBER = 2;
   private long ageMilliseconds_ = 0L;
   /**
@@ -120,6 +133,10 @@
   public static final int LAST_FIELD_NUMBER = 4;
   private boolean last_ = false;
   /**
+   * <pre>
+   * No more records of this incarnation follow.
+   * </pre>
+   *
    * <code>bool last = 4;</code>
    * @return The last.
    */
@@ -128,6 +145,21 @@
     return last_;
   }
 
+  public static final int FINAL_FIELD_NUMBER = 6;
+  private boolean final_ = false;
+  /**
+   * <pre>
+   * Nothing more follows from this sender.
+   * </pre>
+   *
+   * <code>bool final = 6;</code>
+   * @return The final.
+   */
+  @java.lang.Override
+  public boolean getFinal() {
+    return final_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -154,6 +186,12 @@
     if (last_ != false) {
       output.writeBool(4, last_);
     }
+    if (!sender_.isEmpty()) {
+      output.writeBytes(5, sender_);
+    }
+    if (final_ != false) {
+      output.writeBool(6, final_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -179,6 +217,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, last_);
     }
+    if (!sender_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(5, sender_);
+    }
+    if (final_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, final_);
+    }
     return size;
   }
   @java.lang.Override
@@ -205,12 +251,16 @@
 
     if (!getIncarnation()
         .equals(other.getIncarnation())) return false;
+    if (!getSender()
+        .equals(other.getSender())) return false;
     if (getAgeMilliseconds()
         != other.getAgeMilliseconds()) return false;
     if (!getRecordsList()
         .equals(other.getRecordsList())) return false;
     if (getLast()
         != other.getLast()) return false;
+    if (getFinal()
+        != other.getFinal()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -224,6 +274,8 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
     hash = (53 * hash) + getIncarnation().hashCode();
+    hash = (37 * hash) + SENDER_FIELD_NUMBER;
+    hash = (53 * hash) + getSender().hashCode();
     hash = (37 * hash) + AGE_MILLISECONDS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAgeMilliseconds());
@@ -234,6 +286,9 @@
     hash = (37 * hash) + LAST_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLast());
+    hash = (37 * hash) + FINAL_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getFinal());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -333,7 +388,8 @@
   }
   /**
    * <pre>
-   * Part of a leaving home's session table. The last part transfers the incarnation.
+   * Part of a leaving home's session table, first of the incarnations that it took over itself. The
+   * final part transfers authority over all of them at once.
    * </pre>
    *
    * Protobuf type {@code wagtailproxy.wire.HandOver}
@@ -370,6 +426,7 @@
       super.clear();
       bitField0_ = 0;
       incarnation_ = com.google.protobuf.ByteString.EMPTY;
+      sender_ = com.google.protobuf.ByteString.EMPTY;
       ageMilliseconds_ = 0L;
       if (recordsBuilder_ == null) {
         records_ = java.util.Collections.emptyList();
@@ -377,8 +434,9 @@
         records_ = null;
         recordsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000008);
       last_ = false;
+      final_ = false;
       return this;
     }
 
@@ -413,9 +471,9 @@
 
     private void buildPartialRepeatedFields(org.wagtailproxy.wire.HandOver result) {
       if (recordsBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0)) {
+        if (((bitField0_ & 0x00000008) != 0)) {
           records_ = java.util.Collections.unmodifiableList(records_);
-          bitField0_ = (bitField0_ & ~0x00000004);
+          bitField0_ = (bitField0_ & ~0x00000008);
         }
         result.records_ = records_;
       } else {
@@ -429,11 +487,17 @@
         result.incarnation_ = incarnation_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.sender_ = sender_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
         result.ageMilliseconds_ = ageMilliseconds_;
       }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
+      if (((from_bitField0_ & 0x00000010) != 0)) {
         result.last_ = last_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.final_ = final_;
+      }
     }
 
     @java.lang.Override
@@ -451,6 +515,9 @@
       if (!other.getIncarnation().isEmpty()) {
         setIncarnation(other.getIncarnation());
       }
+      if (!other.getSender().isEmpty()) {
+        setSender(other.getSender());
+      }
       if (other.getAgeMilliseconds() != 0L) {
         setAgeMilliseconds(other.getAgeMilliseconds());
       }
@@ -458,7 +525,7 @@
         if (!other.records_.isEmpty()) {
           if (records_.isEmpty()) {
             records_ = other.records_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000008);
           } else {
             ensureRecordsIsMutable();
             records_.addAll(other.records_);
@@ -471,7 +538,7 @@
             recordsBuilder_.dispose();
             recordsBuilder_ = null;
             records_ = other.records_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000008);
             recordsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetRecordsFieldBuilder() : null;
@@ -483,6 +550,9 @@
       if (other.getLast() != false) {
         setLast(other.getLast());
       }
+      if (other.getFinal() != false) {
+        setFinal(other.getFinal());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -514,7 +584,7 @@
             } // case 10
             case 16: {
               ageMilliseconds_ = input.readUInt64();
-              bitField0_ |= 0x00000002;
+              bitField0_ |= 0x00000004;
               break;
             } // case 16
             case 26: {
@@ -532,9 +602,19 @@
             } // case 26
             case 32: {
               last_ = input.readBool();
-              bitField0_ |= 0x00000008;
+              bitField0_ |= 0x00000010;
               break;
             } // case 32
+            case 42: {
+              sender_ = input.readBytes();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 42
+            case 48: {
+              final_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -584,6 +664,38 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString sender_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes sender = 5;</code>
+     * @return The sender.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getSender() {
+      return sender_;
+    }
+    /**
+     * <code>bytes sender = 5;</code>
+     * @param value The sender to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSender(com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      sender_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bytes sender = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSender() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      sender_ = getDefaultInstance().getSender();
+      onChanged();
+      return this;
+    }
+
     private long ageMilliseconds_ ;
     /**
      * <code>uint64 age_milliseconds = 2;</code>
@@ -601,7 +713,7 @@
     public Builder setAgeMilliseconds(long value) {
 
       ageMilliseconds_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
@@ -610,7 +722,7 @@
      * @return This builder for chaining.
      */
     public Builder clearAgeMilliseconds() {
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000004);
       ageMilliseconds_ = 0L;
       onChanged();
       return this;
@@ -619,9 +731,9 @@
     private java.util.List<org.wagtailproxy.wire.EndRecord> records_ =
       java.util.Collections.emptyList();
     private void ensureRecordsIsMutable() {
-      if (!((bitField0_ & 0x00000004) != 0)) {
+      if (!((bitField0_ & 0x00000008) != 0)) {
         records_ = new java.util.ArrayList<org.wagtailproxy.wire.EndRecord>(records_);
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000008;
        }
     }
 
@@ -765,7 +877,7 @@
     public Builder clearRecords() {
       if (recordsBuilder_ == null) {
         records_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000004);
+        bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
       } else {
         recordsBuilder_.clear();
@@ -842,7 +954,7 @@
         recordsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wagtailproxy.wire.EndRecord, org.wagtailproxy.wire.EndRecord.Builder, org.wagtailproxy.wire.EndRecordOrBuilder>(
                 records_,
-                ((bitField0_ & 0x00000004) != 0),
+                ((bitField0_ & 0x00000008) != 0),
                 getParentForChildren(),
                 isClean());
         records_ = null;
@@ -852,6 +964,10 @@
 
     private boolean last_ ;
     /**
+     * <pre>
+     * No more records of this incarnation follow.
+     * </pre>
+     *
      * <code>bool last = 4;</code>
      * @return The last.
      */
@@ -860,6 +976,10 @@
       return last_;
     }
     /**
+     * <pre>
+     * No more records of this incarnation follow.
+     * </pre>
+     *
      * <code>bool last = 4;</code>
      * @param value The last to set.
      * @return This builder for chaining.
@@ -867,21 +987,69 @@
     public Builder setLast(boolean value) {
 
       last_ = value;
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
     /**
+     * <pre>
+     * No more records of this incarnation follow.
+     * </pre>
+     *
      * <code>bool last = 4;</code>
      * @return This builder for chaining.
      */
     public Builder clearLast() {
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000010);
       last_ = false;
       onChanged();
       return this;
     }
 
+    private boolean final_ ;
+    /**
+     * <pre>
+     * Nothing more follows from this sender.
+     * </pre>
+     *
+     * <code>bool final = 6;</code>
+     * @return The final.
+     */
+    @java.lang.Override
+    public boolean getFinal() {
+      return final_;
+    }
+    /**
+     * <pre>
+     * Nothing more follows from this sender.
+     * </pre>
+     *
+     * <code>bool final = 6;</code>
+     * @param value The final to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFinal(boolean value) {
+
+      final_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Nothing more follows from this sender.
+     * </pre>
+     *
+     * <code>bool final = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFinal() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      final_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wagtailproxy.wire.HandOver)
   }
 
--- a/wire/src/main/java/org/wagtailproxy/wire/HandOverOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/HandOverOrBuilder.java
@@ -16,6 +16,12 @@
    */
   com.google.protobuf.ByteString getIncarnation();
 
+  /**
+   * <code>bytes sender = 5;</code>
+   * @return The sender.
+   */
+  com.google.protobuf.ByteString getSender();
+
   /**
    * <code>uint64 age_milliseconds = 2;</code>
    * @return The ageMilliseconds.
@@ -47,8 +53,22 @@
       int index);
 
   /**
+   * <pre>
+   * No more records of this incarnation follow.
+   * </pre>
+   *
    * <code>bool last = 4;</code>
    * @return The last.
    */
   boolean getLast();
+
+  /**
+   * <pre>
+   * Nothing more follows from this sender.
+   * </pre>
+   *
+   * <code>bool final = 6;</code>
+   * @return The final.
+   */
+  boolean getFinal();
 }
--- a/wire/src/main/java/org/wagtailproxy/wire/Heartbeat.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Heartbeat.java
@@ -84,6 +84,10 @@
   public static final int CONFIGURATION_VERSION_FIELD_NUMBER = 2;
   private long configurationVersion_ = 0L;
   /**
+   * <pre>
+   * The highest version of any resource held.
+   * </pre>
+   *
    * <code>uint64 configuration_version = 2;</code>
    * @return The configurationVersion.
    */
@@ -896,6 +900,10 @@
 
     private long configurationVersion_ ;
     /**
+     * <pre>
+     * The highest version of any resource held.
+     * </pre>
+     *
      * <code>uint64 configuration_version = 2;</code>
      * @return The configurationVersion.
      */
@@ -904,6 +912,10 @@
       return configurationVersion_;
     }
     /**
+     * <pre>
+     * The highest version of any resource held.
+     * </pre>
+     *
      * <code>uint64 configuration_version = 2;</code>
      * @param value The configurationVersion to set.
      * @return This builder for chaining.
@@ -916,6 +928,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The highest version of any resource held.
+     * </pre>
+     *
      * <code>uint64 configuration_version = 2;</code>
      * @return This builder for chaining.
      */
--- a/wire/src/main/java/org/wagtailproxy/wire/HeartbeatOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/HeartbeatOrBuilder.java
@@ -26,6 +26,10 @@
   org.wagtailproxy.wire.MemberOrBuilder getMemberOrBuilder();
 
   /**
+   * <pre>
+   * The highest version of any resource held.
+   * </pre>
+   *
    * <code>uint64 configuration_version = 2;</code>
    * @return The configurationVersion.
    */
