--- /dev/null
+++ b/decisions/src/test/java/org/wagtailproxy/membership/MemberTableTest.java
@@ -0,0 +1,229 @@
+package org.wagtailproxy.membership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.identity.Incarnation;
+
+class MemberTableTest {
+
+    private static final MembershipTiming TIMING =
+            MembershipTiming.of(Duration.ofSeconds(8), Duration.ofSeconds(20), Duration.ofHours(2));
+    private static final Member SELF = member(1, "here", 1);
+    private static final Member NEIGHBOUR = member(2, "here", 2);
+    private static final Member SECOND = member(3, "here", 3);
+    private static final Member REMOTE = member(4, "there", 4);
+
+    @Test
+    void testReplicatedEndMayBePublishedWhileANeighbourAnswers() {
+        MemberTable table = table();
+        table.heard(NEIGHBOUR, seconds(5));
+        assertThat(table.mayPublish(1, seconds(12)), is(true));
+    }
+
+    @Test
+    void testEndIsWithheldAfterSilenceOfTheWithholdingTime() {
+        MemberTable table = table();
+        table.heard(NEIGHBOUR, seconds(5));
+        assertThat(table.mayPublish(1, seconds(13)), is(false));
+    }
+
+    @Test
+    void testEndThatNoNeighbourKeepsIsWithheld() {
+        MemberTable table = table();
+        table.heard(NEIGHBOUR, seconds(5));
+        assertThat(table.mayPublish(0, seconds(6)), is(false));
+    }
+
+    @Test
+    void testEndThatNoNeighbourKeepsIsPublishedIfAllOfThemAreDead() {
+        MemberTable table = table();
+        table.heard(NEIGHBOUR, seconds(5));
+        table.refused(NEIGHBOUR.peerAddress(), seconds(6));
+        assertThat(table.mayPublish(0, seconds(7)), is(true));
+    }
+
+    @Test
+    void testProofAfterAGapNeedsTheWordOfEveryNeighbour() {
+        MemberTable table = table();
+        table.heard(NEIGHBOUR, seconds(1));
+        table.heard(SECOND, seconds(1));
+        table.heard(NEIGHBOUR, seconds(60));
+        assertThat(table.mayPublish(1, seconds(61)), is(false));
+        table.heard(SECOND, seconds(61));
+        assertThat(table.mayPublish(1, seconds(62)), is(true));
+    }
+
+    @Test
+    void testProofAfterAGapIsRenewedByTheStore() {
+        MemberTable table = table();
+        table.heard(NEIGHBOUR, seconds(1));
+        table.ownSealAbsent(seconds(60));
+        assertThat(table.mayPublish(1, seconds(61)), is(true));
+    }
+
+    @Test
+    void testWordOfAnotherDataCentreIsNoProof() {
+        MemberTable table = table();
+        table.heard(NEIGHBOUR, seconds(1));
+        table.heard(REMOTE, seconds(8));
+        assertThat(table.mayPublish(1, seconds(10)), is(false));
+    }
+
+    @Test
+    void testSealedInstancePublishesNothing() {
+        MemberTable table = table();
+        table.seal(Seal.lost(SELF.incarnation()), 0);
+        assertThat(table.mayPublish(2, seconds(1)), is(false));
+    }
+
+    @Test
+    void testSilentNeighbourIsNotSealableWhileListed() {
+        MemberTable table = table();
+        table.heard(NEIGHBOUR, 0);
+        table.listed(listing(NEIGHBOUR), true, seconds(100));
+        assertThat(table.sealable(seconds(101)), is(empty()));
+    }
+
+    @Test
+    void testSilentNeighbourIsSealableOnceAbsentForTheSealingTime() {
+        MemberTable table = table();
+        table.heard(NEIGHBOUR, 0);
+        table.listed(List.of(), true, seconds(1));
+        table.listed(List.of(), true, seconds(20));
+        assertThat(table.sealable(seconds(20)), is(empty()));
+        table.listed(List.of(), true, seconds(21));
+        assertThat(table.sealable(seconds(21)), contains(NEIGHBOUR));
+    }
+
+    @Test
+    void testListThatWasNotReadHereBringsNoVerdict() {
+        MemberTable table = table();
+        table.heard(NEIGHBOUR, 0);
+        table.listed(List.of(), false, seconds(1));
+        table.listed(List.of(), false, seconds(60));
+        assertThat(table.sealable(seconds(60)), is(empty()));
+    }
+
+    @Test
+    void testInstanceElsewhereIsSealableOnlyAfterTheRemoteTime() {
+        MemberTable table = table();
+        table.heard(REMOTE, 0);
+        table.listed(List.of(), true, seconds(1));
+        table.listed(List.of(), true, seconds(7000));
+        assertThat(table.sealable(seconds(7000)), is(empty()));
+        table.listed(List.of(), true, seconds(7202));
+        assertThat(table.sealable(seconds(7202)), contains(REMOTE));
+    }
+
+    @Test
+    void testAnotherIncarnationAtTheAddressProvesDeath() {
+        MemberTable table = table();
+        table.heard(NEIGHBOUR, seconds(1));
+        table.heard(member(9, "here", 2), seconds(2));
+        assertThat(table.sealable(seconds(2)), contains(NEIGHBOUR));
+    }
+
+    @Test
+    void testLateAnswerOfTheDeadDoesNotSealItsSuccessor() {
+        MemberTable table = table();
+        Member successor = member(9, "here", 2);
+        table.told(successor, seconds(5));
+        table.heard(NEIGHBOUR, seconds(4));
+        assertThat(table.sealable(seconds(6)), is(empty()));
+    }
+
+    @Test
+    void testFirstSealStays() {
+        MemberTable table = table();
+        table.seal(Seal.lost(REMOTE.incarnation()), 0);
+        table.seal(Seal.handedOver(REMOTE.incarnation(), NEIGHBOUR), 0);
+        assertThat(table.sealOf(REMOTE.incarnation()).get().kind(), is(SealKind.LOST));
+    }
+
+    @Test
+    void testForgottenSealDoesNotComeBackByHearsay() {
+        MemberTable table = table();
+        table.told(REMOTE, 0);
+        table.seal(Seal.lost(REMOTE.incarnation()), 0);
+        table.forgetSealedBefore(seconds(1));
+        table.told(REMOTE, seconds(2));
+        assertThat(table.members(), is(empty()));
+        assertThat(table.seal(Seal.lost(REMOTE.incarnation()), seconds(2)), is(false));
+    }
+
+    /**
+     * A home and a neighbour under random cuts, store outages and list errors. The neighbour seals
+     * as soon as it may. From then on the home shows no end that the neighbour does not keep, and
+     * none at all unless the store has told it within the withholding time that it was not sealed.
+     */
+    @Property(tries = 300, seed = "20261204")
+    void testNothingIsShownThatASealCouldContradict(@ForAll long seed) {
+        Random random = new Random(seed);
+        MemberTable home = table();
+        MemberTable other = MemberTable.of(NEIGHBOUR, TIMING, 0);
+        home.heard(NEIGHBOUR, 0);
+        other.heard(SELF, 0);
+        boolean cut = false;
+        boolean storeCut = false;
+        boolean listed = true;
+        long toldNanos = 0;
+        for (int step = 1; step < 600; step++) {
+            long nowNanos = seconds(step) + random.nextInt(500_000_000);
+            cut ^= random.nextInt(30) == 0;
+            storeCut ^= random.nextInt(30) == 0;
+            listed ^= random.nextInt(30) == 0;
+            if (!cut) {
+                home.heard(NEIGHBOUR, nowNanos);
+                other.heard(SELF, nowNanos);
+            }
+            if (!storeCut && home.needsSealCheck(nowNanos)) {
+                home.ownSealAbsent(nowNanos);
+                toldNanos = nowNanos;
+            }
+            other.listed(listed ? listing(SELF) : List.of(), true, nowNanos);
+            boolean seals = !other.sealable(nowNanos).isEmpty();
+            if (seals) {
+                assertThat(home.mayPublish(0, nowNanos), is(false));
+                boolean toldLately = nowNanos - toldNanos < TIMING.withhold().toNanos();
+                assertThat(home.mayPublish(1, nowNanos) && !toldLately, is(false));
+                return;
+            }
+        }
+    }
+
+    private static MemberTable table() {
+        return MemberTable.of(SELF, TIMING, 0);
+    }
+
+    private static List<EntryListing> listing(Member... members) {
+        List<EntryListing> listings = new ArrayList<>();
+        for (Member member : members) {
+            listings.add(EntryListing.of(member.peerAddress(), member.dataCentre(), false));
+        }
+        return listings;
+    }
+
+    private static Member member(int number, String place, int host) {
+        return Member.of(
+                Incarnation.of(0, number),
+                DataCentre.of(place),
+                HostAddress.of("127.0.0." + host, 7080),
+                HostAddress.of("127.0.0." + host, 8080));
+    }
+
+    private static long seconds(long seconds) {
+        return Duration.ofSeconds(seconds).toNanos();
+    }
+}
