--- a/integration-tests/src/test/java/org/wagtailproxy/integration/BackendStandIn.java
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/BackendStandIn.java
@@ -53,7 +53,7 @@
         mFailing = failing;
     }
 
-    /** Answers under the name of another task from now on, or no longer. */
+    /** Gives the answer and the name of another task from now on, or no longer. */
     void mislabelling(boolean mislabelling) {
         mMislabelling = mislabelling;
     }
@@ -92,7 +92,8 @@
 
     private void answer(HttpExchange exchange, String task, String payload) {
         mBusy.decrementAndGet();
-        byte[] answer = answerTo(payload).getBytes(StandardCharsets.UTF_8);
+        String own = mMislabelling ? "0:another" : payload;
+        byte[] answer = answerTo(own).getBytes(StandardCharsets.UTF_8);
         try (HttpExchange open = exchange) {
             String name = mMislabelling ? "another" : task;
             open.getResponseHeaders().set("Wagtail-Task", name);
--- a/integration-tests/src/test/java/org/wagtailproxy/integration/Cluster.java
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/Cluster.java
@@ -35,10 +35,13 @@
     private final PlatformStandIn mPlatform;
     private final Map<String, String> mOverrides;
     private final List<String> mOptions;
+    private final boolean mDirect;
     private final List<Entry> mEntries = new ArrayList<>();
     private final List<Backend> mBackends = new ArrayList<>();
 
-    private Cluster(Map<String, String> overrides, List<String> options) throws IOException {
+    private Cluster(Map<String, String> overrides, List<String> options, boolean direct)
+            throws IOException {
+        mDirect = direct;
         long block = (ProcessHandle.current().pid() * 7 + CLUSTERS.incrementAndGet() * 13) % 200;
         mNetwork = "127." + (20 + block) + ".";
         mFolder = Files.createTempDirectory("wagtailproxy-cluster");
@@ -55,7 +58,19 @@
     static Cluster start(
             Map<String, String> overrides, int dataCentres, int entriesEach, double... slowness)
             throws IOException {
-        Cluster cluster = new Cluster(overrides, List.of());
+        return start(new Cluster(overrides, List.of(), false), dataCentres, entriesEach, slowness);
+    }
+
+    /** Starts a cluster for measurements, without proxies before backend servers and instances. */
+    static Cluster startDirect(
+            Map<String, String> overrides, int dataCentres, int entriesEach, double... slowness)
+            throws IOException {
+        return start(new Cluster(overrides, List.of(), true), dataCentres, entriesEach, slowness);
+    }
+
+    private static Cluster start(
+            Cluster cluster, int dataCentres, int entriesEach, double... slowness)
+            throws IOException {
         for (int place = 1; place <= dataCentres; place++) {
             for (int index = 0; index < slowness.length; index++) {
                 cluster.addBackend(place, index, slowness[index]);
@@ -138,16 +153,17 @@
 
     void list(Entry entry, boolean leaving) {
         String zone = zone(entry.place());
-        mPlatform.list("wagtailproxy", entry.host(), PEER_PROXY_PORT, zone, 1, leaving);
+        mPlatform.list("wagtailproxy", entry.host(), peerPort(), zone, 1, leaving);
     }
 
     void delist(Entry entry) {
-        mPlatform.delist(entry.host() + ":" + PEER_PROXY_PORT);
+        mPlatform.delist(entry.host() + ":" + peerPort());
     }
 
     void list(Backend backend, boolean leaving) {
         String zone = zone(backend.place());
-        mPlatform.list(SERVICE, backend.host(), BACKEND_PROXY_PORT, zone, 8, leaving);
+        int port = mDirect ? BACKEND_PORT : BACKEND_PROXY_PORT;
+        mPlatform.list(SERVICE, backend.host(), port, zone, 8, leaving);
     }
 
     void awaitReady() {
@@ -221,7 +237,7 @@
         values.put("instance.name", name);
         values.put("instance.data-centre", zone(place));
         values.put("instance.caller-address", host + ":" + CALLER_PORT);
-        values.put("instance.peer-address", host + ":" + PEER_PROXY_PORT);
+        values.put("instance.peer-address", host + ":" + peerPort());
         values.put("instance.peer-listen-address", host + ":" + PEER_PORT);
         values.put("platform.store-address", host + ":" + STORE_PORT);
         values.put("platform.list-address", host + ":" + STORE_PORT);
@@ -249,12 +265,16 @@
         for (int index = 0; index < 3; index++) {
             String seed = mNetwork + place + "." + (FIRST_ENTRY_HOST + index);
             if (!seed.equals(host)) {
-                seeds.add(seed + ":" + PEER_PROXY_PORT);
+                seeds.add(seed + ":" + peerPort());
             }
         }
         return String.join(", ", seeds);
     }
 
+    private int peerPort() {
+        return mDirect ? PEER_PORT : PEER_PROXY_PORT;
+    }
+
     private static String zone(int place) {
         return "dc-" + place;
     }
--- /dev/null
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/DemoCommand.java
@@ -0,0 +1,62 @@
+package org.wagtailproxy.integration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.wagtailproxy.integration.Cluster.Entry;
+
+/** Runs the main job on stand-ins, as an operator would. */
+final class DemoCommand {
+
+    private static final int TASKS = 100;
+    private static final int SHOWN_LINES = 14;
+
+    private DemoCommand() {}
+
+    public static void main(String[] arguments) throws Exception {
+        String control = arguments[0];
+        System.out.println("starting four entry instances in two data centres ...");
+        try (Cluster cluster = Cluster.start(2, 2, 1, 2, 4)) {
+            Entry first = cluster.entry(0);
+            Entry last = cluster.entry(3);
+            String name = cluster.caller().session(first) + ".demo";
+            Path job = Files.createTempFile("job", ".json");
+            Files.writeString(job, Caller.job(TASKS, 50));
+            System.out.println("submitting " + name + " through " + first);
+            run(control, first, "submit", name, job.toString());
+            System.out.println("awaiting its end through " + last);
+            JsonNode end = cluster.caller().awaitEnd(last, name, 60).body();
+            System.out.println("state: " + end.path("state").asText());
+            for (JsonNode task : end.path("tasks")) {
+                String line = task.path("key").asText() + " -> " + task.path("answer").asText();
+                System.out.println("  " + line);
+            }
+            System.out.println("trace, its first lines:");
+            run(control, last, "trace", name).stream()
+                    .limit(SHOWN_LINES)
+                    .forEach(System.out::println);
+            System.out.println("burn report:");
+            run(control, first, "burn").forEach(System.out::println);
+            int twice = cluster.witness().startedTwice().size();
+            System.out.println("tasks started twice, by the backend servers' count: " + twice);
+        }
+        System.exit(0);
+    }
+
+    private static List<String> run(String control, Entry entry, String... arguments)
+            throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>();
+        command.addAll(List.of(control, "--address", entry.callerAddress()));
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        String output = new String(process.getInputStream().readAllBytes());
+        if (!process.waitFor(30, TimeUnit.SECONDS) || process.exitValue() != 0) {
+            throw new IOException("wagtailctl failed: " + output);
+        }
+        return output.lines().toList();
+    }
+}
--- a/integration-tests/src/test/java/org/wagtailproxy/integration/EntryProcess.java
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/EntryProcess.java
@@ -38,6 +38,8 @@
                         .redirectErrorStream(true)
                         .redirectOutput(ProcessBuilder.Redirect.appendTo(mLog))
                         .start();
+        Process started = mProcess;
+        Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
     }
 
     /** Returns the start of a command that runs a class of the workspace. */
--- /dev/null
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/LoadReport.java
@@ -0,0 +1,103 @@
+package org.wagtailproxy.integration;
+
+import java.io.IOException;
+import org.wagtailproxy.integration.Cluster.Backend;
+import org.wagtailproxy.integration.Cluster.Entry;
+
+/**
+ * What one policy did under a load.
+ *
+ * @param policy the policy
+ * @param p50 median of response time against the ideal, by task
+ * @param p99 its 99th percentile
+ * @param mean its mean
+ * @param messages messages to and from backend servers for each task; the least is 2
+ * @param refused tasks that a backend server refused for lack of a slot
+ * @param refusedJobs jobs refused at submission
+ * @param failedJobs jobs that ended failed
+ * @param tasks tasks of all jobs that ended
+ * @param controlBytes control bytes sent and received for each instance and second
+ */
+record LoadReport(
+        String policy,
+        double p50,
+        double p99,
+        double mean,
+        double messages,
+        int refused,
+        int refusedJobs,
+        int failedJobs,
+        int tasks,
+        double controlBytes) {
+
+    static final String HEADER =
+            String.format(
+                    "%-20s %7s %8s %7s %9s %8s %8s %7s %7s %10s",
+                    "policy",
+                    "p50",
+                    "p99",
+                    "mean",
+                    "msg/task",
+                    "wasted",
+                    "refJobs",
+                    "failed",
+                    "tasks",
+                    "control/s");
+
+    static LoadReport of(String policy, Cluster cluster, OpenLoad load)
+            throws IOException, InterruptedException {
+        double[] ratios = load.sortedRatios();
+        double sum = 0;
+        for (double ratio : ratios) {
+            sum += ratio;
+        }
+        int started = 0;
+        int refused = 0;
+        for (Backend backend : cluster.backends()) {
+            started += backend.standIn().started();
+            refused += backend.standIn().refused();
+        }
+        double control = 0;
+        for (Entry entry : cluster.entries()) {
+            control += controlBytes(entry);
+        }
+        return new LoadReport(
+                policy,
+                ratios[ratios.length / 2],
+                ratios[(int) (ratios.length * 0.99)],
+                sum / ratios.length,
+                2.0 * (started + refused) / started,
+                refused,
+                load.refusedJobs(),
+                load.failedJobs(),
+                load.tasks(),
+                control / cluster.entries().size() / load.seconds());
+    }
+
+    static double controlBytes(Entry entry) throws IOException, InterruptedException {
+        double sum = 0;
+        String metrics = new Caller().send(entry, "GET", "/metrics", "").body().asText();
+        for (String line : metrics.split("\n")) {
+            if (line.startsWith("wagtailproxy_control_bytes_total")) {
+                sum += Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1));
+            }
+        }
+        return sum;
+    }
+
+    @Override
+    public String toString() {
+        return String.format(
+                "%-20s %7.2f %8.2f %7.2f %9.4f %8d %8d %7d %7d %10.0f",
+                policy,
+                p50,
+                p99,
+                mean,
+                messages,
+                refused,
+                refusedJobs,
+                failedJobs,
+                tasks,
+                controlBytes);
+    }
+}
--- /dev/null
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/LoadShape.java
@@ -0,0 +1,84 @@
+package org.wagtailproxy.integration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * A user's load at today's size: data centres, entry instances, backend servers and jobs.
+ *
+ * @param name the name on the command line
+ * @param dataCentres how many data centres
+ * @param entriesEach entry instances in each of them
+ * @param slowness the slowness of each backend server of a data centre
+ * @param spec the service as its operators declare it, without the policy
+ */
+record LoadShape(String name, int dataCentres, int entriesEach, double[] slowness, String spec) {
+
+    private static final int SLOTS = 8;
+    private static final double MEAN_TASK_MILLISECONDS = 238;
+
+    /** Weighs response time more. */
+    static final LoadShape MCHANGA =
+            new LoadShape(
+                    "mchanga",
+                    3,
+                    3,
+                    new double[] {1, 1, 1.5, 2, 2, 3, 4, 5, 6, 8},
+                    "\"overcommitPercent\": 12, \"taskTimeoutMilliseconds\": 60000");
+
+    /** Weighs wasted messages more. */
+    static final LoadShape LIMPIASOL =
+            new LoadShape(
+                    "limpiasol",
+                    4,
+                    2,
+                    new double[] {1, 1, 1.5, 2, 3, 4, 6, 8},
+                    "\"overcommitPercent\": 0, \"taskTimeoutMilliseconds\": 60000");
+
+    static LoadShape named(String name) {
+        return name.equals(LIMPIASOL.name()) ? LIMPIASOL : MCHANGA;
+    }
+
+    /** Returns the tasks per second that all backend servers can run at most. */
+    double capacity() {
+        double rate = 0;
+        for (double each : slowness) {
+            rate += SLOTS / (each * MEAN_TASK_MILLISECONDS / 1000);
+        }
+        return rate * dataCentres;
+    }
+
+    /** Draws a job: mostly a few tasks, sometimes up to 940. */
+    static List<Integer> drawTasks(SplittableRandom random) {
+        double kind = random.nextDouble();
+        int count;
+        if (kind < 0.6) {
+            count = 1 + random.nextInt(5);
+        } else if (kind < 0.9) {
+            count = 5 + random.nextInt(45);
+        } else if (kind < 0.995) {
+            count = 50 + random.nextInt(150);
+        } else {
+            count = 940;
+        }
+        List<Integer> tasks = new ArrayList<>(count);
+        for (int index = 0; index < count; index++) {
+            tasks.add(drawMilliseconds(random));
+        }
+        return tasks;
+    }
+
+    /** The mean number of tasks that {@link #drawTasks} draws. */
+    static double meanTasks() {
+        return 0.6 * 3 + 0.3 * 27 + 0.095 * 124.5 + 0.005 * 940;
+    }
+
+    private static int drawMilliseconds(SplittableRandom random) {
+        double kind = random.nextDouble();
+        if (kind < 0.9) {
+            return 50 + random.nextInt(250);
+        }
+        return kind < 0.99 ? 300 + random.nextInt(700) : 1000 + random.nextInt(2000);
+    }
+}
--- a/integration-tests/src/test/java/org/wagtailproxy/integration/SameEndIT.java
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/SameEndIT.java
@@ -7,12 +7,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
-import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.Test;
 import org.wagtailproxy.integration.Caller.Answer;
 import org.wagtailproxy.integration.Cluster.Entry;
@@ -152,56 +147,4 @@
         }
         return names;
     }
-
-    /** Collects every end that anyone was told of each job. */
-    private static final class Ends {
-        private final Cluster mCluster;
-        private final Map<String, Set<String>> mTold = new ConcurrentHashMap<>();
-        private int mSilences;
-
-        private Ends(Cluster cluster) {
-            mCluster = cluster;
-        }
-
-        private void ask(List<String> names) {
-            for (Entry entry : mCluster.entries()) {
-                for (String name : names) {
-                    askOne(entry, name);
-                }
-            }
-        }
-
-        private void askOne(Entry entry, String name) {
-            try {
-                String path = "/v1/jobs/" + name;
-                Answer answer = Impatient.get(entry, path);
-                if (answer.ended()) {
-                    mTold.computeIfAbsent(name, key -> ConcurrentHashMap.newKeySet())
-                            .add(answer.state());
-                }
-            } catch (IOException silent) {
-                mSilences++;
-            } catch (InterruptedException interrupted) {
-                Thread.currentThread().interrupt();
-            }
-        }
-
-        private int known() {
-            return mTold.size();
-        }
-
-        private Set<String> contradictions() {
-            Map<String, Set<String>> sorted = new TreeMap<>(mTold);
-            Set<String> contradictions = new TreeSet<>();
-            sorted.forEach(
-                    (name, states) -> {
-                        if (states.size() > 1) {
-                            contradictions.add(name + states);
-                        }
-                    });
-            System.out.println(
-                    "ends told of " + mTold.size() + " jobs, " + mSilences + " silences");
-            return contradictions;
-        }
-    }
 }
