Supply new neighbours with the ends that are remembered

Replicas live in memory; crashes and restarts one after the other used up the home and both of its replicas within the retention, though never at once, and nothing restored them.

Ruled out: records taken after a fence (none in the logs); two homes for one name (no task started twice).

Conclusion: one copy has to survive from one restart to the next, which takes seconds; losing a data centre's instances all at once still loses its ends (docs/PROMISES.md).

--- a/integration-tests/src/test/java/org/wagtailproxy/integration/SameEndIT.java
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/SameEndIT.java
@@ -34,6 +34,26 @@
         }
     }
 
+    @Test
+    void testEndThatWasSeenOutlivesRestartsOfEveryInstanceInTurn() throws Exception {
+        try (Cluster cluster = Cluster.start(1, 3, 1, 1)) {
+            List<String> names = submit(cluster, cluster.entry(0), "turn", 5, 20, 2);
+            for (String name : names) {
+                cluster.caller().awaitEnd(cluster.entry(1), name, 20);
+            }
+            for (Entry entry : List.of(cluster.entry(1), cluster.entry(2), cluster.entry(0))) {
+                entry.process().kill();
+                entry.process().start();
+                cluster.awaitReady(entry);
+                Thread.sleep(2000);
+            }
+            for (String name : names) {
+                Answer end = cluster.caller().awaitEnd(cluster.entry(2), name, 20);
+                assertThat(end.state(), is("complete"));
+            }
+        }
+    }
+
     @Test
     void testPausedHomeThatWakesAfterItWasSealedTellsNoOtherEnd() throws Exception {
         try (Cluster cluster = Cluster.start(1, 3, 1, 1)) {
--- a/proxy/src/main/java/org/wagtailproxy/home/EndRecords.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndRecords.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.wagtailproxy.identity.Incarnation;
@@ -88,6 +89,18 @@
         return all;
     }
 
+    /**
+     * Returns every record.
+     *
+     * @return a copy, never null
+     */
+    public synchronized List<EndRecord> everything() {
+        return mByHome.values().stream()
+                .flatMap(records -> records.values().stream())
+                .map(kept -> kept.mRecord)
+                .toList();
+    }
+
     /**
      * Forgets the records that were stored before a moment.
      *
--- a/proxy/src/main/java/org/wagtailproxy/home/EndReplicator.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndReplicator.java
@@ -69,7 +69,7 @@
             StoreEnd request =
                     StoreEnd.newBuilder()
                             .setIncarnation(Wire.incarnation(mMembers.self().incarnation()))
-                            .setRecord(record)
+                            .addRecords(record)
                             .build();
             Envelope.Builder envelope = Envelope.newBuilder().setStoreEnd(request);
             calls.add(
--- a/proxy/src/main/java/org/wagtailproxy/serve/Instance.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/Instance.java
@@ -30,6 +30,7 @@
 import org.wagtailproxy.home.JobRouter;
 import org.wagtailproxy.home.JobService;
 import org.wagtailproxy.home.NameClaims;
+import org.wagtailproxy.home.ReplicaRepair;
 import org.wagtailproxy.home.SealKeeper;
 import org.wagtailproxy.http.HttpFront;
 import org.wagtailproxy.http.HttpRoute;
@@ -97,6 +98,7 @@
     private final EndPublisher mPublisher;
     private final JobService mJobs;
     private final HandOvers mHandOvers;
+    private final ReplicaRepair mRepair;
     private final Heartbeats mHeartbeats;
     private final HttpFront mFront;
 
@@ -129,6 +131,7 @@
         mFinder = EndFinder.of(mMembers, mPeerClient, mRecords, mJobs);
         mRouter = router(nowNanos);
         mHandOvers = handOvers();
+        mRepair = ReplicaRepair.of(mMembers, mPeerClient, mHeld, mJobs, mRecords);
         mHeartbeats = heartbeats();
         mEngine.serve(mJobs);
         mCloser.register(PeerServer.start(peerListen, network, requests(), mMetrics));
@@ -291,6 +294,7 @@
         every(Duration.ofMillis(100), this::checkReady);
         every(Duration.ofSeconds(1), this::sweep);
         loop("platform-poller", this::pollInterval, mPoller::poll);
+        loop("replica-repair", () -> mSettings.peers().heartbeatInterval(), mRepair::tick);
         loop("seal-keeper", () -> mSettings.platform().pollInterval(), this::keepSeals);
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/serve/PeerRequests.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/PeerRequests.java
@@ -108,22 +108,26 @@
     }
 
     private Envelope.Builder store(StoreEnd request) {
-        EndRecord record = request.getRecord();
         Option<Incarnation> sender = Wire.incarnation(request.getIncarnation());
-        Either<Failure, JobName> name = JobName.parse(record.getJobName());
-        boolean sound = sender.isDefined() && name.isRight() && name.get().session().isDefined();
-        boolean stored = sound && store(sender.get(), name.get(), record);
+        boolean stored = sender.isDefined();
+        for (EndRecord record : request.getRecordsList()) {
+            stored = stored && store(sender.get(), record);
+        }
         return Envelope.newBuilder()
                 .setStoreEndAnswer(StoreEndAnswer.newBuilder().setStored(stored));
     }
 
-    private boolean store(Incarnation sender, JobName name, EndRecord record) {
+    private boolean store(Incarnation sender, EndRecord record) {
+        Either<Failure, JobName> name = JobName.parse(record.getJobName());
+        if (name.isLeft() || name.get().session().isEmpty()) {
+            return false;
+        }
         Option<Seal> seal = mMembers.with(table -> table.sealOf(sender));
         if (seal.exists(each -> each.kind() == SealKind.LOST)) {
             mRecords.fence(sender);
         }
-        Incarnation home = name.session().get().incarnation();
-        return mRecords.store(sender, home, name, record, System.nanoTime());
+        Incarnation home = name.get().session().get().incarnation();
+        return mRecords.store(sender, home, name.get(), record, System.nanoTime());
     }
 
     private Envelope.Builder find(FindEnd request) {
--- a/wire/src/main/java/org/wagtailproxy/wire/Peer.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Peer.java
@@ -156,32 +156,32 @@
       " \001(\014\022\017\n\007failure\030\003 \001(\t\"h\n\tEndRecord\022\020\n\010jo" +
       "b_name\030\001 \001(\t\022\026\n\016content_digest\030\002 \001(\014\022\020\n\010" +
       "complete\030\003 \001(\010\022\020\n\010document\030\004 \001(\014\022\r\n\005trac" +
-      "e\030\005 \001(\014\"M\n\010StoreEnd\022\023\n\013incarnation\030\001 \001(\014" +
-      "\022,\n\006record\030\002 \001(\0132\034.wagtailproxy.wire.End" +
-      "Record\" \n\016StoreEndAnswer\022\016\n\006stored\030\001 \001(\010" +
-      "\"B\n\007FindEnd\022\020\n\010job_name\030\001 \001(\t\022%\n\004seal\030\002 " +
-      "\001(\0132\027.wagtailproxy.wire.Seal\"=\n\rFindEndA" +
-      "nswer\022,\n\006record\030\001 \001(\0132\034.wagtailproxy.wir" +
-      "e.EndRecord\"\230\001\n\004Seal\022\023\n\013incarnation\030\001 \001(" +
-      "\014\022*\n\004kind\030\002 \001(\0162\034.wagtailproxy.wire.Seal" +
-      ".Kind\022,\n\tsuccessor\030\003 \001(\0132\031.wagtailproxy." +
-      "wire.Member\"!\n\004Kind\022\010\n\004LOST\020\000\022\017\n\013HANDED_" +
-      "OVER\020\001\"\225\001\n\010HandOver\022\023\n\013incarnation\030\001 \001(\014" +
-      "\022\016\n\006sender\030\005 \001(\014\022\030\n\020age_milliseconds\030\002 \001" +
-      "(\004\022-\n\007records\030\003 \003(\0132\034.wagtailproxy.wire." +
-      "EndRecord\022\014\n\004last\030\004 \001(\010\022\r\n\005final\030\006 \001(\010\"\037" +
-      "\n\016HandOverAnswer\022\r\n\005taken\030\001 \001(\010\"H\n\010ViewP" +
-      "ull\022\035\n\025configuration_version\030\001 \001(\004\022\035\n\025in" +
-      "stance_list_version\030\002 \001(\004\"\365\001\n\004View\022\035\n\025co" +
-      "nfiguration_version\030\001 \001(\004\022\024\n\014base_versio" +
-      "n\030\007 \001(\004\022.\n\tresources\030\002 \003(\0132\033.wagtailprox" +
-      "y.wire.Resource\022\035\n\025instance_list_version" +
-      "\030\003 \001(\004\022\025\n\rinstance_list\030\004 \001(\014\022&\n\005seals\030\005" +
-      " \003(\0132\027.wagtailproxy.wire.Seal\022*\n\007members" +
-      "\030\006 \003(\0132\031.wagtailproxy.wire.Member\"I\n\010Res" +
-      "ource\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017\n\007ver" +
-      "sion\030\003 \001(\004\022\020\n\010document\030\004 \001(\014B\033\n\025org.wagt" +
-      "ailproxy.wireH\001P\001b\006proto3"
+      "e\030\005 \001(\014\"N\n\010StoreEnd\022\023\n\013incarnation\030\001 \001(\014" +
+      "\022-\n\007records\030\002 \003(\0132\034.wagtailproxy.wire.En" +
+      "dRecord\" \n\016StoreEndAnswer\022\016\n\006stored\030\001 \001(" +
+      "\010\"B\n\007FindEnd\022\020\n\010job_name\030\001 \001(\t\022%\n\004seal\030\002" +
+      " \001(\0132\027.wagtailproxy.wire.Seal\"=\n\rFindEnd" +
+      "Answer\022,\n\006record\030\001 \001(\0132\034.wagtailproxy.wi" +
+      "re.EndRecord\"\230\001\n\004Seal\022\023\n\013incarnation\030\001 \001" +
+      "(\014\022*\n\004kind\030\002 \001(\0162\034.wagtailproxy.wire.Sea" +
+      "l.Kind\022,\n\tsuccessor\030\003 \001(\0132\031.wagtailproxy" +
+      ".wire.Member\"!\n\004Kind\022\010\n\004LOST\020\000\022\017\n\013HANDED" +
+      "_OVER\020\001\"\225\001\n\010HandOver\022\023\n\013incarnation\030\001 \001(" +
+      "\014\022\016\n\006sender\030\005 \001(\014\022\030\n\020age_milliseconds\030\002 " +
+      "\001(\004\022-\n\007records\030\003 \003(\0132\034.wagtailproxy.wire" +
+      ".EndRecord\022\014\n\004last\030\004 \001(\010\022\r\n\005final\030\006 \001(\010\"" +
+      "\037\n\016HandOverAnswer\022\r\n\005taken\030\001 \001(\010\"H\n\010View" +
+      "Pull\022\035\n\025configuration_version\030\001 \001(\004\022\035\n\025i" +
+      "nstance_list_version\030\002 \001(\004\"\365\001\n\004View\022\035\n\025c" +
+      "onfiguration_version\030\001 \001(\004\022\024\n\014base_versi" +
+      "on\030\007 \001(\004\022.\n\tresources\030\002 \003(\0132\033.wagtailpro" +
+      "xy.wire.Resource\022\035\n\025instance_list_versio" +
+      "n\030\003 \001(\004\022\025\n\rinstance_list\030\004 \001(\014\022&\n\005seals\030" +
+      "\005 \003(\0132\027.wagtailproxy.wire.Seal\022*\n\007member" +
+      "s\030\006 \003(\0132\031.wagtailproxy.wire.Member\"I\n\010Re" +
+      "source\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017\n\007ve" +
+      "rsion\030\003 \001(\004\022\020\n\010document\030\004 \001(\014B\033\n\025org.wag" +
+      "tailproxy.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -234,7 +234,7 @@
     internal_static_wagtailproxy_wire_StoreEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wagtailproxy_wire_StoreEnd_descriptor,
-        new java.lang.String[] { "Incarnation", "Record", });
+        new java.lang.String[] { "Incarnation", "Records", });
     internal_static_wagtailproxy_wire_StoreEndAnswer_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_wagtailproxy_wire_StoreEndAnswer_fieldAccessorTable = new
--- a/wire/src/main/java/org/wagtailproxy/wire/StoreEnd.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/StoreEnd.java
@@ -29,6 +29,7 @@
   }
   private StoreEnd() {
     incarnation_ = com.google.protobuf.ByteString.EMPTY;
+    records_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -49,10 +50,13 @@
             org.wagtailproxy.wire.StoreEnd.class, org.wagtailproxy.wire.StoreEnd.Builder.class);
   }
 
-  private int bitField0_;
   public static final int INCARNATION_FIELD_NUMBER = 1;
   private com.google.protobuf.ByteString incarnation_ = com.google.protobuf.ByteString.EMPTY;
   /**
+   * <pre>
+   * The sender, not the home of the jobs.
+   * </pre>
+   *
    * <code>bytes incarnation = 1;</code>
    * @return The incarnation.
    */
@@ -61,30 +65,45 @@
     return incarnation_;
   }
 
-  public static final int RECORD_FIELD_NUMBER = 2;
-  private org.wagtailproxy.wire.EndRecord record_;
+  public static final int RECORDS_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private java.util.List<org.wagtailproxy.wire.EndRecord> records_;
   /**
-   * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
-   * @return Whether the record field is set.
+   * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
    */
   @java.lang.Override
-  public boolean hasRecord() {
-    return ((bitField0_ & 0x00000001) != 0);
+  public java.util.List<org.wagtailproxy.wire.EndRecord> getRecordsList() {
+    return records_;
   }
   /**
-   * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
-   * @return The record.
+   * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
    */
   @java.lang.Override
-  public org.wagtailproxy.wire.EndRecord getRecord() {
-    return record_ == null ? org.wagtailproxy.wire.EndRecord.getDefaultInstance() : record_;
+  public java.util.List<? extends org.wagtailproxy.wire.EndRecordOrBuilder> 
+      getRecordsOrBuilderList() {
+    return records_;
   }
   /**
-   * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
+   * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
    */
   @java.lang.Override
-  public org.wagtailproxy.wire.EndRecordOrBuilder getRecordOrBuilder() {
-    return record_ == null ? org.wagtailproxy.wire.EndRecord.getDefaultInstance() : record_;
+  public int getRecordsCount() {
+    return records_.size();
+  }
+  /**
+   * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+   */
+  @java.lang.Override
+  public org.wagtailproxy.wire.EndRecord getRecords(int index) {
+    return records_.get(index);
+  }
+  /**
+   * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+   */
+  @java.lang.Override
+  public org.wagtailproxy.wire.EndRecordOrBuilder getRecordsOrBuilder(
+      int index) {
+    return records_.get(index);
   }
 
   private byte memoizedIsInitialized = -1;
@@ -104,8 +123,8 @@
     if (!incarnation_.isEmpty()) {
       output.writeBytes(1, incarnation_);
     }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeMessage(2, getRecord());
+    for (int i = 0; i < records_.size(); i++) {
+      output.writeMessage(2, records_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -115,10 +134,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(1, incarnation_);
     }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(2, getRecord());
-    }
+
+        {
+          final int count = records_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(records_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -145,11 +169,8 @@
 
     if (!getIncarnation()
         .equals(other.getIncarnation())) return false;
-    if (hasRecord() != other.hasRecord()) return false;
-    if (hasRecord()) {
-      if (!getRecord()
-          .equals(other.getRecord())) return false;
-    }
+    if (!getRecordsList()
+        .equals(other.getRecordsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -163,9 +184,9 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
     hash = (53 * hash) + getIncarnation().hashCode();
-    if (hasRecord()) {
-      hash = (37 * hash) + RECORD_FIELD_NUMBER;
-      hash = (53 * hash) + getRecord().hashCode();
+    if (getRecordsCount() > 0) {
+      hash = (37 * hash) + RECORDS_FIELD_NUMBER;
+      hash = (53 * hash) + getRecordsList().hashCode();
     }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
@@ -286,30 +307,26 @@
 
     // Construct using org.wagtailproxy.wire.StoreEnd.newBuilder()
     private Builder() {
-      maybeForceBuilderInitialization();
+
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-      maybeForceBuilderInitialization();
-    }
-    private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
-        internalGetRecordFieldBuilder();
-      }
+
     }
     @java.lang.Override
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
       incarnation_ = com.google.protobuf.ByteString.EMPTY;
-      record_ = null;
-      if (recordBuilder_ != null) {
-        recordBuilder_.dispose();
-        recordBuilder_ = null;
+      if (recordsBuilder_ == null) {
+        records_ = java.util.Collections.emptyList();
+      } else {
+        records_ = null;
+        recordsBuilder_.clear();
       }
+      bitField0_ = (bitField0_ & ~0x00000002);
       return this;
     }
 
@@ -336,24 +353,29 @@
     @java.lang.Override
     public org.wagtailproxy.wire.StoreEnd buildPartial() {
       org.wagtailproxy.wire.StoreEnd result = new org.wagtailproxy.wire.StoreEnd(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.wagtailproxy.wire.StoreEnd result) {
+      if (recordsBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0)) {
+          records_ = java.util.Collections.unmodifiableList(records_);
+          bitField0_ = (bitField0_ & ~0x00000002);
+        }
+        result.records_ = records_;
+      } else {
+        result.records_ = recordsBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.wagtailproxy.wire.StoreEnd result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.incarnation_ = incarnation_;
       }
-      int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.record_ = recordBuilder_ == null
-            ? record_
-            : recordBuilder_.build();
-        to_bitField0_ |= 0x00000001;
-      }
-      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -371,8 +393,31 @@
       if (!other.getIncarnation().isEmpty()) {
         setIncarnation(other.getIncarnation());
       }
-      if (other.hasRecord()) {
-        mergeRecord(other.getRecord());
+      if (recordsBuilder_ == null) {
+        if (!other.records_.isEmpty()) {
+          if (records_.isEmpty()) {
+            records_ = other.records_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+          } else {
+            ensureRecordsIsMutable();
+            records_.addAll(other.records_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.records_.isEmpty()) {
+          if (recordsBuilder_.isEmpty()) {
+            recordsBuilder_.dispose();
+            recordsBuilder_ = null;
+            records_ = other.records_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+            recordsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetRecordsFieldBuilder() : null;
+          } else {
+            recordsBuilder_.addAllMessages(other.records_);
+          }
+        }
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -404,10 +449,16 @@
               break;
             } // case 10
             case 18: {
-              input.readMessage(
-                  internalGetRecordFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000002;
+              org.wagtailproxy.wire.EndRecord m =
+                  input.readMessage(
+                      org.wagtailproxy.wire.EndRecord.parser(),
+                      extensionRegistry);
+              if (recordsBuilder_ == null) {
+                ensureRecordsIsMutable();
+                records_.add(m);
+              } else {
+                recordsBuilder_.addMessage(m);
+              }
               break;
             } // case 18
             default: {
@@ -429,6 +480,10 @@
 
     private com.google.protobuf.ByteString incarnation_ = com.google.protobuf.ByteString.EMPTY;
     /**
+     * <pre>
+     * The sender, not the home of the jobs.
+     * </pre>
+     *
      * <code>bytes incarnation = 1;</code>
      * @return The incarnation.
      */
@@ -437,6 +492,10 @@
       return incarnation_;
     }
     /**
+     * <pre>
+     * The sender, not the home of the jobs.
+     * </pre>
+     *
      * <code>bytes incarnation = 1;</code>
      * @param value The incarnation to set.
      * @return This builder for chaining.
@@ -449,6 +508,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The sender, not the home of the jobs.
+     * </pre>
+     *
      * <code>bytes incarnation = 1;</code>
      * @return This builder for chaining.
      */
@@ -459,123 +522,238 @@
       return this;
     }
 
-    private org.wagtailproxy.wire.EndRecord record_;
-    private com.google.protobuf.SingleFieldBuilder<
-        org.wagtailproxy.wire.EndRecord, org.wagtailproxy.wire.EndRecord.Builder, org.wagtailproxy.wire.EndRecordOrBuilder> recordBuilder_;
+    private java.util.List<org.wagtailproxy.wire.EndRecord> records_ =
+      java.util.Collections.emptyList();
+    private void ensureRecordsIsMutable() {
+      if (!((bitField0_ & 0x00000002) != 0)) {
+        records_ = new java.util.ArrayList<org.wagtailproxy.wire.EndRecord>(records_);
+        bitField0_ |= 0x00000002;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.wagtailproxy.wire.EndRecord, org.wagtailproxy.wire.EndRecord.Builder, org.wagtailproxy.wire.EndRecordOrBuilder> recordsBuilder_;
+
+    /**
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+     */
+    public java.util.List<org.wagtailproxy.wire.EndRecord> getRecordsList() {
+      if (recordsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(records_);
+      } else {
+        return recordsBuilder_.getMessageList();
+      }
+    }
     /**
-     * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
-     * @return Whether the record field is set.
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
      */
-    public boolean hasRecord() {
-      return ((bitField0_ & 0x00000002) != 0);
+    public int getRecordsCount() {
+      if (recordsBuilder_ == null) {
+        return records_.size();
+      } else {
+        return recordsBuilder_.getCount();
+      }
     }
     /**
-     * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
-     * @return The record.
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
      */
-    public org.wagtailproxy.wire.EndRecord getRecord() {
-      if (recordBuilder_ == null) {
-        return record_ == null ? org.wagtailproxy.wire.EndRecord.getDefaultInstance() : record_;
+    public org.wagtailproxy.wire.EndRecord getRecords(int index) {
+      if (recordsBuilder_ == null) {
+        return records_.get(index);
       } else {
-        return recordBuilder_.getMessage();
+        return recordsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
      */
-    public Builder setRecord(org.wagtailproxy.wire.EndRecord value) {
-      if (recordBuilder_ == null) {
+    public Builder setRecords(
+        int index, org.wagtailproxy.wire.EndRecord value) {
+      if (recordsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        record_ = value;
+        ensureRecordsIsMutable();
+        records_.set(index, value);
+        onChanged();
       } else {
-        recordBuilder_.setMessage(value);
+        recordsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+     */
+    public Builder setRecords(
+        int index, org.wagtailproxy.wire.EndRecord.Builder builderForValue) {
+      if (recordsBuilder_ == null) {
+        ensureRecordsIsMutable();
+        records_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        recordsBuilder_.setMessage(index, builderForValue.build());
       }
-      bitField0_ |= 0x00000002;
-      onChanged();
       return this;
     }
     /**
-     * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
      */
-    public Builder setRecord(
+    public Builder addRecords(org.wagtailproxy.wire.EndRecord value) {
+      if (recordsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRecordsIsMutable();
+        records_.add(value);
+        onChanged();
+      } else {
+        recordsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+     */
+    public Builder addRecords(
+        int index, org.wagtailproxy.wire.EndRecord value) {
+      if (recordsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRecordsIsMutable();
+        records_.add(index, value);
+        onChanged();
+      } else {
+        recordsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+     */
+    public Builder addRecords(
         org.wagtailproxy.wire.EndRecord.Builder builderForValue) {
-      if (recordBuilder_ == null) {
-        record_ = builderForValue.build();
+      if (recordsBuilder_ == null) {
+        ensureRecordsIsMutable();
+        records_.add(builderForValue.build());
+        onChanged();
       } else {
-        recordBuilder_.setMessage(builderForValue.build());
+        recordsBuilder_.addMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00000002;
-      onChanged();
       return this;
     }
     /**
-     * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
      */
-    public Builder mergeRecord(org.wagtailproxy.wire.EndRecord value) {
-      if (recordBuilder_ == null) {
-        if (((bitField0_ & 0x00000002) != 0) &&
-          record_ != null &&
-          record_ != org.wagtailproxy.wire.EndRecord.getDefaultInstance()) {
-          getRecordBuilder().mergeFrom(value);
-        } else {
-          record_ = value;
-        }
+    public Builder addRecords(
+        int index, org.wagtailproxy.wire.EndRecord.Builder builderForValue) {
+      if (recordsBuilder_ == null) {
+        ensureRecordsIsMutable();
+        records_.add(index, builderForValue.build());
+        onChanged();
       } else {
-        recordBuilder_.mergeFrom(value);
+        recordsBuilder_.addMessage(index, builderForValue.build());
       }
-      if (record_ != null) {
-        bitField0_ |= 0x00000002;
+      return this;
+    }
+    /**
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+     */
+    public Builder addAllRecords(
+        java.lang.Iterable<? extends org.wagtailproxy.wire.EndRecord> values) {
+      if (recordsBuilder_ == null) {
+        ensureRecordsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, records_);
         onChanged();
+      } else {
+        recordsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
      */
-    public Builder clearRecord() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      record_ = null;
-      if (recordBuilder_ != null) {
-        recordBuilder_.dispose();
-        recordBuilder_ = null;
+    public Builder clearRecords() {
+      if (recordsBuilder_ == null) {
+        records_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+      } else {
+        recordsBuilder_.clear();
       }
-      onChanged();
       return this;
     }
     /**
-     * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
      */
-    public org.wagtailproxy.wire.EndRecord.Builder getRecordBuilder() {
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return internalGetRecordFieldBuilder().getBuilder();
+    public Builder removeRecords(int index) {
+      if (recordsBuilder_ == null) {
+        ensureRecordsIsMutable();
+        records_.remove(index);
+        onChanged();
+      } else {
+        recordsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+     */
+    public org.wagtailproxy.wire.EndRecord.Builder getRecordsBuilder(
+        int index) {
+      return internalGetRecordsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+     */
+    public org.wagtailproxy.wire.EndRecordOrBuilder getRecordsOrBuilder(
+        int index) {
+      if (recordsBuilder_ == null) {
+        return records_.get(index);  } else {
+        return recordsBuilder_.getMessageOrBuilder(index);
+      }
     }
     /**
-     * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
      */
-    public org.wagtailproxy.wire.EndRecordOrBuilder getRecordOrBuilder() {
-      if (recordBuilder_ != null) {
-        return recordBuilder_.getMessageOrBuilder();
+    public java.util.List<? extends org.wagtailproxy.wire.EndRecordOrBuilder> 
+         getRecordsOrBuilderList() {
+      if (recordsBuilder_ != null) {
+        return recordsBuilder_.getMessageOrBuilderList();
       } else {
-        return record_ == null ?
-            org.wagtailproxy.wire.EndRecord.getDefaultInstance() : record_;
+        return java.util.Collections.unmodifiableList(records_);
       }
     }
     /**
-     * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+     */
+    public org.wagtailproxy.wire.EndRecord.Builder addRecordsBuilder() {
+      return internalGetRecordsFieldBuilder().addBuilder(
+          org.wagtailproxy.wire.EndRecord.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+     */
+    public org.wagtailproxy.wire.EndRecord.Builder addRecordsBuilder(
+        int index) {
+      return internalGetRecordsFieldBuilder().addBuilder(
+          index, org.wagtailproxy.wire.EndRecord.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
      */
-    private com.google.protobuf.SingleFieldBuilder<
+    public java.util.List<org.wagtailproxy.wire.EndRecord.Builder> 
+         getRecordsBuilderList() {
+      return internalGetRecordsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
         org.wagtailproxy.wire.EndRecord, org.wagtailproxy.wire.EndRecord.Builder, org.wagtailproxy.wire.EndRecordOrBuilder> 
-        internalGetRecordFieldBuilder() {
-      if (recordBuilder_ == null) {
-        recordBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+        internalGetRecordsFieldBuilder() {
+      if (recordsBuilder_ == null) {
+        recordsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wagtailproxy.wire.EndRecord, org.wagtailproxy.wire.EndRecord.Builder, org.wagtailproxy.wire.EndRecordOrBuilder>(
-                getRecord(),
+                records_,
+                ((bitField0_ & 0x00000002) != 0),
                 getParentForChildren(),
                 isClean());
-        record_ = null;
+        records_ = null;
       }
-      return recordBuilder_;
+      return recordsBuilder_;
     }
 
     // @@protoc_insertion_point(builder_scope:wagtailproxy.wire.StoreEnd)
--- a/wire/src/main/java/org/wagtailproxy/wire/StoreEndOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/StoreEndOrBuilder.java
@@ -11,23 +11,36 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * The sender, not the home of the jobs.
+   * </pre>
+   *
    * <code>bytes incarnation = 1;</code>
    * @return The incarnation.
    */
   com.google.protobuf.ByteString getIncarnation();
 
   /**
-   * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
-   * @return Whether the record field is set.
+   * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
    */
-  boolean hasRecord();
+  java.util.List<org.wagtailproxy.wire.EndRecord> 
+      getRecordsList();
   /**
-   * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
-   * @return The record.
+   * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
    */
-  org.wagtailproxy.wire.EndRecord getRecord();
+  org.wagtailproxy.wire.EndRecord getRecords(int index);
   /**
-   * <code>.wagtailproxy.wire.EndRecord record = 2;</code>
+   * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
    */
-  org.wagtailproxy.wire.EndRecordOrBuilder getRecordOrBuilder();
+  int getRecordsCount();
+  /**
+   * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+   */
+  java.util.List<? extends org.wagtailproxy.wire.EndRecordOrBuilder> 
+      getRecordsOrBuilderList();
+  /**
+   * <code>repeated .wagtailproxy.wire.EndRecord records = 2;</code>
+   */
+  org.wagtailproxy.wire.EndRecordOrBuilder getRecordsOrBuilder(
+      int index);
 }
