--- a/proxy/src/main/java/org/wagtailproxy/settings/SettingsReader.java
+++ b/proxy/src/main/java/org/wagtailproxy/settings/SettingsReader.java
@@ -99,7 +99,7 @@
     }
 
     private void loadSection(INIConfiguration configuration, String section) {
-        Set<String> known = KEYS.get(section);
+        Set<String> known = section == null ? null : KEYS.get(section);
         if (known == null) {
             String name = section == null ? "(before the first section)" : section;
             problem(
