--- a/integration-tests/src/test/java/org/wagtailproxy/integration/BackendStandIn.java
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/BackendStandIn.java
@@ -33,7 +33,6 @@
 
     BackendStandIn(String host, int port, double slowness, int slots, Witness witness)
             throws IOException {
-        System.setProperty("sun.net.httpserver.nodelay", "true");
         mAddress = host + ":" + port;
         mWitness = witness;
         mSlowness = slowness;
--- a/integration-tests/src/test/java/org/wagtailproxy/integration/PlatformStandIn.java
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/PlatformStandIn.java
@@ -20,6 +20,10 @@
 /** Stands in for the platform: a key-value service and an instance list, with their faults. */
 final class PlatformStandIn implements Closeable {
 
+    static {
+        System.setProperty("sun.net.httpserver.nodelay", "true");
+    }
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final HttpServer mServer;
