Divide slots by published demand, and shorten heartbeats

Each instance divided slots by its own demand of this moment and the others' demand as last told, so that shares overlapped while demand grew.

Change: an instance divides by the demand that it has published, in rounds that reach all neighbours together and come earlier when demand jumps; a heartbeat tells who sent it only until the receiver has answered.

--- a/decisions/src/main/java/org/wagtailproxy/membership/MemberTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/membership/MemberTable.java
@@ -201,6 +201,21 @@
         return Option.of(mKnown.get(incarnation)).map(known -> known.mMember);
     }
 
+    /**
+     * Finds a member by the lower half of its incarnation.
+     *
+     * @param low the lower 64 bits
+     * @return the member, none if it is not known
+     */
+    public Option<Member> findByLow(long low) {
+        for (Known known : mKnown.values()) {
+            if (known.mMember.incarnation().low() == low) {
+                return Option.some(known.mMember);
+            }
+        }
+        return Option.none();
+    }
+
     /**
      * Returns the members that were heard within the sealing time, without this one.
      *
--- a/proxy/src/main/java/org/wagtailproxy/engine/DispatchEngine.java
+++ b/proxy/src/main/java/org/wagtailproxy/engine/DispatchEngine.java
@@ -149,8 +149,7 @@
         mLanes.forEach(
                 (name, lane) -> {
                     lane.expire();
-                    int demand = lane.use(ServiceDispatch::demand);
-                    ShareView shares = mBoard.shares(name, demand, nowNanos);
+                    ShareView shares = mBoard.shares(name, nowNanos);
                     lane.use(
                             dispatch -> {
                                 dispatch.share(shares);
@@ -180,6 +179,11 @@
         tick();
     }
 
+    @Override
+    public int demand() {
+        return mLanes.values().stream().mapToInt(lane -> lane.use(ServiceDispatch::demand)).sum();
+    }
+
     @Override
     public List<Demand> serviceDemands() {
         List<Demand> demands = new ArrayList<>();
@@ -214,7 +218,6 @@
     }
 
     private void adjustQuotas(long nowNanos) {
-        Map<TeamName, Integer> demand = demandByTeam();
         Map<DataCentre, Integer> perDataCentre = new HashMap<>();
         for (EntryListing entry : mView.list().entries()) {
             perDataCentre.merge(entry.dataCentre(), 1, Integer::sum);
@@ -223,9 +226,7 @@
         mView.teams()
                 .forEach(
                         (team, spec) -> {
-                            int own = demand.getOrDefault(team, 0);
-                            int limit =
-                                    mBoard.quota(team, spec.quota(), own, perDataCentre, nowNanos);
+                            int limit = mBoard.quota(team, spec.quota(), perDataCentre, nowNanos);
                             mQuotas.limit(team, limit, spec.weight());
                         });
     }
--- a/proxy/src/main/java/org/wagtailproxy/peer/DemandBoard.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/DemandBoard.java
@@ -24,6 +24,12 @@
  */
 public final class DemandBoard {
 
+    /** A smaller change is not worth a heartbeat of its own. */
+    private static final int JUMP_TASKS = 8;
+
+    private volatile int mPublishedDemand;
+    private volatile List<Demand> mPublishedServices = List.of();
+    private volatile List<Demand> mPublishedTeams = List.of();
     private final Members mMembers;
     private final Map<Incarnation, Told> mTold = new ConcurrentHashMap<>();
 
@@ -41,6 +47,49 @@
         return new DemandBoard(members);
     }
 
+    /**
+     * Sets the own demand that heartbeats tell and that slots are divided by.
+     *
+     * @param demand tasks over all services
+     * @param services the demand for each service, not null
+     * @param teams the demand of each team, not null
+     */
+    public void publish(int demand, List<Demand> services, List<Demand> teams) {
+        mPublishedDemand = demand;
+        mPublishedServices = List.copyOf(services);
+        mPublishedTeams = List.copyOf(teams);
+    }
+
+    /**
+     * Tests whether the demand differs from the published one so much that it ought to be told.
+     *
+     * @param demand tasks over all services now
+     * @return true if it has doubled or halved and differs by more than a few
+     */
+    public boolean jumped(int demand) {
+        int published = mPublishedDemand;
+        int difference = Math.abs(demand - published);
+        return difference > JUMP_TASKS && 2 * difference > Math.max(demand, published);
+    }
+
+    /**
+     * Returns the published demand for each service.
+     *
+     * @return an unmodifiable list, never null
+     */
+    public List<Demand> publishedServices() {
+        return mPublishedServices;
+    }
+
+    /**
+     * Returns the published demand of each team.
+     *
+     * @return an unmodifiable list, never null
+     */
+    public List<Demand> publishedTeams() {
+        return mPublishedTeams;
+    }
+
     /**
      * Notes the demand of a heartbeat.
      *
@@ -69,18 +118,17 @@
      * Divides the slots of a service.
      *
      * @param service the service, not null
-     * @param ownDemand tasks queued or in flight here
      * @param nowNanos the monotonic time in nanoseconds
      * @return what this instance may use, never null
      */
-    public ShareView shares(ServiceName service, int ownDemand, long nowNanos) {
+    public ShareView shares(ServiceName service, long nowNanos) {
         int hash = Names.hash(service.value());
         List<Member> live = mMembers.with(table -> table.live(nowNanos));
         TreeMap<Incarnation, Integer> local = new TreeMap<>();
         Map<DataCentre, Integer> idle = new HashMap<>();
         Map<DataCentre, Integer> count = new HashMap<>();
         DataCentre home = mMembers.self().dataCentre();
-        local.put(mMembers.self().incarnation(), ownDemand);
+        local.put(mMembers.self().incarnation(), published(mPublishedServices, hash));
         for (Member member : live) {
             Demand demand = told(member).mServices.get(hash);
             int tasks = demand == null ? 0 : demand.getTasks();
@@ -103,24 +151,19 @@
      *
      * @param team the team, not null
      * @param quota tasks in flight over all instances
-     * @param ownDemand tasks queued or in flight here
      * @param perDataCentre listed entry instances of each data centre, the own one included
      * @param nowNanos the monotonic time in nanoseconds
      * @return how many tasks of the team this instance may have in flight
      */
     public int quota(
-            TeamName team,
-            int quota,
-            int ownDemand,
-            Map<DataCentre, Integer> perDataCentre,
-            long nowNanos) {
+            TeamName team, int quota, Map<DataCentre, Integer> perDataCentre, long nowNanos) {
         int hash = Names.hash(team.value());
         DataCentre home = mMembers.self().dataCentre();
         TreeMap<DataCentre, Integer> places = new TreeMap<>(perDataCentre);
         int ownPlace = places.headMap(home).size();
         int here = Shares.share(quota, new ArrayList<>(places.values()), ownPlace, hash);
         TreeMap<Incarnation, Integer> local = new TreeMap<>();
-        local.put(mMembers.self().incarnation(), ownDemand);
+        local.put(mMembers.self().incarnation(), published(mPublishedTeams, hash));
         for (Member member : mMembers.with(table -> table.liveIn(home, nowNanos))) {
             Demand demand = told(member).mTeams.get(hash);
             local.put(member.incarnation(), demand == null ? 0 : demand.getTasks());
@@ -129,6 +172,14 @@
         return Shares.share(here, new ArrayList<>(local.values()), own, hash);
     }
 
+    private static int published(List<Demand> demands, int hash) {
+        return demands.stream()
+                .filter(demand -> demand.getNameHash() == hash)
+                .mapToInt(Demand::getTasks)
+                .findFirst()
+                .orElse(0);
+    }
+
     private static Map<DataCentre, Integer> lendable(
             Map<DataCentre, Integer> idle, Map<DataCentre, Integer> count, int instances) {
         Map<DataCentre, Integer> lendable = new HashMap<>();
--- a/proxy/src/main/java/org/wagtailproxy/peer/DemandSource.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/DemandSource.java
@@ -6,6 +6,13 @@
 /** Tells the demand of this instance. */
 public interface DemandSource {
 
+    /**
+     * Counts the tasks queued or in flight.
+     *
+     * @return the number over all services
+     */
+    int demand();
+
     /**
      * Returns the demand for each service that has any or can lend slots.
      *
--- a/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
@@ -13,7 +13,6 @@
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.failure.FailureKind;
 import org.wagtailproxy.identity.HostAddress;
-import org.wagtailproxy.identity.Incarnation;
 import org.wagtailproxy.membership.HeartbeatPace;
 import org.wagtailproxy.membership.Member;
 import org.wagtailproxy.membership.Seal;
@@ -38,6 +37,9 @@
     private static final double EXCHANGE_GAIN = 0.1;
     private static final int FRAME_BYTES = 8;
 
+    /** How many rounds there are at most in the time of one, while demand jumps. */
+    private static final int HURRIED_ROUNDS = 4;
+
     private final PeerSettings mSettings;
     private final Members mMembers;
     private final PeerClient mClient;
@@ -47,8 +49,10 @@
     private final DemandBoard mBoard;
     private final EventLog mLog;
     private final Map<HostAddress, Long> mDueNanos = new HashMap<>();
+    private final Map<HostAddress, Member> mAnswered = new ConcurrentHashMap<>();
     private final Set<HostAddress> mInFlight = ConcurrentHashMap.newKeySet();
     private final Set<HostAddress> mReached = ConcurrentHashMap.newKeySet();
+    private long mPublishedNanos = System.nanoTime();
     private volatile double mExchangeBytes = INITIAL_EXCHANGE_BYTES;
 
     private Heartbeats(Builder builder) {
@@ -77,6 +81,7 @@
                         mExchangeBytes,
                         mSettings.controlBytesPerSecond());
         mDueNanos.keySet().retainAll(addresses);
+        publishDemand(nowNanos, (long) (mSettings.heartbeatInterval().toNanos() * stretch));
         for (HostAddress address : addresses) {
             long dueNanos = mDueNanos.getOrDefault(address, nowNanos);
             if (nowNanos - dueNanos >= 0 && mInFlight.add(address)) {
@@ -87,6 +92,21 @@
         }
     }
 
+    /**
+     * Publishes the own demand in rounds that reach all neighbours together, so that all divide by
+     * the same figures; a jump brings the next round forward.
+     */
+    private void publishDemand(long nowNanos, long intervalNanos) {
+        long agoNanos = nowNanos - mPublishedNanos;
+        boolean jumped =
+                agoNanos >= intervalNanos / HURRIED_ROUNDS && mBoard.jumped(mDemands.demand());
+        if (agoNanos >= intervalNanos || jumped) {
+            mPublishedNanos = nowNanos;
+            mBoard.publish(mDemands.demand(), mDemands.serviceDemands(), mDemands.teamDemands());
+            hurry();
+        }
+    }
+
     /** Makes the heartbeats to all neighbours due at once. */
     public synchronized void hurry() {
         long nowNanos = System.nanoTime();
@@ -102,7 +122,7 @@
      * @return the own heartbeat as the answer, never null
      */
     public Envelope.Builder handle(Heartbeat heartbeat) {
-        Option<Member> sender = Wire.member(heartbeat.getMember());
+        Option<Member> sender = senderOf(heartbeat);
         sender.forEach(
                 member -> {
                     mMembers.with(
@@ -112,7 +132,23 @@
                             });
                     mBoard.tell(member, heartbeat);
                 });
-        return Envelope.newBuilder().setHeartbeat(own(sender.map(Member::incarnation)));
+        boolean known = heartbeat.getReceiver() == mMembers.self().incarnation().low();
+        Heartbeat.Builder answer = own(known).setUnknownSender(sender.isEmpty());
+        sender.forEach(
+                member ->
+                        answer.setKnowsYouSealed(
+                                mMembers.with(
+                                        table -> table.sealOf(member.incarnation()).isDefined())));
+        return Envelope.newBuilder().setHeartbeat(answer);
+    }
+
+    /** Reads who sent a request; one that does not say so must be known by its incarnation. */
+    private Option<Member> senderOf(Heartbeat heartbeat) {
+        if (heartbeat.hasMember()) {
+            return Wire.member(heartbeat.getMember());
+        }
+        return mMembers.with(table -> table.findByLow(heartbeat.getSender()))
+                .map(member -> heartbeat.getLeaving() ? member.asLeaving() : member);
     }
 
     private List<HostAddress> addresses() {
@@ -138,7 +174,12 @@
         long sentNanos = System.nanoTime();
         Duration doubled = interval(address).multipliedBy(2);
         Duration timeout = doubled.compareTo(SHORTEST_TIMEOUT) < 0 ? SHORTEST_TIMEOUT : doubled;
-        Envelope.Builder request = Envelope.newBuilder().setHeartbeat(own(Option.none()));
+        Member receiver = mAnswered.get(address);
+        Heartbeat.Builder heartbeat = own(receiver != null);
+        if (receiver != null) {
+            heartbeat.setReceiver(receiver.incarnation().low());
+        }
+        Envelope.Builder request = Envelope.newBuilder().setHeartbeat(heartbeat);
         int requestBytes = request.getHeartbeat().getSerializedSize() + FRAME_BYTES;
         mClient.call(address, request, timeout)
                 .thenAccept(answer -> answered(address, sentNanos, requestBytes, answer));
@@ -157,14 +198,24 @@
         Heartbeat heartbeat = answer.get().getHeartbeat();
         int bytes = requestBytes + heartbeat.getSerializedSize() + FRAME_BYTES;
         mExchangeBytes += EXCHANGE_GAIN * (bytes - mExchangeBytes);
-        Option<Member> member = Wire.member(heartbeat.getMember());
-        if (member.isEmpty()) {
-            return;
+        Option<Member> member = answererOf(address, heartbeat);
+        if (member.isEmpty() || heartbeat.getUnknownSender()) {
+            mAnswered.remove(address);
         }
-        boolean usable = member.get().peerAddress().equals(address);
-        if (usable) {
-            heard(member.get(), heartbeat, sentNanos);
+        member.filter(each -> each.peerAddress().equals(address))
+                .forEach(each -> heard(each, heartbeat, sentNanos));
+    }
+
+    /** Reads who answered; an answer that does not say so must come from whom was addressed. */
+    private Option<Member> answererOf(HostAddress address, Heartbeat heartbeat) {
+        if (heartbeat.hasMember()) {
+            Option<Member> member = Wire.member(heartbeat.getMember());
+            member.forEach(each -> mAnswered.put(address, each));
+            return member;
         }
+        return Option.of(mAnswered.get(address))
+                .filter(known -> known.incarnation().low() == heartbeat.getSender())
+                .map(known -> heartbeat.getLeaving() ? known.asLeaving() : known);
     }
 
     private void heard(Member member, Heartbeat heartbeat, long sentNanos) {
@@ -210,20 +261,19 @@
         }
     }
 
-    private Heartbeat own(Option<Incarnation> receiver) {
+    /** Writes the own heartbeat, with who this is unless the receiver knows. */
+    private Heartbeat.Builder own(boolean known) {
+        Member self = mMembers.self();
         Heartbeat.Builder heartbeat =
                 Heartbeat.newBuilder()
-                        .setMember(Wire.member(mMembers.self()))
+                        .setSender(self.incarnation().low())
+                        .setLeaving(self.leaving())
                         .setConfigurationVersion(mView.highestVersion())
                         .setInstanceListVersion(mView.list().version())
                         .setSealDigest(sealDigest())
-                        .addAllServiceDemands(mDemands.serviceDemands())
-                        .addAllTeamDemands(mDemands.teamDemands());
-        receiver.forEach(
-                each ->
-                        heartbeat.setKnowsYouSealed(
-                                mMembers.with(table -> table.sealOf(each).isDefined())));
-        return heartbeat.build();
+                        .addAllServiceDemands(mBoard.publishedServices())
+                        .addAllTeamDemands(mBoard.publishedTeams());
+        return known ? heartbeat : heartbeat.setMember(Wire.member(self));
     }
 
     private int sealDigest() {
--- a/wire/src/main/java/org/wagtailproxy/wire/Heartbeat.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Heartbeat.java
@@ -58,6 +58,10 @@
   public static final int MEMBER_FIELD_NUMBER = 1;
   private org.wagtailproxy.wire.Member member_;
   /**
+   * <pre>
+   * Left out when the receiver is known to know the sender.
+   * </pre>
+   *
    * <code>.wagtailproxy.wire.Member member = 1;</code>
    * @return Whether the member field is set.
    */
@@ -66,6 +70,10 @@
     return ((bitField0_ & 0x00000001) != 0);
   }
   /**
+   * <pre>
+   * Left out when the receiver is known to know the sender.
+   * </pre>
+   *
    * <code>.wagtailproxy.wire.Member member = 1;</code>
    * @return The member.
    */
@@ -74,6 +82,10 @@
     return member_ == null ? org.wagtailproxy.wire.Member.getDefaultInstance() : member_;
   }
   /**
+   * <pre>
+   * Left out when the receiver is known to know the sender.
+   * </pre>
+   *
    * <code>.wagtailproxy.wire.Member member = 1;</code>
    */
   @java.lang.Override
@@ -81,6 +93,58 @@
     return member_ == null ? org.wagtailproxy.wire.Member.getDefaultInstance() : member_;
   }
 
+  public static final int SENDER_FIELD_NUMBER = 8;
+  private long sender_ = 0L;
+  /**
+   * <pre>
+   * The lower halves of incarnations; the receiver is 0 if it is not known.
+   * </pre>
+   *
+   * <code>fixed64 sender = 8;</code>
+   * @return The sender.
+   */
+  @java.lang.Override
+  public long getSender() {
+    return sender_;
+  }
+
+  public static final int RECEIVER_FIELD_NUMBER = 9;
+  private long receiver_ = 0L;
+  /**
+   * <code>fixed64 receiver = 9;</code>
+   * @return The receiver.
+   */
+  @java.lang.Override
+  public long getReceiver() {
+    return receiver_;
+  }
+
+  public static final int LEAVING_FIELD_NUMBER = 10;
+  private boolean leaving_ = false;
+  /**
+   * <code>bool leaving = 10;</code>
+   * @return The leaving.
+   */
+  @java.lang.Override
+  public boolean getLeaving() {
+    return leaving_;
+  }
+
+  public static final int UNKNOWN_SENDER_FIELD_NUMBER = 11;
+  private boolean unknownSender_ = false;
+  /**
+   * <pre>
+   * The sender of the request has to tell who it is.
+   * </pre>
+   *
+   * <code>bool unknown_sender = 11;</code>
+   * @return The unknownSender.
+   */
+  @java.lang.Override
+  public boolean getUnknownSender() {
+    return unknownSender_;
+  }
+
   public static final int CONFIGURATION_VERSION_FIELD_NUMBER = 2;
   private long configurationVersion_ = 0L;
   /**
@@ -246,6 +310,18 @@
     if (knowsYouSealed_ != false) {
       output.writeBool(7, knowsYouSealed_);
     }
+    if (sender_ != 0L) {
+      output.writeFixed64(8, sender_);
+    }
+    if (receiver_ != 0L) {
+      output.writeFixed64(9, receiver_);
+    }
+    if (leaving_ != false) {
+      output.writeBool(10, leaving_);
+    }
+    if (unknownSender_ != false) {
+      output.writeBool(11, unknownSender_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -288,6 +364,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, knowsYouSealed_);
     }
+    if (sender_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(8, sender_);
+    }
+    if (receiver_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(9, receiver_);
+    }
+    if (leaving_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, leaving_);
+    }
+    if (unknownSender_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(11, unknownSender_);
+    }
     return size;
   }
   @java.lang.Override
@@ -317,6 +409,14 @@
       if (!getMember()
           .equals(other.getMember())) return false;
     }
+    if (getSender()
+        != other.getSender()) return false;
+    if (getReceiver()
+        != other.getReceiver()) return false;
+    if (getLeaving()
+        != other.getLeaving()) return false;
+    if (getUnknownSender()
+        != other.getUnknownSender()) return false;
     if (getConfigurationVersion()
         != other.getConfigurationVersion()) return false;
     if (getInstanceListVersion()
@@ -344,6 +444,18 @@
       hash = (37 * hash) + MEMBER_FIELD_NUMBER;
       hash = (53 * hash) + getMember().hashCode();
     }
+    hash = (37 * hash) + SENDER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSender());
+    hash = (37 * hash) + RECEIVER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getReceiver());
+    hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLeaving());
+    hash = (37 * hash) + UNKNOWN_SENDER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getUnknownSender());
     hash = (37 * hash) + CONFIGURATION_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigurationVersion());
@@ -511,6 +623,10 @@
         memberBuilder_.dispose();
         memberBuilder_ = null;
       }
+      sender_ = 0L;
+      receiver_ = 0L;
+      leaving_ = false;
+      unknownSender_ = false;
       configurationVersion_ = 0L;
       instanceListVersion_ = 0L;
       sealDigest_ = 0;
@@ -520,14 +636,14 @@
         serviceDemands_ = null;
         serviceDemandsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000100);
       if (teamDemandsBuilder_ == null) {
         teamDemands_ = java.util.Collections.emptyList();
       } else {
         teamDemands_ = null;
         teamDemandsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000020);
+      bitField0_ = (bitField0_ & ~0x00000200);
       knowsYouSealed_ = false;
       return this;
     }
@@ -563,18 +679,18 @@
 
     private void buildPartialRepeatedFields(org.wagtailproxy.wire.Heartbeat result) {
       if (serviceDemandsBuilder_ == null) {
-        if (((bitField0_ & 0x00000010) != 0)) {
+        if (((bitField0_ & 0x00000100) != 0)) {
           serviceDemands_ = java.util.Collections.unmodifiableList(serviceDemands_);
-          bitField0_ = (bitField0_ & ~0x00000010);
+          bitField0_ = (bitField0_ & ~0x00000100);
         }
         result.serviceDemands_ = serviceDemands_;
       } else {
         result.serviceDemands_ = serviceDemandsBuilder_.build();
       }
       if (teamDemandsBuilder_ == null) {
-        if (((bitField0_ & 0x00000020) != 0)) {
+        if (((bitField0_ & 0x00000200) != 0)) {
           teamDemands_ = java.util.Collections.unmodifiableList(teamDemands_);
-          bitField0_ = (bitField0_ & ~0x00000020);
+          bitField0_ = (bitField0_ & ~0x00000200);
         }
         result.teamDemands_ = teamDemands_;
       } else {
@@ -592,15 +708,27 @@
         to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.configurationVersion_ = configurationVersion_;
+        result.sender_ = sender_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.instanceListVersion_ = instanceListVersion_;
+        result.receiver_ = receiver_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.sealDigest_ = sealDigest_;
+        result.leaving_ = leaving_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.unknownSender_ = unknownSender_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.configurationVersion_ = configurationVersion_;
       }
       if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.instanceListVersion_ = instanceListVersion_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.sealDigest_ = sealDigest_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
         result.knowsYouSealed_ = knowsYouSealed_;
       }
       result.bitField0_ |= to_bitField0_;
@@ -621,6 +749,18 @@
       if (other.hasMember()) {
         mergeMember(other.getMember());
       }
+      if (other.getSender() != 0L) {
+        setSender(other.getSender());
+      }
+      if (other.getReceiver() != 0L) {
+        setReceiver(other.getReceiver());
+      }
+      if (other.getLeaving() != false) {
+        setLeaving(other.getLeaving());
+      }
+      if (other.getUnknownSender() != false) {
+        setUnknownSender(other.getUnknownSender());
+      }
       if (other.getConfigurationVersion() != 0L) {
         setConfigurationVersion(other.getConfigurationVersion());
       }
@@ -634,7 +774,7 @@
         if (!other.serviceDemands_.isEmpty()) {
           if (serviceDemands_.isEmpty()) {
             serviceDemands_ = other.serviceDemands_;
-            bitField0_ = (bitField0_ & ~0x00000010);
+            bitField0_ = (bitField0_ & ~0x00000100);
           } else {
             ensureServiceDemandsIsMutable();
             serviceDemands_.addAll(other.serviceDemands_);
@@ -647,7 +787,7 @@
             serviceDemandsBuilder_.dispose();
             serviceDemandsBuilder_ = null;
             serviceDemands_ = other.serviceDemands_;
-            bitField0_ = (bitField0_ & ~0x00000010);
+            bitField0_ = (bitField0_ & ~0x00000100);
             serviceDemandsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetServiceDemandsFieldBuilder() : null;
@@ -660,7 +800,7 @@
         if (!other.teamDemands_.isEmpty()) {
           if (teamDemands_.isEmpty()) {
             teamDemands_ = other.teamDemands_;
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000200);
           } else {
             ensureTeamDemandsIsMutable();
             teamDemands_.addAll(other.teamDemands_);
@@ -673,7 +813,7 @@
             teamDemandsBuilder_.dispose();
             teamDemandsBuilder_ = null;
             teamDemands_ = other.teamDemands_;
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000200);
             teamDemandsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetTeamDemandsFieldBuilder() : null;
@@ -718,17 +858,17 @@
             } // case 10
             case 16: {
               configurationVersion_ = input.readUInt64();
-              bitField0_ |= 0x00000002;
+              bitField0_ |= 0x00000020;
               break;
             } // case 16
             case 24: {
               instanceListVersion_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
+              bitField0_ |= 0x00000040;
               break;
             } // case 24
             case 37: {
               sealDigest_ = input.readFixed32();
-              bitField0_ |= 0x00000008;
+              bitField0_ |= 0x00000080;
               break;
             } // case 37
             case 42: {
@@ -759,9 +899,29 @@
             } // case 50
             case 56: {
               knowsYouSealed_ = input.readBool();
-              bitField0_ |= 0x00000040;
+              bitField0_ |= 0x00000400;
               break;
             } // case 56
+            case 65: {
+              sender_ = input.readFixed64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 65
+            case 73: {
+              receiver_ = input.readFixed64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 73
+            case 80: {
+              leaving_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 80
+            case 88: {
+              unknownSender_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -783,6 +943,10 @@
     private com.google.protobuf.SingleFieldBuilder<
         org.wagtailproxy.wire.Member, org.wagtailproxy.wire.Member.Builder, org.wagtailproxy.wire.MemberOrBuilder> memberBuilder_;
     /**
+     * <pre>
+     * Left out when the receiver is known to know the sender.
+     * </pre>
+     *
      * <code>.wagtailproxy.wire.Member member = 1;</code>
      * @return Whether the member field is set.
      */
@@ -790,6 +954,10 @@
       return ((bitField0_ & 0x00000001) != 0);
     }
     /**
+     * <pre>
+     * Left out when the receiver is known to know the sender.
+     * </pre>
+     *
      * <code>.wagtailproxy.wire.Member member = 1;</code>
      * @return The member.
      */
@@ -801,6 +969,10 @@
       }
     }
     /**
+     * <pre>
+     * Left out when the receiver is known to know the sender.
+     * </pre>
+     *
      * <code>.wagtailproxy.wire.Member member = 1;</code>
      */
     public Builder setMember(org.wagtailproxy.wire.Member value) {
@@ -815,6 +987,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the receiver is known to know the sender.
+     * </pre>
+     *
      * <code>.wagtailproxy.wire.Member member = 1;</code>
      */
     public Builder setMember(
@@ -829,6 +1005,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the receiver is known to know the sender.
+     * </pre>
+     *
      * <code>.wagtailproxy.wire.Member member = 1;</code>
      */
     public Builder mergeMember(org.wagtailproxy.wire.Member value) {
@@ -850,6 +1030,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the receiver is known to know the sender.
+     * </pre>
+     *
      * <code>.wagtailproxy.wire.Member member = 1;</code>
      */
     public Builder clearMember() {
@@ -863,6 +1047,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the receiver is known to know the sender.
+     * </pre>
+     *
      * <code>.wagtailproxy.wire.Member member = 1;</code>
      */
     public org.wagtailproxy.wire.Member.Builder getMemberBuilder() {
@@ -871,6 +1059,10 @@
       return internalGetMemberFieldBuilder().getBuilder();
     }
     /**
+     * <pre>
+     * Left out when the receiver is known to know the sender.
+     * </pre>
+     *
      * <code>.wagtailproxy.wire.Member member = 1;</code>
      */
     public org.wagtailproxy.wire.MemberOrBuilder getMemberOrBuilder() {
@@ -882,6 +1074,10 @@
       }
     }
     /**
+     * <pre>
+     * Left out when the receiver is known to know the sender.
+     * </pre>
+     *
      * <code>.wagtailproxy.wire.Member member = 1;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
@@ -898,6 +1094,158 @@
       return memberBuilder_;
     }
 
+    private long sender_ ;
+    /**
+     * <pre>
+     * The lower halves of incarnations; the receiver is 0 if it is not known.
+     * </pre>
+     *
+     * <code>fixed64 sender = 8;</code>
+     * @return The sender.
+     */
+    @java.lang.Override
+    public long getSender() {
+      return sender_;
+    }
+    /**
+     * <pre>
+     * The lower halves of incarnations; the receiver is 0 if it is not known.
+     * </pre>
+     *
+     * <code>fixed64 sender = 8;</code>
+     * @param value The sender to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSender(long value) {
+
+      sender_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The lower halves of incarnations; the receiver is 0 if it is not known.
+     * </pre>
+     *
+     * <code>fixed64 sender = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSender() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      sender_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long receiver_ ;
+    /**
+     * <code>fixed64 receiver = 9;</code>
+     * @return The receiver.
+     */
+    @java.lang.Override
+    public long getReceiver() {
+      return receiver_;
+    }
+    /**
+     * <code>fixed64 receiver = 9;</code>
+     * @param value The receiver to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReceiver(long value) {
+
+      receiver_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>fixed64 receiver = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReceiver() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      receiver_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean leaving_ ;
+    /**
+     * <code>bool leaving = 10;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+    /**
+     * <code>bool leaving = 10;</code>
+     * @param value The leaving to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaving(boolean value) {
+
+      leaving_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool leaving = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaving() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      leaving_ = false;
+      onChanged();
+      return this;
+    }
+
+    private boolean unknownSender_ ;
+    /**
+     * <pre>
+     * The sender of the request has to tell who it is.
+     * </pre>
+     *
+     * <code>bool unknown_sender = 11;</code>
+     * @return The unknownSender.
+     */
+    @java.lang.Override
+    public boolean getUnknownSender() {
+      return unknownSender_;
+    }
+    /**
+     * <pre>
+     * The sender of the request has to tell who it is.
+     * </pre>
+     *
+     * <code>bool unknown_sender = 11;</code>
+     * @param value The unknownSender to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnknownSender(boolean value) {
+
+      unknownSender_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender of the request has to tell who it is.
+     * </pre>
+     *
+     * <code>bool unknown_sender = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnknownSender() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      unknownSender_ = false;
+      onChanged();
+      return this;
+    }
+
     private long configurationVersion_ ;
     /**
      * <pre>
@@ -923,7 +1271,7 @@
     public Builder setConfigurationVersion(long value) {
 
       configurationVersion_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
@@ -936,7 +1284,7 @@
      * @return This builder for chaining.
      */
     public Builder clearConfigurationVersion() {
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000020);
       configurationVersion_ = 0L;
       onChanged();
       return this;
@@ -959,7 +1307,7 @@
     public Builder setInstanceListVersion(long value) {
 
       instanceListVersion_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
@@ -968,7 +1316,7 @@
      * @return This builder for chaining.
      */
     public Builder clearInstanceListVersion() {
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000040);
       instanceListVersion_ = 0L;
       onChanged();
       return this;
@@ -991,7 +1339,7 @@
     public Builder setSealDigest(int value) {
 
       sealDigest_ = value;
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000080;
       onChanged();
       return this;
     }
@@ -1000,7 +1348,7 @@
      * @return This builder for chaining.
      */
     public Builder clearSealDigest() {
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000080);
       sealDigest_ = 0;
       onChanged();
       return this;
@@ -1009,9 +1357,9 @@
     private java.util.List<org.wagtailproxy.wire.Demand> serviceDemands_ =
       java.util.Collections.emptyList();
     private void ensureServiceDemandsIsMutable() {
-      if (!((bitField0_ & 0x00000010) != 0)) {
+      if (!((bitField0_ & 0x00000100) != 0)) {
         serviceDemands_ = new java.util.ArrayList<org.wagtailproxy.wire.Demand>(serviceDemands_);
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000100;
        }
     }
 
@@ -1155,7 +1503,7 @@
     public Builder clearServiceDemands() {
       if (serviceDemandsBuilder_ == null) {
         serviceDemands_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000010);
+        bitField0_ = (bitField0_ & ~0x00000100);
         onChanged();
       } else {
         serviceDemandsBuilder_.clear();
@@ -1232,7 +1580,7 @@
         serviceDemandsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wagtailproxy.wire.Demand, org.wagtailproxy.wire.Demand.Builder, org.wagtailproxy.wire.DemandOrBuilder>(
                 serviceDemands_,
-                ((bitField0_ & 0x00000010) != 0),
+                ((bitField0_ & 0x00000100) != 0),
                 getParentForChildren(),
                 isClean());
         serviceDemands_ = null;
@@ -1243,9 +1591,9 @@
     private java.util.List<org.wagtailproxy.wire.Demand> teamDemands_ =
       java.util.Collections.emptyList();
     private void ensureTeamDemandsIsMutable() {
-      if (!((bitField0_ & 0x00000020) != 0)) {
+      if (!((bitField0_ & 0x00000200) != 0)) {
         teamDemands_ = new java.util.ArrayList<org.wagtailproxy.wire.Demand>(teamDemands_);
-        bitField0_ |= 0x00000020;
+        bitField0_ |= 0x00000200;
        }
     }
 
@@ -1389,7 +1737,7 @@
     public Builder clearTeamDemands() {
       if (teamDemandsBuilder_ == null) {
         teamDemands_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000020);
+        bitField0_ = (bitField0_ & ~0x00000200);
         onChanged();
       } else {
         teamDemandsBuilder_.clear();
@@ -1466,7 +1814,7 @@
         teamDemandsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.wagtailproxy.wire.Demand, org.wagtailproxy.wire.Demand.Builder, org.wagtailproxy.wire.DemandOrBuilder>(
                 teamDemands_,
-                ((bitField0_ & 0x00000020) != 0),
+                ((bitField0_ & 0x00000200) != 0),
                 getParentForChildren(),
                 isClean());
         teamDemands_ = null;
@@ -1491,7 +1839,7 @@
     public Builder setKnowsYouSealed(boolean value) {
 
       knowsYouSealed_ = value;
-      bitField0_ |= 0x00000040;
+      bitField0_ |= 0x00000400;
       onChanged();
       return this;
     }
@@ -1500,7 +1848,7 @@
      * @return This builder for chaining.
      */
     public Builder clearKnowsYouSealed() {
-      bitField0_ = (bitField0_ & ~0x00000040);
+      bitField0_ = (bitField0_ & ~0x00000400);
       knowsYouSealed_ = false;
       onChanged();
       return this;
--- a/wire/src/main/java/org/wagtailproxy/wire/HeartbeatOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/HeartbeatOrBuilder.java
@@ -11,20 +11,64 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * Left out when the receiver is known to know the sender.
+   * </pre>
+   *
    * <code>.wagtailproxy.wire.Member member = 1;</code>
    * @return Whether the member field is set.
    */
   boolean hasMember();
   /**
+   * <pre>
+   * Left out when the receiver is known to know the sender.
+   * </pre>
+   *
    * <code>.wagtailproxy.wire.Member member = 1;</code>
    * @return The member.
    */
   org.wagtailproxy.wire.Member getMember();
   /**
+   * <pre>
+   * Left out when the receiver is known to know the sender.
+   * </pre>
+   *
    * <code>.wagtailproxy.wire.Member member = 1;</code>
    */
   org.wagtailproxy.wire.MemberOrBuilder getMemberOrBuilder();
 
+  /**
+   * <pre>
+   * The lower halves of incarnations; the receiver is 0 if it is not known.
+   * </pre>
+   *
+   * <code>fixed64 sender = 8;</code>
+   * @return The sender.
+   */
+  long getSender();
+
+  /**
+   * <code>fixed64 receiver = 9;</code>
+   * @return The receiver.
+   */
+  long getReceiver();
+
+  /**
+   * <code>bool leaving = 10;</code>
+   * @return The leaving.
+   */
+  boolean getLeaving();
+
+  /**
+   * <pre>
+   * The sender of the request has to tell who it is.
+   * </pre>
+   *
+   * <code>bool unknown_sender = 11;</code>
+   * @return The unknownSender.
+   */
+  boolean getUnknownSender();
+
   /**
    * <pre>
    * The highest version of any resource held.
--- a/wire/src/main/java/org/wagtailproxy/wire/Peer.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Peer.java
@@ -136,52 +136,54 @@
       "tailproxy.wire.HandOverAnswerH\000\0220\n\tview_" +
       "pull\030\013 \001(\0132\033.wagtailproxy.wire.ViewPullH" +
       "\000\022\'\n\004view\030\014 \001(\0132\027.wagtailproxy.wire.View" +
-      "H\000B\006\n\004body\"\210\002\n\tHeartbeat\022)\n\006member\030\001 \001(\013" +
-      "2\031.wagtailproxy.wire.Member\022\035\n\025configura" +
-      "tion_version\030\002 \001(\004\022\035\n\025instance_list_vers" +
-      "ion\030\003 \001(\004\022\023\n\013seal_digest\030\004 \001(\007\0222\n\017servic" +
-      "e_demands\030\005 \003(\0132\031.wagtailproxy.wire.Dema" +
-      "nd\022/\n\014team_demands\030\006 \003(\0132\031.wagtailproxy." +
-      "wire.Demand\022\030\n\020knows_you_sealed\030\007 \001(\010\"q\n" +
-      "\006Member\022\023\n\013incarnation\030\001 \001(\014\022\023\n\013data_cen" +
-      "tre\030\002 \001(\t\022\024\n\014peer_address\030\003 \001(\t\022\026\n\016calle" +
-      "r_address\030\004 \001(\t\022\017\n\007leaving\030\005 \001(\010\">\n\006Dema" +
-      "nd\022\021\n\tname_hash\030\001 \001(\007\022\r\n\005tasks\030\002 \001(\r\022\022\n\n" +
-      "idle_slots\030\003 \001(\r\"\266\001\n\007JobCall\0227\n\toperatio" +
-      "n\030\001 \001(\0162$.wagtailproxy.wire.JobCall.Oper" +
-      "ation\022\020\n\010job_name\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\031\n" +
-      "\021wait_milliseconds\030\004 \001(\r\"7\n\tOperation\022\n\n" +
-      "\006SUBMIT\020\000\022\007\n\003GET\020\001\022\n\n\006CANCEL\020\002\022\t\n\005TRACE\020" +
-      "\003\":\n\tJobAnswer\022\016\n\006status\030\001 \001(\r\022\014\n\004body\030\002" +
-      " \001(\014\022\017\n\007failure\030\003 \001(\t\"h\n\tEndRecord\022\020\n\010jo" +
-      "b_name\030\001 \001(\t\022\026\n\016content_digest\030\002 \001(\014\022\020\n\010" +
-      "complete\030\003 \001(\010\022\020\n\010document\030\004 \001(\014\022\r\n\005trac" +
-      "e\030\005 \001(\014\"N\n\010StoreEnd\022\023\n\013incarnation\030\001 \001(\014" +
-      "\022-\n\007records\030\002 \003(\0132\034.wagtailproxy.wire.En" +
-      "dRecord\" \n\016StoreEndAnswer\022\016\n\006stored\030\001 \001(" +
-      "\010\"B\n\007FindEnd\022\020\n\010job_name\030\001 \001(\t\022%\n\004seal\030\002" +
-      " \001(\0132\027.wagtailproxy.wire.Seal\"=\n\rFindEnd" +
-      "Answer\022,\n\006record\030\001 \001(\0132\034.wagtailproxy.wi" +
-      "re.EndRecord\"\230\001\n\004Seal\022\023\n\013incarnation\030\001 \001" +
-      "(\014\022*\n\004kind\030\002 \001(\0162\034.wagtailproxy.wire.Sea" +
-      "l.Kind\022,\n\tsuccessor\030\003 \001(\0132\031.wagtailproxy" +
-      ".wire.Member\"!\n\004Kind\022\010\n\004LOST\020\000\022\017\n\013HANDED" +
-      "_OVER\020\001\"\225\001\n\010HandOver\022\023\n\013incarnation\030\001 \001(" +
-      "\014\022\016\n\006sender\030\005 \001(\014\022\030\n\020age_milliseconds\030\002 " +
-      "\001(\004\022-\n\007records\030\003 \003(\0132\034.wagtailproxy.wire" +
-      ".EndRecord\022\014\n\004last\030\004 \001(\010\022\r\n\005final\030\006 \001(\010\"" +
-      "\037\n\016HandOverAnswer\022\r\n\005taken\030\001 \001(\010\"H\n\010View" +
-      "Pull\022\035\n\025configuration_version\030\001 \001(\004\022\035\n\025i" +
-      "nstance_list_version\030\002 \001(\004\"\365\001\n\004View\022\035\n\025c" +
-      "onfiguration_version\030\001 \001(\004\022\024\n\014base_versi" +
-      "on\030\007 \001(\004\022.\n\tresources\030\002 \003(\0132\033.wagtailpro" +
-      "xy.wire.Resource\022\035\n\025instance_list_versio" +
-      "n\030\003 \001(\004\022\025\n\rinstance_list\030\004 \001(\014\022&\n\005seals\030" +
-      "\005 \003(\0132\027.wagtailproxy.wire.Seal\022*\n\007member" +
-      "s\030\006 \003(\0132\031.wagtailproxy.wire.Member\"I\n\010Re" +
-      "source\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017\n\007ve" +
-      "rsion\030\003 \001(\004\022\020\n\010document\030\004 \001(\014B\033\n\025org.wag" +
-      "tailproxy.wireH\001P\001b\006proto3"
+      "H\000B\006\n\004body\"\323\002\n\tHeartbeat\022)\n\006member\030\001 \001(\013" +
+      "2\031.wagtailproxy.wire.Member\022\016\n\006sender\030\010 " +
+      "\001(\006\022\020\n\010receiver\030\t \001(\006\022\017\n\007leaving\030\n \001(\010\022\026" +
+      "\n\016unknown_sender\030\013 \001(\010\022\035\n\025configuration_" +
+      "version\030\002 \001(\004\022\035\n\025instance_list_version\030\003" +
+      " \001(\004\022\023\n\013seal_digest\030\004 \001(\007\0222\n\017service_dem" +
+      "ands\030\005 \003(\0132\031.wagtailproxy.wire.Demand\022/\n" +
+      "\014team_demands\030\006 \003(\0132\031.wagtailproxy.wire." +
+      "Demand\022\030\n\020knows_you_sealed\030\007 \001(\010\"q\n\006Memb" +
+      "er\022\023\n\013incarnation\030\001 \001(\014\022\023\n\013data_centre\030\002" +
+      " \001(\t\022\024\n\014peer_address\030\003 \001(\t\022\026\n\016caller_add" +
+      "ress\030\004 \001(\t\022\017\n\007leaving\030\005 \001(\010\">\n\006Demand\022\021\n" +
+      "\tname_hash\030\001 \001(\007\022\r\n\005tasks\030\002 \001(\r\022\022\n\nidle_" +
+      "slots\030\003 \001(\r\"\266\001\n\007JobCall\0227\n\toperation\030\001 \001" +
+      "(\0162$.wagtailproxy.wire.JobCall.Operation" +
+      "\022\020\n\010job_name\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\031\n\021wait" +
+      "_milliseconds\030\004 \001(\r\"7\n\tOperation\022\n\n\006SUBM" +
+      "IT\020\000\022\007\n\003GET\020\001\022\n\n\006CANCEL\020\002\022\t\n\005TRACE\020\003\":\n\t" +
+      "JobAnswer\022\016\n\006status\030\001 \001(\r\022\014\n\004body\030\002 \001(\014\022" +
+      "\017\n\007failure\030\003 \001(\t\"h\n\tEndRecord\022\020\n\010job_nam" +
+      "e\030\001 \001(\t\022\026\n\016content_digest\030\002 \001(\014\022\020\n\010compl" +
+      "ete\030\003 \001(\010\022\020\n\010document\030\004 \001(\014\022\r\n\005trace\030\005 \001" +
+      "(\014\"N\n\010StoreEnd\022\023\n\013incarnation\030\001 \001(\014\022-\n\007r" +
+      "ecords\030\002 \003(\0132\034.wagtailproxy.wire.EndReco" +
+      "rd\" \n\016StoreEndAnswer\022\016\n\006stored\030\001 \001(\010\"B\n\007" +
+      "FindEnd\022\020\n\010job_name\030\001 \001(\t\022%\n\004seal\030\002 \001(\0132" +
+      "\027.wagtailproxy.wire.Seal\"=\n\rFindEndAnswe" +
+      "r\022,\n\006record\030\001 \001(\0132\034.wagtailproxy.wire.En" +
+      "dRecord\"\230\001\n\004Seal\022\023\n\013incarnation\030\001 \001(\014\022*\n" +
+      "\004kind\030\002 \001(\0162\034.wagtailproxy.wire.Seal.Kin" +
+      "d\022,\n\tsuccessor\030\003 \001(\0132\031.wagtailproxy.wire" +
+      ".Member\"!\n\004Kind\022\010\n\004LOST\020\000\022\017\n\013HANDED_OVER" +
+      "\020\001\"\225\001\n\010HandOver\022\023\n\013incarnation\030\001 \001(\014\022\016\n\006" +
+      "sender\030\005 \001(\014\022\030\n\020age_milliseconds\030\002 \001(\004\022-" +
+      "\n\007records\030\003 \003(\0132\034.wagtailproxy.wire.EndR" +
+      "ecord\022\014\n\004last\030\004 \001(\010\022\r\n\005final\030\006 \001(\010\"\037\n\016Ha" +
+      "ndOverAnswer\022\r\n\005taken\030\001 \001(\010\"H\n\010ViewPull\022" +
+      "\035\n\025configuration_version\030\001 \001(\004\022\035\n\025instan" +
+      "ce_list_version\030\002 \001(\004\"\365\001\n\004View\022\035\n\025config" +
+      "uration_version\030\001 \001(\004\022\024\n\014base_version\030\007 " +
+      "\001(\004\022.\n\tresources\030\002 \003(\0132\033.wagtailproxy.wi" +
+      "re.Resource\022\035\n\025instance_list_version\030\003 \001" +
+      "(\004\022\025\n\rinstance_list\030\004 \001(\014\022&\n\005seals\030\005 \003(\013" +
+      "2\027.wagtailproxy.wire.Seal\022*\n\007members\030\006 \003" +
+      "(\0132\031.wagtailproxy.wire.Member\"I\n\010Resourc" +
+      "e\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017\n\007version" +
+      "\030\003 \001(\004\022\020\n\010document\030\004 \001(\014B\033\n\025org.wagtailp" +
+      "roxy.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -198,7 +200,7 @@
     internal_static_wagtailproxy_wire_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wagtailproxy_wire_Heartbeat_descriptor,
-        new java.lang.String[] { "Member", "ConfigurationVersion", "InstanceListVersion", "SealDigest", "ServiceDemands", "TeamDemands", "KnowsYouSealed", });
+        new java.lang.String[] { "Member", "Sender", "Receiver", "Leaving", "UnknownSender", "ConfigurationVersion", "InstanceListVersion", "SealDigest", "ServiceDemands", "TeamDemands", "KnowsYouSealed", });
     internal_static_wagtailproxy_wire_Member_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_wagtailproxy_wire_Member_fieldAccessorTable = new
