Learn from a refusal how many slots are left

Cause: when shares move, the former holder's tasks still occupy the slots for seconds; the new holder was refused again and again, after pauses that only delayed the next try.

Change: a refusal sets the limit for that backend server to what is in flight there, and one more task is tried each 300 ms. Heartbeat rounds come at most twice as often while demand jumps (four times before).

--- a/decisions/src/main/java/org/wagtailproxy/dispatch/RunnerState.java
+++ b/decisions/src/main/java/org/wagtailproxy/dispatch/RunnerState.java
@@ -25,7 +25,12 @@
     /** Longest pause after refusals in a row, in nanoseconds. */
     static final long LONGEST_REFUSAL_PAUSE_NANOS = 640_000_000L;
 
+    /** Pause before one more task is tried beyond what a refusal taught, in nanoseconds. */
+    static final long GROWTH_PAUSE_NANOS = 300_000_000L;
+
     private RunnerListing mListing;
+    private int mLearntLimit = Integer.MAX_VALUE;
+    private long mLearntNanos;
     private int mInFlight;
     private int mShare;
     private double mLogSlowness;
@@ -86,6 +91,23 @@
         }
     }
 
+    /**
+     * Returns how many tasks may be in flight here after refusals, which show that others hold the
+     * slots that this instance has a share of; one more is tried from time to time.
+     */
+    int learntLimit(long nowNanos) {
+        if (mLearntLimit == Integer.MAX_VALUE) {
+            return mLearntLimit;
+        }
+        long growth = (nowNanos - mLearntNanos) / GROWTH_PAUSE_NANOS;
+        long limit = mLearntLimit + growth;
+        if (limit >= mListing.slots()) {
+            mLearntLimit = Integer.MAX_VALUE;
+            return mLearntLimit;
+        }
+        return (int) limit;
+    }
+
     /** Tests whether the backend server may be sent a task now, leaving shares aside. */
     boolean available(long nowNanos) {
         if (mListing.leaving() || nowNanos - mPausedUntilNanos < 0) {
@@ -113,6 +135,8 @@
 
     void refused(long nowNanos) {
         mInFlight--;
+        mLearntLimit = mInFlight;
+        mLearntNanos = nowNanos;
         int doublings = Math.min(mRefusals, 5);
         mRefusals++;
         long pause = Math.min(REFUSAL_PAUSE_NANOS << doublings, LONGEST_REFUSAL_PAUSE_NANOS);
--- a/decisions/src/main/java/org/wagtailproxy/dispatch/ServiceDispatch.java
+++ b/decisions/src/main/java/org/wagtailproxy/dispatch/ServiceDispatch.java
@@ -339,7 +339,7 @@
         List<RunnerState> local = new ArrayList<>();
         List<RunnerState> remote = new ArrayList<>();
         for (RunnerState runner : mRunners.values()) {
-            if (runner.inFlight() < limit(runner) && runner.available(nowNanos)) {
+            if (runner.inFlight() < limit(runner, nowNanos) && runner.available(nowNanos)) {
                 (isLocal(runner) ? local : remote).add(runner);
             }
         }
@@ -359,17 +359,19 @@
         return working;
     }
 
-    private int limit(RunnerState runner) {
+    private int limit(RunnerState runner, long nowNanos) {
         int slots = runner.listing().slots();
         if (!mChoice.usesShares()) {
             return slots;
         }
+        int learnt = runner.learntLimit(nowNanos);
         if (isLocal(runner)) {
-            return runner.share();
+            return Math.min(learnt, runner.share());
         }
         DataCentre place = runner.listing().dataCentre();
         int borrowable = mShares.lendable().getOrDefault(place, 0);
-        return mBorrowed.getOrDefault(place, 0) < borrowable ? slots / 2 : 0;
+        boolean lent = mBorrowed.getOrDefault(place, 0) < borrowable;
+        return lent ? Math.min(learnt, slots / 2) : 0;
     }
 
     private boolean isLocal(RunnerState runner) {
--- a/decisions/src/test/java/org/wagtailproxy/dispatch/ServiceDispatchTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/dispatch/ServiceDispatchTest.java
@@ -56,10 +56,23 @@
         dispatch.finish(first, SendResult.REFUSED, 1, mNowNanos);
         dispatch.putBack(first.task());
         assertThat(dispatch.assign(mNowNanos), is(empty()));
-        mNowNanos += RunnerState.REFUSAL_PAUSE_NANOS;
+        mNowNanos += RunnerState.GROWTH_PAUSE_NANOS;
         assertThat(dispatch.assign(mNowNanos).get(0).task().task(), is(first.task().task()));
     }
 
+    @Test
+    void testRefusalTeachesHowManySlotsAreLeft() {
+        ServiceDispatch dispatch = dispatch(runner(1, HERE, 4));
+        enqueue(dispatch, TEAM, 8);
+        List<Assignment> sent = dispatch.assign(mNowNanos);
+        dispatch.finish(sent.get(3), SendResult.REFUSED, 1, mNowNanos);
+        dispatch.finish(sent.get(0), SendResult.ANSWERED, MILLISECOND, mNowNanos);
+        mNowNanos += 2 * RunnerState.REFUSAL_PAUSE_NANOS;
+        assertThat(dispatch.assign(mNowNanos), hasSize(1));
+        mNowNanos += RunnerState.GROWTH_PAUSE_NANOS;
+        assertThat(dispatch.assign(mNowNanos), hasSize(1));
+    }
+
     @Test
     void testBackendServerThatFailsEverythingLosesItsTraffic() {
         ServiceDispatch dispatch =
--- a/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
@@ -38,7 +38,7 @@
     private static final int FRAME_BYTES = 8;
 
     /** How many rounds there are at most in the time of one, while demand jumps. */
-    private static final int HURRIED_ROUNDS = 4;
+    private static final int HURRIED_ROUNDS = 2;
 
     private final PeerSettings mSettings;
     private final Members mMembers;
