--- a/decisions/src/main/java/org/wagtailproxy/membership/HeartbeatPace.java
+++ b/decisions/src/main/java/org/wagtailproxy/membership/HeartbeatPace.java
@@ -5,8 +5,8 @@
 /** Paces heartbeats so that control traffic stays within its budget however many members exist. */
 public final class HeartbeatPace {
 
-    /** Part of the budget that heartbeats may use; the rest is for views. */
-    private static final double HEARTBEAT_PART = 0.7;
+    /** Part of the budget for regular heartbeats; the rest is for hurried ones and for views. */
+    private static final double HEARTBEAT_PART = 0.5;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
--- a/integration-tests/src/test/java/org/wagtailproxy/integration/LoadShape.java
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/LoadShape.java
@@ -25,7 +25,8 @@
                     3,
                     3,
                     new double[] {1, 1, 1.5, 2, 2, 3, 4, 5, 6, 8},
-                    "\"overcommitPercent\": 12, \"taskTimeoutMilliseconds\": 60000");
+                    "\"overcommitPercent\": 100, \"patience\": 0.5,"
+                            + " \"taskTimeoutMilliseconds\": 60000");
 
     /** Weighs wasted messages more. */
     static final LoadShape LIMPIASOL =
@@ -34,7 +35,8 @@
                     4,
                     2,
                     new double[] {1, 1, 1.5, 2, 3, 4, 6, 8},
-                    "\"overcommitPercent\": 0, \"taskTimeoutMilliseconds\": 60000");
+                    "\"overcommitPercent\": 0, \"patience\": 1,"
+                            + " \"taskTimeoutMilliseconds\": 60000");
 
     static LoadShape named(String name) {
         return name.equals(LIMPIASOL.name()) ? LIMPIASOL : MCHANGA;
