Give no receipt for an end before knowing the neighbours' seals

Cause: FaultRunIT, showed three jobs as failed and later as complete. Their home woke after it had been sealed and offered its records to a neighbour that had started seconds before and had not heard of the seal. The neighbour kept them, and told them to later askers.

Ruled out: the fence of the neighbour that knew the seal (it refused); the home itself (it withheld the ends and exited as sealed).

Change: an instance keeps neighbours' records only after it has pulled the seals of all neighbours; until then it gives no receipt.

--- a/proxy/src/main/java/org/wagtailproxy/home/EndRecords.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndRecords.java
@@ -23,6 +23,7 @@
     private final Map<Incarnation, Map<JobName, Kept>> mByHome = new HashMap<>();
     private final Set<Incarnation> mFenced = new HashSet<>();
     private long mBytes;
+    private boolean mOpen;
 
     private EndRecords() {}
 
@@ -35,6 +36,23 @@
         return new EndRecords();
     }
 
+    /**
+     * Allows neighbours' records, once this instance knows the seals that its neighbours know;
+     * before, it might keep records of a home that is sealed.
+     */
+    public synchronized void open() {
+        mOpen = true;
+    }
+
+    /**
+     * Tests whether neighbours' records may be kept.
+     *
+     * @return true if they may
+     */
+    public synchronized boolean isOpen() {
+        return mOpen;
+    }
+
     /**
      * Keeps a record unless its sender is fenced.
      *
--- a/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
@@ -13,6 +13,7 @@
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.failure.FailureKind;
 import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.identity.Incarnation;
 import org.wagtailproxy.membership.HeartbeatPace;
 import org.wagtailproxy.membership.Member;
 import org.wagtailproxy.membership.Seal;
@@ -50,6 +51,7 @@
     private final EventLog mLog;
     private final Map<HostAddress, Long> mDueNanos = new HashMap<>();
     private final Map<HostAddress, Member> mAnswered = new ConcurrentHashMap<>();
+    private final Set<Incarnation> mPulled = ConcurrentHashMap.newKeySet();
     private final Set<HostAddress> mInFlight = ConcurrentHashMap.newKeySet();
     private final Set<HostAddress> mReached = ConcurrentHashMap.newKeySet();
     private long mPublishedNanos = System.nanoTime();
@@ -224,13 +226,16 @@
             mExchange.pull(address);
             return;
         }
-        boolean known =
-                mMembers.with(
-                        table -> {
-                            boolean before = table.find(member.incarnation()).isDefined();
-                            table.heard(member, sentNanos);
-                            return before;
-                        });
+        boolean known = mMembers.with(table -> table.find(member.incarnation()).isDefined());
+        if (!known || !mPulled.contains(member.incarnation())) {
+            mExchange.pull(address);
+            mPulled.add(member.incarnation());
+        }
+        mMembers.with(
+                table -> {
+                    table.heard(member, sentNanos);
+                    return null;
+                });
         if (mReached.add(address)) {
             mLog.event(EventName.PEER_REACHED).with(EventField.ADDRESS, address).info();
         }
@@ -239,7 +244,7 @@
                 heartbeat.getConfigurationVersion() > mView.highestVersion()
                         || heartbeat.getInstanceListVersion() > mView.list().version()
                         || heartbeat.getSealDigest() != sealDigest();
-        if (ahead || !known) {
+        if (ahead) {
             mExchange.pull(address);
         }
     }
--- a/proxy/src/main/java/org/wagtailproxy/serve/Instance.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/Instance.java
@@ -317,12 +317,15 @@
     }
 
     private void checkReady() {
-        if (mLifecycle.hasBeenReady()) {
+        if (mLifecycle.hasBeenReady() && mRecords.isOpen()) {
             return;
         }
         boolean neighbours =
                 mMembers.with(table -> table.allNeighboursAccounted(System.nanoTime()));
         boolean agreed = neighbours && !mExchange.pulling();
+        if (agreed && mView.list().version() > 0) {
+            mRecords.open();
+        }
         if (mPoller.storeRead() || (mView.completeVersion() > 0 && agreed)) {
             mLifecycle.ready();
         } else {
--- a/proxy/src/main/java/org/wagtailproxy/serve/PeerRequests.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/PeerRequests.java
@@ -78,8 +78,7 @@
                             mExecutors.mWorkers,
                             () -> reply.accept(mExchange.handle(request.getView())));
             case JOB_CALL -> on(mExecutors.mWorkers, () -> job(request, reply));
-            case STORE_END ->
-                    on(mExecutors.mWorkers, () -> reply.accept(store(request.getStoreEnd())));
+            case STORE_END -> on(mExecutors.mWorkers, () -> storeIfInformed(request, reply));
             case FIND_END ->
                     on(mExecutors.mWorkers, () -> reply.accept(find(request.getFindEnd())));
             case HAND_OVER -> on(mExecutors.mBlocking, () -> reply.accept(handOver(request)));
@@ -107,6 +106,13 @@
                 .build();
     }
 
+    /** Gives no receipt before this instance knows the seals that its neighbours know. */
+    private void storeIfInformed(Envelope request, Consumer<Envelope.Builder> reply) {
+        if (mRecords.isOpen()) {
+            reply.accept(store(request.getStoreEnd()));
+        }
+    }
+
     private Envelope.Builder store(StoreEnd request) {
         Option<Incarnation> sender = Wire.incarnation(request.getIncarnation());
         boolean stored = sender.isDefined();
