Remember pulled members in one place

Heartbeats asked both the member table and its own set whether a member's view had been pulled; the set alone decides it. Every member is still pulled from once, before it counts as heard.

--- a/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/Heartbeats.java
@@ -226,10 +226,8 @@
             mExchange.pull(address);
             return;
         }
-        boolean known = mMembers.with(table -> table.find(member.incarnation()).isDefined());
-        if (!known || !mPulled.contains(member.incarnation())) {
+        if (mPulled.add(member.incarnation())) {
             mExchange.pull(address);
-            mPulled.add(member.incarnation());
         }
         mMembers.with(
                 table -> {
