Turn records away at once while an instance does not know its neighbours' seals

Cause of the red SameEndIT.testEndThatWasSeenOutlivesRestarts...: an instance that has just started gave no answer at all to records that it could not keep yet. The neighbour that supplies replicas waited 5 s for it, in which two more instances were restarted, so that no copy was left. Ruled out: records forgotten too early (retention is minutes), a false verdict (the home was dead), fenced senders. Change: such a request is answered at once without a receipt, and is repeated with the next round; a home that replicates an end takes it for not kept, not for fenced.

--- a/proxy/src/main/java/org/wagtailproxy/home/EndReplicator.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndReplicator.java
@@ -76,14 +76,18 @@
                     mClient.call(neighbour.peerAddress(), envelope, TIMEOUT)
                             .thenAccept(
                                     answer ->
-                                            answer.forEach(
-                                                    each -> {
-                                                        if (each.getStoreEndAnswer().getStored()) {
-                                                            kept.incrementAndGet();
-                                                        } else {
-                                                            fenced.set(true);
-                                                        }
-                                                    })));
+                                            answer.filter(Envelope::hasStoreEndAnswer)
+                                                    .forEach(
+                                                            each -> {
+                                                                boolean stored =
+                                                                        each.getStoreEndAnswer()
+                                                                                .getStored();
+                                                                if (stored) {
+                                                                    kept.incrementAndGet();
+                                                                } else {
+                                                                    fenced.set(true);
+                                                                }
+                                                            })));
         }
         return CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
                 .thenApply(
--- a/proxy/src/main/java/org/wagtailproxy/serve/PeerRequests.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/PeerRequests.java
@@ -106,11 +106,13 @@
                 .build();
     }
 
-    /** Gives no receipt before this instance knows the seals that its neighbours know. */
+    /**
+     * Gives no receipt before this instance knows the seals that its neighbours know. It says so at
+     * once, since a sender that waited for an answer would leave its other neighbours without
+     * replicas meanwhile.
+     */
     private void storeIfInformed(Envelope request, Consumer<Envelope.Builder> reply) {
-        if (mRecords.isOpen()) {
-            reply.accept(store(request.getStoreEnd()));
-        }
+        reply.accept(mRecords.isOpen() ? store(request.getStoreEnd()) : Envelope.newBuilder());
     }
 
     private Envelope.Builder store(StoreEnd request) {
