--- a/proxy/src/main/java/org/wagtailproxy/home/EndReplicator.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/EndReplicator.java
@@ -76,7 +76,8 @@
                     mClient.call(neighbour.peerAddress(), envelope, TIMEOUT)
                             .thenAccept(
                                     answer ->
-                                            answer.filter(Envelope::hasStoreEndAnswer)
+                                            answer.toOption()
+                                                    .filter(Envelope::hasStoreEndAnswer)
                                                     .forEach(
                                                             each -> {
                                                                 boolean stored =
