Make sure of the peers after the machine may have been suspended

Cause: the monotonic clock stands still while a machine is suspended, so a leader that wakes takes its knowledge for fresh; the stall check, which holds placements back after a freeze, cannot see it, and the leader may start a job that another leader runs by now on a server not claimed yet. Change: SuspensionWatch compares the time of day with the monotonic clock. After a lead of 350 ms nothing is placed until every reachable peer has answered a question sent afterwards, and jobs from elsewhere wait for leases as after a cut. A time of day that jumps costs one round trip. Tests: SuspensionWatchTest, ServiceSchedulerTest (fails without standStill).

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -33,6 +33,9 @@
     /** Pause between rounds after which this process may have stood still; several rounds. */
     private static final long STALL_MILLIS = 350;
 
+    /** Before any round of the clock. */
+    private static final long NEVER_NANOS = Long.MIN_VALUE / 2;
+
     private final LeaseTiming mTiming;
     private final SchedulerTuning mTuning;
     private final SchedulerListener mListener;
@@ -40,7 +43,7 @@
     private final StallRule mStalls;
     private final Placer mPlacer;
     private final ServerPool mServers;
-    private long mTickNanos = Long.MIN_VALUE / 2;
+    private long mTickNanos = NEVER_NANOS;
     private final InheritedRuns mInherited;
     private final JobBook mJobs = new JobBook();
 
@@ -438,6 +441,11 @@
         place(nowNanos);
     }
 
+    /** Places nothing more before the next round of the clock: another leader may have come. */
+    public synchronized void standStill() {
+        mTickNanos = NEVER_NANOS;
+    }
+
     /**
      * Takes note that instances on the other side of a cut are back. Jobs that come from there may
      * run on servers that the directory here had lost, so having looked at all that are known
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
@@ -362,6 +362,21 @@
         assertThat(mSimulation.mStarts, is(2));
     }
 
+    @Test
+    void testNothingIsPlacedAfterSuspensionBeforeTheNextRound() {
+        fleet(2);
+        mSimulation.run(10);
+        mSimulation.mStalled = true;
+        // The monotonic clock has stood still, so only the call tells.
+        mSimulation.mScheduler.standStill();
+        submit(0, 2, 60);
+        mSimulation.run(50);
+        assertThat(mSimulation.mStarts, is(0));
+        mSimulation.mStalled = false;
+        mSimulation.run(30);
+        assertThat(mSimulation.mStarts, is(2));
+    }
+
     @Test
     void testJobFromTheOtherSideOfHealedCutIsNotRunBesideRunsOnUnlistedServer() {
         fleet(3);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -118,7 +118,7 @@
                         mTokens,
                         decisions,
                         mForwards,
-                        mMesh::fenced,
+                        mMesh,
                         schedulers ->
                                 new JobKeeper(
                                         loop,
@@ -376,12 +376,13 @@
 
     private void round() {
         mLoop.later(Mesh.ROUND_MILLIS, this::round);
+        mLeaderDesk.noticeSuspension();
         mMesh.storeless(isStoreless());
         mMesh.tick();
         mLeaderDesk.withdrawLost(this::isAlive);
         mForwards.withdrawLost(this::isAlive);
         mLeaderDesk.keep(mPool.spans() && mMesh.leadsMajority(), mJobDesk.jobsKept());
-        if (mMesh.leads()) {
+        if (mMesh.leads() && !mMesh.awaitsAnswers()) {
             mRemote.tick(mMesh.presence());
             mLeaderDesk.tick();
         }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderDesk.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderDesk.java
@@ -16,6 +16,7 @@
 import org.wagtailproxy.fleet.ServerId;
 import org.wagtailproxy.identity.ServiceName;
 import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.leadership.SuspensionWatch;
 import org.wagtailproxy.scheduling.Claim;
 import org.wagtailproxy.scheduling.JobPhase;
 import org.wagtailproxy.scheduling.RunEnd;
@@ -52,7 +53,7 @@
     private final TokenSource mTokens;
     private final DecisionLog mLog;
     private final Forwarder mForwarder;
-    private final FencedListener mFenced;
+    private final Listener mListener;
     private final JobKeeper mKeeper;
     private final Map<ServiceName, ServiceScheduler> mSchedulers = new TreeMap<>();
     private final Map<JobId, Holding> mHoldings = new HashMap<>();
@@ -64,6 +65,7 @@
 
     private long mDistrustUntilNanos = Long.MIN_VALUE;
     private long mTickNanos;
+    private final SuspensionWatch mSuspensions;
     private Function<ServerEntry, Claim> mClaims = entry -> Claim.NONE;
 
     /** Passes a job on to another data centre. */
@@ -80,8 +82,11 @@
         void withdraw(JobId job, InstanceName home);
     }
 
-    /** Hears that another instance has taken a backend server. */
-    interface FencedListener {
+    /** Hears what casts doubt on the leadership. */
+    interface Listener {
+
+        /** This machine may have been suspended. */
+        void suspended();
 
         /** Another instance gives orders to a server. */
         void fenced(ServerEntry server);
@@ -123,7 +128,7 @@
             TokenSource tokens,
             DecisionLog log,
             Forwarder forwarder,
-            FencedListener fenced,
+            Listener listener,
             Function<JobKeeper.Schedulers, JobKeeper> keeper) {
         mSettings = settings;
         mLoop = loop;
@@ -131,7 +136,8 @@
         mTokens = tokens;
         mLog = log;
         mForwarder = forwarder;
-        mFenced = fenced;
+        mListener = listener;
+        mSuspensions = new SuspensionWatch(loop.nowNanos(), loop.wallMillis());
         mKeeper = keeper.apply(new KeptSchedulers());
     }
 
@@ -154,7 +160,7 @@
         mKeeper.tick();
         mStoredJobsExpected = kept || mKeeper.isReading();
         for (ServiceScheduler scheduler : mSchedulers.values()) {
-            scheduler.expectStoredJobs(mStoredJobsExpected, mLoop.nowNanos());
+            scheduler.expectStoredJobs(mStoredJobsExpected, now());
         }
     }
 
@@ -176,7 +182,7 @@
         }
         for (ServiceScheduler scheduler : mSchedulers.values()) {
             scheduler.claim(claims);
-            scheduler.tick(mLoop.nowNanos());
+            scheduler.tick(now());
         }
         flush();
     }
@@ -196,6 +202,7 @@
             InstanceName home,
             boolean mayForward,
             Consumer<Either<WorkProgress, WorkOutcome>> answer) {
+        long nowNanos = now();
         if (spec.isStored()) {
             mKeeper.accept(spec, arrivedNanos, answer);
             return;
@@ -206,7 +213,6 @@
         holding.mDeadlineNanos = deadlineNanos;
         holding.mMayForward = mayForward;
         ServiceScheduler scheduler = scheduler(spec.service());
-        long nowNanos = mLoop.nowNanos();
         scheduler.submit(spec, progress, arrivedNanos, deadlineNanos, nowNanos);
         if (scheduler.phase(spec.id()) == JobPhase.WAITING) {
             forward(scheduler, spec);
@@ -216,6 +222,25 @@
         tickWhileBusy();
     }
 
+    /** Finds out whether the machine may have been suspended since the last event. */
+    void noticeSuspension() {
+        now();
+    }
+
+    /**
+     * Returns the monotonic time. If the machine may have been suspended nothing is placed before
+     * the peers have answered, since another instance may lead by now.
+     */
+    private long now() {
+        long nowNanos = mLoop.nowNanos();
+        if (mSuspensions.suspects(nowNanos, mLoop.wallMillis())) {
+            mTickNanos = nowNanos - 2 * STALL_NANOS;
+            mSchedulers.values().forEach(ServiceScheduler::standStill);
+            mListener.suspended();
+        }
+        return nowNanos;
+    }
+
     /** Rounds are frequent only while there are jobs. */
     private void tickWhileBusy() {
         if (mTicking || (mHoldings.isEmpty() && !mKeeper.keepsAny())) {
@@ -227,7 +252,7 @@
                 () -> {
                     mTicking = false;
                     // After a stall the dispatcher's round looks at the peers before it ticks.
-                    if (mLoop.nowNanos() - mTickNanos < STALL_NANOS) {
+                    if (now() - mTickNanos < STALL_NANOS) {
                         tick();
                     }
                     tickWhileBusy();
@@ -252,7 +277,7 @@
 
     /** Takes note that instances on the other side of a cut are back. */
     void healed() {
-        mDistrustUntilNanos = mLoop.nowNanos() + HEALED_NANOS;
+        mDistrustUntilNanos = now() + HEALED_NANOS;
         mSchedulers.values().forEach(scheduler -> scheduler.distrust(mDistrustUntilNanos));
     }
 
@@ -267,7 +292,7 @@
         if (holding.mHomes.isEmpty()) {
             mHoldings.remove(job);
             mLog.jobWithdrawn(job, home);
-            scheduler(holding.mService).withdraw(job, mLoop.nowNanos());
+            scheduler(holding.mService).withdraw(job, now());
             flush();
         }
     }
@@ -284,7 +309,7 @@
     }
 
     void tick() {
-        long nowNanos = mLoop.nowNanos();
+        long nowNanos = now();
         mTickNanos = nowNanos;
         for (ServiceScheduler scheduler : mSchedulers.values()) {
             scheduler.tick(nowNanos);
@@ -302,7 +327,7 @@
     List<SchedulerState> state() {
         List<SchedulerState> states = new ArrayList<>();
         for (ServiceScheduler scheduler : mSchedulers.values()) {
-            states.add(scheduler.state(mLoop.nowNanos()));
+            states.add(scheduler.state(now()));
         }
         return states;
     }
@@ -311,7 +336,7 @@
     long queueMillis() {
         double longest = 0;
         for (ServiceScheduler scheduler : mSchedulers.values()) {
-            longest = Math.max(longest, scheduler.queueMillis(mLoop.nowNanos()));
+            longest = Math.max(longest, scheduler.queueMillis(now()));
         }
         return Math.round(Math.ceil(longest));
     }
@@ -343,9 +368,9 @@
                                     new Outcomes());
                     list(name, scheduler);
                     scheduler.distrust(mDistrustUntilNanos);
-                    scheduler.expectStoredJobs(mStoredJobsExpected, mLoop.nowNanos());
+                    scheduler.expectStoredJobs(mStoredJobsExpected, now());
                     if (mKeeper.keeps()) {
-                        scheduler.storedJobsRead(mLoop.nowNanos());
+                        scheduler.storedJobsRead(now());
                     }
                     return scheduler;
                 });
@@ -358,7 +383,7 @@
                 own.add(entry);
             }
         }
-        scheduler.list(own, mLoop.nowNanos());
+        scheduler.list(own, now());
         scheduler.claim(mClaims);
     }
 
@@ -377,7 +402,7 @@
                     ORDER_TIMEOUT_MILLIS,
                     result -> {
                         mLog.startAnswered(start, result);
-                        scheduler.started(start, result, mLoop.nowNanos());
+                        scheduler.started(start, result, now());
                         flush();
                     });
         } else if (order instanceof Order.Stop stop) {
@@ -385,7 +410,7 @@
                     stop,
                     ORDER_TIMEOUT_MILLIS,
                     result -> {
-                        scheduler.stopped(stop, result, mLoop.nowNanos());
+                        scheduler.stopped(stop, result, now());
                         flush();
                     });
         } else if (order instanceof Order.Look look) {
@@ -394,7 +419,7 @@
                     look.waitMillis() + ORDER_TIMEOUT_MILLIS,
                     result -> {
                         mLog.looked(look, result);
-                        scheduler.looked(look, result, mLoop.nowNanos());
+                        scheduler.looked(look, result, now());
                         flush();
                     });
         }
@@ -410,18 +435,18 @@
 
         @Override
         public void storedJobsRead() {
-            mSchedulers.values().forEach(each -> each.storedJobsRead(mLoop.nowNanos()));
+            mSchedulers.values().forEach(each -> each.storedJobsRead(now()));
         }
 
         @Override
         public void giveUpStoredJobs() {
-            mSchedulers.values().forEach(each -> each.giveUpStoredJobs(mLoop.nowNanos()));
+            mSchedulers.values().forEach(each -> each.giveUpStoredJobs(now()));
             LeaderDesk.this.flush();
         }
 
         @Override
         public void flush() {
-            mSchedulers.values().forEach(each -> each.tick(mLoop.nowNanos()));
+            mSchedulers.values().forEach(each -> each.tick(now()));
             LeaderDesk.this.flush();
             tickWhileBusy();
         }
@@ -449,7 +474,7 @@
             Holding holding = mHoldings.get(task.job());
             if (holding != null && !holding.mBegun) {
                 holding.mBegun = true;
-                long waitedNanos = mLoop.nowNanos() - holding.mArrivedNanos;
+                long waitedNanos = now() - holding.mArrivedNanos;
                 mLog.jobBegan(holding.mPriority, TimeUnit.NANOSECONDS.toMillis(waitedNanos));
             }
             mLog.taskPlaced(task, attempt, server, expectedMillis);
@@ -467,7 +492,7 @@
             if (!held) {
                 for (ServerEntry entry : mEntries) {
                     if (entry.id().equals(server)) {
-                        mFenced.fenced(entry);
+                        mListener.fenced(entry);
                     }
                 }
             }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Mesh.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Mesh.java
@@ -38,7 +38,7 @@
  * <p>Presence is asked for on the connections that jobs are passed on over. Two answers in a row
  * that fail to come close the connection, since it may have gone silent.
  */
-final class Mesh {
+final class Mesh implements LeaderDesk.Listener {
 
     /** Hears of changes. */
     interface Listener {
@@ -89,6 +89,10 @@
     private boolean mListed;
     private boolean mDraining;
     private boolean mStoreless;
+
+    /** How often this machine may have been suspended. */
+    private int mSuspensions;
+
     private Option<Peer> mLeader = Option.none();
     private Set<InstanceName> mGroup = Set.of();
 
@@ -107,6 +111,7 @@
         private boolean mRegistered;
         private boolean mDraining;
         private boolean mAsking;
+        private boolean mMustAnswer;
         private boolean mReachable;
         private boolean mRefuses;
         private boolean mBehindCut;
@@ -286,7 +291,8 @@
      * Takes note that another instance has taken a backend server. A peer whose address refuses
      * connections may then be alive behind a cut, and its servers are left to it.
      */
-    void fenced(ServerEntry server) {
+    @Override
+    public void fenced(ServerEntry server) {
         Leadership.naturalOwner(server.id(), instancesOf(server.dataCentre()))
                 .flatMap(owner -> Option.of(mPeers.get(owner)))
                 .filter(owner -> owner.mRefuses)
@@ -298,6 +304,20 @@
                         });
     }
 
+    /** Takes note that this machine may have been suspended: peers may follow another leader. */
+    @Override
+    public void suspended() {
+        mSuspensions++;
+        mPeers.values().forEach(state -> state.mMustAnswer = state.mReachable);
+        mListener.healed();
+        ask();
+    }
+
+    /** Tests whether it is not known yet whom the peers follow since this machine was suspended. */
+    boolean awaitsAnswers() {
+        return mPeers.values().stream().anyMatch(state -> state.mMustAnswer && state.mReachable);
+    }
+
     /** Asks every neighbour for its presence. */
     void tick() {
         long nowNanos = mLoop.nowNanos();
@@ -327,14 +347,16 @@
         for (PeerState state : mPeers.values()) {
             if (!state.mAsking) {
                 state.mAsking = true;
+                int suspensions = mSuspensions;
                 Envelope.Builder request = Envelope.newBuilder().setPresence(presence());
                 mClient.call(state.mAddress, request, ANSWER_TIMEOUT)
-                        .thenAccept(answer -> mLoop.run(() -> answered(state, answer)));
+                        .thenAccept(
+                                answer -> mLoop.run(() -> answered(state, suspensions, answer)));
             }
         }
     }
 
-    private void answered(PeerState state, Either<Failure, Envelope> answer) {
+    private void answered(PeerState state, int suspensions, Either<Failure, Envelope> answer) {
         state.mAsking = false;
         if (answer.isRight() && answer.get().hasPresence()) {
             Presence presence = answer.get().getPresence();
@@ -346,6 +368,8 @@
             state.mRefuses = false;
             state.mBehindCut = false;
             state.mMisses = 0;
+            // An answer that waited through a suspension tells nothing of the time since.
+            state.mMustAnswer &= suspensions != mSuspensions;
             if (!state.mReachable) {
                 state.mReachable = true;
                 state.mReachedNanos = state.mAnsweredNanos;
--- a/proxy/src/main/java/org/wagtailproxy/serve/EventLoop.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/EventLoop.java
@@ -24,4 +24,12 @@
      * @return the time in nanoseconds
      */
     long nowNanos();
+
+    /**
+     * Returns the time of day, which may jump. Only its lead over the monotonic time tells
+     * anything, namely that the machine may have been suspended.
+     *
+     * @return the time in milliseconds since 1970
+     */
+    long wallMillis();
 }
--- a/proxy/src/main/java/org/wagtailproxy/serve/NettyLoop.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/NettyLoop.java
@@ -44,6 +44,11 @@
         return System.nanoTime();
     }
 
+    @Override
+    public long wallMillis() {
+        return System.currentTimeMillis();
+    }
+
     /** A defect in one piece of work must not end the loop or a chain of timers. */
     private static void guarded(Runnable work) {
         try {
