Work out burn from the metrics of instances; count refused jobs as missed

wagtailproxy_job_objectives_total counted complete jobs only, so burn needed a second counter that has no priority. Records that are lost before the metrics are loaded are shown as wagtailproxy_dropped_records_total.

--- a/control/src/main/java/org/wagtailproxy/control/Commands.java
+++ b/control/src/main/java/org/wagtailproxy/control/Commands.java
@@ -198,6 +198,23 @@
         return Either.right(report.isWhole() ? ExitCode.OK : ExitCode.PARTIAL);
     }
 
+    /** Adds up the counts in metrics that are read from addresses or from files. */
+    Either<ControlFailure, ExitCode> burn(List<String> sources, int targetPerMille) {
+        MetricsBurn burn = new MetricsBurn();
+        for (String source : sources) {
+            Either<ControlFailure, String> text =
+                    source.startsWith("http://")
+                            ? InstanceClient.text(source)
+                            : read(source).map(bytes -> new String(bytes, StandardCharsets.UTF_8));
+            if (text.isLeft()) {
+                return Either.left(text.getLeft());
+            }
+            burn.add(text.get());
+        }
+        mOut.print(burn.toText(targetPerMille));
+        return Either.right(ExitCode.OK);
+    }
+
     private Either<ControlFailure, ExitCode> applyOne(JsonNode document, boolean onlyCheck) {
         String kind = document.path("kind").asText();
         String path = "/v1/resources/" + kind + "/" + document.path("name").asText();
--- a/control/src/main/java/org/wagtailproxy/control/InstanceClient.java
+++ b/control/src/main/java/org/wagtailproxy/control/InstanceClient.java
@@ -29,11 +29,7 @@
 
     InstanceClient(HostAddress address) {
         mAddress = address;
-        mClient =
-                HttpClient.newBuilder()
-                        .version(HttpClient.Version.HTTP_1_1)
-                        .connectTimeout(CONNECT_TIMEOUT)
-                        .build();
+        mClient = client();
     }
 
     Either<ControlFailure, JsonNode> get(String path) {
@@ -48,6 +44,35 @@
         return send(request(path).DELETE());
     }
 
+    /** Reads a text from any address. */
+    static Either<ControlFailure, String> text(String address) {
+        try {
+            HttpRequest request =
+                    HttpRequest.newBuilder(URI.create(address)).timeout(CONNECT_TIMEOUT).build();
+            HttpResponse<String> response = client().send(request, BodyHandlers.ofString());
+            return response.statusCode() < FIRST_ERROR
+                    ? Either.right(response.body())
+                    : Either.left(
+                            ControlFailure.of(
+                                    ExitCode.REFUSED, address + ": " + response.statusCode()));
+        } catch (IllegalArgumentException wrong) {
+            return Either.left(ControlFailure.of(ExitCode.USAGE, "not an address: " + address));
+        } catch (IOException failure) {
+            return Either.left(
+                    ControlFailure.of(ExitCode.UNREACHABLE, address + " does not answer"));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return Either.left(ControlFailure.of(ExitCode.UNREACHABLE, "interrupted"));
+        }
+    }
+
+    private static HttpClient client() {
+        return HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(CONNECT_TIMEOUT)
+                .build();
+    }
+
     static Either<ControlFailure, JsonNode> parse(byte[] bytes) {
         try {
             return Either.right(MAPPER.readTree(bytes));
--- a/control/src/main/java/org/wagtailproxy/control/Main.java
+++ b/control/src/main/java/org/wagtailproxy/control/Main.java
@@ -18,6 +18,12 @@
 
     private static final String VERSION = "0.1.0";
 
+    /** An objective that allows no miss has no budget that could burn. */
+    private static final int LARGEST_TARGET = 999;
+
+    /** The objective for which docs/OPERATIONS.md gives the formula, 99%. */
+    private static final int DEFAULT_TARGET = 990;
+
     private Main() {}
 
     /**
@@ -73,7 +79,11 @@
             case "cancel" -> commands.cancel(name);
             case "session" -> commands.session();
             case "explain" -> commands.explain(name, namespace.getList("files"));
-            default -> commands.burn(namespace.getBoolean("json"));
+            default ->
+                    namespace.getList("metrics") == null
+                            ? commands.burn(namespace.getBoolean("json"))
+                            : commands.burn(
+                                    namespace.getList("metrics"), namespace.getInt("target"));
         };
     }
 
@@ -109,6 +119,15 @@
         commands.addParser("session").help("show a session token");
         Subparser burn = commands.addParser("burn").help("report service-level burn");
         burn.addArgument("--json").action(Arguments.storeTrue()).help("as a JSON document");
+        burn.addArgument("--metrics")
+                .nargs("+")
+                .metavar("SOURCE")
+                .help("count from metrics instead: http:// addresses or files, one an instance");
+        burn.addArgument("--target")
+                .type(Integer.class)
+                .choices(Arguments.range(1, LARGEST_TARGET))
+                .setDefault(DEFAULT_TARGET)
+                .help("jobs of a thousand that must meet their objective, with --metrics");
         return parser;
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/observe/DispatchMetrics.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/DispatchMetrics.java
@@ -33,7 +33,7 @@
     private final Counter mObjectives =
             counter(
                     "wagtailproxy_job_objectives",
-                    "Complete jobs by whether they met their objective.",
+                    "Answered jobs by whether they were complete within their objective.",
                     "priority",
                     "met");
     private final Counter mRefusals =
@@ -44,6 +44,8 @@
             counter("wagtailproxy_store_calls", "Calls to the store.", "call", "outcome");
     private final Counter mEvents =
             counter("wagtailproxy_events", "Lines of the event log by event.", "event");
+    private final Counter mDropped =
+            counter("wagtailproxy_dropped_records", "Records lost before the metrics were loaded.");
     private final Histogram mJobSeconds =
             histogram("wagtailproxy_job_seconds", "Time to the answer.", SECONDS, "outcome");
     private final Histogram mWaitSeconds =
@@ -100,10 +102,8 @@
             String outcome, String reason, int priority, long tookMillis, long objectiveMillis) {
         mAnswers.labelValues(outcome, reason).inc();
         mJobSeconds.labelValues(outcome).observe(tookMillis / MILLIS_PER_SECOND);
-        if (outcome.equals("complete")) {
-            String met = Boolean.toString(tookMillis <= objectiveMillis);
-            mObjectives.labelValues(Integer.toString(priority), met).inc();
-        }
+        boolean met = outcome.equals("complete") && tookMillis <= objectiveMillis;
+        mObjectives.labelValues(Integer.toString(priority), Boolean.toString(met)).inc();
     }
 
     /**
@@ -161,6 +161,15 @@
         mEvents.labelValues(event).inc();
     }
 
+    /**
+     * Counts records that found no place before the metrics were created.
+     *
+     * @param records how many, 0 or more
+     */
+    public void dropped(long records) {
+        mDropped.inc(records);
+    }
+
     /**
      * Writes all metrics as text.
      *
--- a/proxy/src/main/java/org/wagtailproxy/observe/MetricsRecorder.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/MetricsRecorder.java
@@ -49,6 +49,7 @@
             mMetrics = Option.some(metrics);
             mWaiting.forEach(update -> update.accept(metrics));
             mWaiting.clear();
+            metrics.dropped(mDropped);
         }
         return mMetrics.get();
     }
--- a/proxy/src/test/java/org/wagtailproxy/observe/MetricsRecorderTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/observe/MetricsRecorderTest.java
@@ -65,6 +65,6 @@
         assertThat(
                 text,
                 containsString(
-                        "wagtailproxy_job_objectives_total{met=\"false\",priority=\"0\"} 1"));
+                        "wagtailproxy_job_objectives_total{met=\"false\",priority=\"0\"} 2"));
     }
 }
