Divide a large fleet for good, and let large instances lead it

Ruled out: slow answers of backend servers (p50 of the first start is 32 ms). Change: PeerTable (decisions) forgets peers of other pools; in pools of more than 16, followers ask only the leader and the next ones in every round, the rest every 450 ms; in a divided fleet an instance with less than half of the largest one's processor leads only if no larger one is reached (its registration tells).

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/InstanceRecord.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/InstanceRecord.java
@@ -1,9 +1,8 @@
-package org.wagtailproxy.dispatcher;
+package org.wagtailproxy.leadership;
 
 import java.util.Objects;
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
-import org.wagtailproxy.leadership.InstanceName;
 
 /**
  * An instance as it is registered in the store.
@@ -11,10 +10,15 @@
  * @param name its name, not null
  * @param dataCentre where it stands, not null
  * @param peerAddress where it listens to other instances, not null
+ * @param processorMillis its processor in thousandths of a core, 0 if it is not known
  * @param seniority when it registered; a lower number is senior
  */
 public record InstanceRecord(
-        InstanceName name, DataCentre dataCentre, HostAddress peerAddress, long seniority) {
+        InstanceName name,
+        DataCentre dataCentre,
+        HostAddress peerAddress,
+        long processorMillis,
+        long seniority) {
 
     /** Checks the components. */
     public InstanceRecord {
--- a/decisions/src/main/java/org/wagtailproxy/leadership/Leadership.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/Leadership.java
@@ -23,9 +23,11 @@
 public final class Leadership {
 
     private final Peer mSelf;
+    private final long mLeastProcessorMillis;
 
-    private Leadership(Peer self) {
+    private Leadership(Peer self, long leastProcessorMillis) {
         mSelf = self;
+        mLeastProcessorMillis = leastProcessorMillis;
     }
 
     /**
@@ -35,7 +37,18 @@
      * @return the decisions, never null
      */
     public static Leadership of(Peer self) {
-        return new Leadership(Objects.requireNonNull(self, "self"));
+        return new Leadership(Objects.requireNonNull(self, "self"), 0);
+    }
+
+    /**
+     * Sets the processor that a leader ought to have. A smaller instance leads only if no larger
+     * one can.
+     *
+     * @param processorMillis the processor in thousandths of a core
+     * @return the changed decisions, never null
+     */
+    public Leadership withLeastProcessor(long processorMillis) {
+        return new Leadership(mSelf, processorMillis);
     }
 
     /**
@@ -137,15 +150,22 @@
      * A draining instance leads only if all are about to stop, one without the store only if none
      * reaches it.
      */
-    private static boolean isPreferred(Peer one, Peer other) {
+    private boolean isPreferred(Peer one, Peer other) {
         if (one.draining() != other.draining()) {
             return other.draining();
         }
         if (one.storeless() != other.storeless()) {
             return other.storeless();
         }
+        if (isStrong(one) != isStrong(other)) {
+            return isStrong(one);
+        }
         return one.seniority() != other.seniority()
                 ? one.seniority() < other.seniority()
                 : one.name().compareTo(other.name()) < 0;
     }
+
+    private boolean isStrong(Peer peer) {
+        return peer.processorMillis() >= mLeastProcessorMillis;
+    }
 }
--- a/decisions/src/main/java/org/wagtailproxy/leadership/Peer.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/Peer.java
@@ -11,6 +11,7 @@
  * @param name its name, not null
  * @param dataCentre where it stands, not null
  * @param address where it listens to instances, not null
+ * @param processorMillis its processor in thousandths of a core, 0 if it is not known
  * @param seniority when it joined; a lower number is senior
  * @param reachable true if it answers
  * @param draining true if it is about to stop
@@ -21,6 +22,7 @@
         InstanceName name,
         DataCentre dataCentre,
         HostAddress address,
+        long processorMillis,
         long seniority,
         boolean reachable,
         boolean draining,
--- a/decisions/src/test/java/org/wagtailproxy/leadership/LeadershipTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/LeadershipTest.java
@@ -29,6 +29,7 @@
                 name,
                 DataCentre.of("pwani-a"),
                 HostAddress.of("10.0.0.1", 7000),
+                1000,
                 seniority,
                 reachable,
                 false,
@@ -41,6 +42,7 @@
                 peer.name(),
                 peer.dataCentre(),
                 peer.address(),
+                peer.processorMillis(),
                 peer.seniority(),
                 peer.reachable(),
                 true,
@@ -53,6 +55,7 @@
                 peer.name(),
                 peer.dataCentre(),
                 peer.address(),
+                peer.processorMillis(),
                 peer.seniority(),
                 peer.reachable(),
                 peer.draining(),
@@ -87,6 +90,25 @@
         assertThat(leadership.leader(List.of()).name(), is(C));
     }
 
+    @Test
+    void testSmallInstanceLeadsOnlyIfNoLargerOneIsReached() {
+        Leadership small = Leadership.of(peer(A, 10, true, "a")).withLeastProcessor(1001);
+        Peer large =
+                new Peer(
+                        B,
+                        DataCentre.of("pwani-a"),
+                        HostAddress.of("10.0.0.1", 7000),
+                        1500,
+                        20,
+                        true,
+                        false,
+                        false,
+                        Option.none());
+        assertThat(small.leader(List.of(large)).name(), is(B));
+        assertThat(small.leader(List.of(peer(C, 30, true, ""))).name(), is(A));
+        assertThat(small.leader(List.of(draining(large))).name(), is(A));
+    }
+
     @Test
     void testDrainingLeaderHandsOverUnlessItIsAlone() {
         Peer self = draining(peer(A, 10, true, "a"));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -20,6 +20,7 @@
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.Names;
 import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.leadership.Pool;
 import org.wagtailproxy.observe.DispatchState;
 import org.wagtailproxy.observe.EventLog;
@@ -168,7 +169,7 @@
         for (InstanceRecord record : instances) {
             (isPooled(record.dataCentre()) ? pool : others).add(record);
         }
-        mMesh.list(pool);
+        mMesh.list(pool, this::isPooled, !mPool.spans());
         mRemote.list(others);
         listServers();
         if (mMesh.leads()) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DispatcherSettings.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DispatcherSettings.java
@@ -13,6 +13,7 @@
  * @param name its name, not null
  * @param dataCentre where it stands, not null
  * @param peerAddress where it listens to other instances, not null
+ * @param processorMillis its processor in thousandths of a core, 0 if it is not known
  * @param timing times of leases, not null
  * @param tuning how to weigh, not null
  */
@@ -20,6 +21,7 @@
         InstanceName name,
         DataCentre dataCentre,
         HostAddress peerAddress,
+        long processorMillis,
         LeaseTiming timing,
         SchedulerTuning tuning) {
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Mesh.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Mesh.java
@@ -7,11 +7,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.failure.FailureKind;
 import org.wagtailproxy.fleet.ServerEntry;
@@ -19,9 +18,13 @@
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.identity.Names;
 import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.leadership.Leadership;
 import org.wagtailproxy.leadership.Majority;
 import org.wagtailproxy.leadership.Peer;
+import org.wagtailproxy.leadership.PeerNews;
+import org.wagtailproxy.leadership.PeerQuestion;
+import org.wagtailproxy.leadership.PeerTable;
 import org.wagtailproxy.observe.EventField;
 import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.EventName;
@@ -59,21 +62,12 @@
     /** How long an answer may take; far above a round trip between data centres. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(220);
 
-    /** Missing answers after which a connection is taken as silent; a busy peer misses one. */
-    private static final int MISSES_BEFORE_DROP = 2;
-
-    /** Silence after which a peer is taken as unreachable; two answers may get lost. */
-    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(520);
-
-    /** Time after a peer was reached in which it may still be loading its code. */
-    private static final long YOUNG_NANOS = TimeUnit.SECONDS.toNanos(3);
-
-    /** Silence after which such a peer is taken as unreachable. */
-    private static final long YOUNG_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1100);
-
     /** Time in which peers are asked before this instance may lead for the first time. */
     private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
 
+    /** A leader of a large fleet has at least this part of the largest instance's processor. */
+    private static final int SMALLEST_LEADER_ONE_IN = 2;
+
     /** Seniority of an instance that the store has not registered yet. */
     private static final long UNREGISTERED = Long.MAX_VALUE;
 
@@ -83,16 +77,14 @@
     private final TokenSource mTokens;
     private final EventLog mLog;
     private final Listener mListener;
-    private final Map<InstanceName, PeerState> mPeers = new TreeMap<>();
+    private final PeerTable mPeers = new PeerTable();
     private long mSeniority = UNREGISTERED;
     private long mListedNanos;
     private boolean mListed;
+    private boolean mDivided;
     private boolean mDraining;
     private boolean mStoreless;
 
-    /** How often this machine may have been suspended. */
-    private int mSuspensions;
-
     private Option<Peer> mLeader = Option.none();
     private Set<InstanceName> mGroup = Set.of();
 
@@ -102,47 +94,6 @@
     private long mConfigurationVersion;
     private byte[] mConfiguration = new byte[0];
 
-    /** What is known of a peer. */
-    private static final class PeerState {
-        private final InstanceName mName;
-        private final DataCentre mDataCentre;
-        private HostAddress mAddress;
-        private long mSeniority;
-        private boolean mRegistered;
-        private boolean mDraining;
-        private boolean mAsking;
-        private boolean mMustAnswer;
-        private boolean mReachable;
-        private boolean mRefuses;
-        private boolean mBehindCut;
-        private boolean mKeepsJobs;
-        private boolean mStoreless;
-        private int mMisses;
-        private long mAnsweredNanos;
-        private long mReachedNanos;
-        private long mLostSeniority = -1;
-        private Option<InstanceName> mFollows = Option.none();
-
-        private PeerState(InstanceRecord record) {
-            mName = record.name();
-            mDataCentre = record.dataCentre();
-            mAddress = record.peerAddress();
-            mSeniority = record.seniority();
-        }
-
-        private Peer peer() {
-            return new Peer(
-                    mName,
-                    mDataCentre,
-                    mAddress,
-                    mSeniority,
-                    mReachable,
-                    mDraining,
-                    mStoreless,
-                    mFollows);
-        }
-    }
-
     Mesh(
             DispatcherSettings settings,
             EventLoop loop,
@@ -158,23 +109,25 @@
         mListener = listener;
     }
 
-    /** Takes over the registered instances that may follow the same leader. */
-    void list(Collection<InstanceRecord> records) {
+    /**
+     * Takes over the registered instances that may follow the same leader.
+     *
+     * @param pooled tests whether a data centre belongs to the pool
+     * @param divided true if the fleet has several pools, for it is large
+     */
+    void list(Collection<InstanceRecord> records, Predicate<DataCentre> pooled, boolean divided) {
         if (!mListed) {
             mListed = true;
             mListedNanos = mLoop.nowNanos();
         }
-        mPeers.values().forEach(state -> state.mRegistered = false);
-        for (InstanceRecord record : records) {
-            if (record.name().equals(mSettings.name())) {
-                continue;
-            }
-            PeerState state = mPeers.computeIfAbsent(record.name(), name -> new PeerState(record));
-            state.mRegistered = true;
-            state.mAddress = record.peerAddress();
+        List<InstanceRecord> others = new ArrayList<>(records);
+        others.removeIf(record -> record.name().equals(mSettings.name()));
+        mPeers.list(others, pooled);
+        mDivided = divided;
+        if (mLeader.exists(leader -> !isSelf(leader) && mPeers.find(leader.name()).isEmpty())) {
+            reconsider();
         }
-        mPeers.values().removeIf(state -> !state.mRegistered && !state.mReachable);
-        ask();
+        ask(true);
     }
 
     void registered(long seniority) {
@@ -188,7 +141,7 @@
     void drain() {
         mDraining = true;
         reconsider();
-        ask();
+        ask(true);
     }
 
     /** Takes over whether stored jobs are kept and the store is out of reach from here. */
@@ -224,11 +177,7 @@
 
     /** Tests whether the leader, if it is another instance, says that it keeps stored jobs. */
     boolean leaderKeepsJobs() {
-        return mLeader.exists(
-                leader -> {
-                    PeerState state = mPeers.get(leader.name());
-                    return state != null && state.mKeepsJobs;
-                });
+        return mLeader.exists(leader -> mPeers.keepsJobs(leader.name()));
     }
 
     /** Tests whether this instance leads a majority, and so may keep the stored jobs. */
@@ -237,33 +186,31 @@
     }
 
     private Set<InstanceName> registered() {
-        Set<InstanceName> registered = new TreeSet<>(mPeers.keySet());
+        Set<InstanceName> registered = new TreeSet<>();
+        mPeers.peers().forEach(peer -> registered.add(peer.name()));
         registered.add(mSettings.name());
         return registered;
     }
 
     boolean reaches(InstanceName name) {
-        PeerState state = mPeers.get(name);
-        return state != null && state.mReachable;
+        return mPeers.find(name).exists(Peer::reachable);
     }
 
     /** Tests whether a peer says that it follows another leader than this instance. */
     boolean followsAnother(InstanceName name) {
-        PeerState state = mPeers.get(name);
-        return state != null && state.mFollows.exists(leader -> !leader.equals(mSettings.name()));
+        return mPeers.find(name)
+                .flatMap(Peer::follows)
+                .exists(leader -> !leader.equals(mSettings.name()));
     }
 
     /** Takes note that a peer has passed a job on to this instance, and so follows it. */
     void followed(InstanceName name) {
-        PeerState state = mPeers.get(name);
-        if (state != null) {
-            state.mFollows = Option.some(mSettings.name());
-        }
+        mPeers.follows(name, mSettings.name());
     }
 
     /** Returns where a neighbour listens, none if it is not known. */
     Option<HostAddress> address(InstanceName name) {
-        return Option.of(mPeers.get(name)).map(state -> state.mAddress);
+        return mPeers.find(name).map(Peer::address);
     }
 
     /** Decides how strong the claim to a backend server is. */
@@ -279,9 +226,9 @@
         if (dataCentre.equals(mSettings.dataCentre())) {
             instances.add(mSettings.name());
         }
-        for (PeerState state : mPeers.values()) {
-            if (state.mDataCentre.equals(dataCentre)) {
-                instances.add(state.mName);
+        for (Peer peer : mPeers.peers()) {
+            if (peer.dataCentre().equals(dataCentre)) {
+                instances.add(peer.name());
             }
         }
         return instances;
@@ -294,43 +241,28 @@
     @Override
     public void fenced(ServerEntry server) {
         Leadership.naturalOwner(server.id(), instancesOf(server.dataCentre()))
-                .flatMap(owner -> Option.of(mPeers.get(owner)))
-                .filter(owner -> owner.mRefuses)
-                .forEach(
-                        owner -> {
-                            owner.mRefuses = false;
-                            owner.mBehindCut = true;
-                            mLoop.run(this::reconsider);
-                        });
+                .filter(mPeers::mayLiveBehindCut)
+                .forEach(owner -> mLoop.run(this::reconsider));
     }
 
     /** Takes note that this machine may have been suspended: peers may follow another leader. */
     @Override
     public void suspended() {
-        mSuspensions++;
-        mPeers.values().forEach(state -> state.mMustAnswer = state.mReachable);
+        mPeers.suspended();
         mListener.healed();
-        ask();
+        ask(true);
     }
 
     /** Tests whether it is not known yet whom the peers follow since this machine was suspended. */
     boolean awaitsAnswers() {
-        return mPeers.values().stream().anyMatch(state -> state.mMustAnswer && state.mReachable);
+        return mPeers.awaitsAnswers();
     }
 
-    /** Asks every neighbour for its presence. */
+    /** Asks the neighbours that are due for their presence. */
     void tick() {
-        long nowNanos = mLoop.nowNanos();
-        for (PeerState state : mPeers.values()) {
-            boolean young = nowNanos - state.mReachedNanos < YOUNG_NANOS;
-            long silence = young ? YOUNG_SILENCE_NANOS : SILENCE_NANOS;
-            boolean silent = nowNanos - state.mAnsweredNanos > silence;
-            if (state.mReachable && silent) {
-                unreachable(state, "silent");
-            }
-        }
+        mPeers.silent(mLoop.nowNanos()).forEach(name -> unreachable(name, "silent"));
         reconsider();
-        ask();
+        ask(leads());
     }
 
     /** Answers the presence of a peer. */
@@ -343,54 +275,49 @@
         return answer;
     }
 
-    private void ask() {
-        for (PeerState state : mPeers.values()) {
-            if (!state.mAsking) {
-                state.mAsking = true;
-                int suspensions = mSuspensions;
-                Envelope.Builder request = Envelope.newBuilder().setPresence(presence());
-                mClient.call(state.mAddress, request, ANSWER_TIMEOUT)
-                        .thenAccept(
-                                answer -> mLoop.run(() -> answered(state, suspensions, answer)));
-            }
+    private void ask(boolean all) {
+        Option<InstanceName> leader = mLeader.map(Peer::name);
+        for (PeerQuestion question : mPeers.ask(all, leader, mLoop.nowNanos())) {
+            Envelope.Builder request = Envelope.newBuilder().setPresence(presence());
+            mClient.call(question.address(), request, ANSWER_TIMEOUT)
+                    .thenAccept(answer -> mLoop.run(() -> answered(question, answer)));
         }
     }
 
-    private void answered(PeerState state, int suspensions, Either<Failure, Envelope> answer) {
-        state.mAsking = false;
+    private void answered(PeerQuestion question, Either<Failure, Envelope> answer) {
+        InstanceName peer = question.peer();
         if (answer.isRight() && answer.get().hasPresence()) {
             Presence presence = answer.get().getPresence();
-            if (!presence.getName().equals(state.mName.value())) {
-                unreachable(state, "another instance answers");
+            if (presence.getName().equals(peer.value())) {
+                present(question, presence);
                 return;
             }
-            state.mAnsweredNanos = mLoop.nowNanos();
-            state.mRefuses = false;
-            state.mBehindCut = false;
-            state.mMisses = 0;
-            // An answer that waited through a suspension tells nothing of the time since.
-            state.mMustAnswer &= suspensions != mSuspensions;
-            if (!state.mReachable) {
-                state.mReachable = true;
-                state.mReachedNanos = state.mAnsweredNanos;
-                if (state.mLostSeniority == presence.getSeniority()) {
-                    mListener.healed();
-                }
-                mLog.event(EventName.PEER_REACHED).with(EventField.PEER, state.mName).info();
-            }
-            heard(presence);
-            if (presence.getConfigurationVersion() > mConfigurationVersion
-                    && !presence.getConfiguration().isEmpty()) {
-                mListener.configuration(presence.getConfiguration().toByteArray());
-            }
-            reconsider();
+            mPeers.missed(question);
+            unreachable(peer, "another instance answers");
         } else if (answer.isLeft() && answer.getLeft().kind() == FailureKind.PEER_REFUSED) {
-            state.mRefuses = !state.mBehindCut;
-            unreachable(state, "refused");
+            mPeers.refused(question);
+            unreachable(peer, "refused");
             reconsider();
-        } else if (++state.mMisses >= MISSES_BEFORE_DROP) {
-            mClient.drop(state.mAddress);
+        } else if (mPeers.missed(question)) {
+            mClient.drop(question.address());
+        }
+    }
+
+    private void present(PeerQuestion question, Presence presence) {
+        PeerTable.Contact contact =
+                mPeers.answered(question, presence.getSeniority(), mLoop.nowNanos());
+        if (contact == PeerTable.Contact.HEALED) {
+            mListener.healed();
         }
+        if (contact != PeerTable.Contact.UNCHANGED) {
+            mLog.event(EventName.PEER_REACHED).with(EventField.PEER, question.peer()).info();
+        }
+        heard(presence);
+        if (presence.getConfigurationVersion() > mConfigurationVersion
+                && !presence.getConfiguration().isEmpty()) {
+            mListener.configuration(presence.getConfiguration().toByteArray());
+        }
+        reconsider();
     }
 
     private void heard(Presence presence) {
@@ -398,48 +325,38 @@
         if (!Names.isName(presence.getName())) {
             return;
         }
-        PeerState state = mPeers.get(InstanceName.of(presence.getName()));
-        if (state == null) {
-            return;
-        }
         Option<InstanceName> follows =
                 Names.isName(presence.getFollows())
                         ? Option.some(InstanceName.of(presence.getFollows()))
                         : Option.none();
-        boolean changed =
-                state.mDraining != presence.getDraining()
-                        || state.mStoreless != presence.getStoreless()
-                        || !state.mFollows.equals(follows);
-        state.mSeniority = presence.getSeniority();
-        state.mDraining = presence.getDraining();
-        state.mFollows = follows;
-        state.mKeepsJobs = presence.getKeepsJobs();
-        state.mStoreless = presence.getStoreless();
-        if (changed) {
+        PeerNews news =
+                new PeerNews(
+                        InstanceName.of(presence.getName()),
+                        presence.getSeniority(),
+                        follows,
+                        presence.getDraining(),
+                        presence.getStoreless(),
+                        presence.getKeepsJobs());
+        if (mPeers.heard(news)) {
             reconsider();
         }
     }
 
-    private void unreachable(PeerState state, String reason) {
-        if (state.mReachable) {
-            state.mReachable = false;
-            state.mLostSeniority = state.mSeniority;
+    private void unreachable(InstanceName name, String reason) {
+        if (mPeers.unreachable(name)) {
             mLog.event(EventName.PEER_LOST)
-                    .with(EventField.PEER, state.mName)
+                    .with(EventField.PEER, name)
                     .with(EventField.REASON, reason)
                     .warn();
         }
-        state.mFollows = Option.none();
-        mClient.drop(state.mAddress);
+        address(name).forEach(mClient::drop);
     }
 
     private void reconsider() {
         boolean settled = settled();
-        List<Peer> peers = new ArrayList<>();
-        for (PeerState state : mPeers.values()) {
-            peers.add(state.peer());
-        }
-        Leadership leadership = Leadership.of(self());
+        List<Peer> peers = mPeers.peers();
+        Leadership leadership =
+                Leadership.of(self()).withLeastProcessor(leastProcessorMillis(peers));
         Peer leader = leadership.leader(peers);
         Set<InstanceName> group = leadership.group(peers);
         if (isSelf(leader) && !(mListed && Leadership.mayBegin(settled, group, registered()))) {
@@ -447,8 +364,7 @@
         }
         boolean ready = leaderIsReady();
         boolean other = !mLeader.map(Peer::name).equals(Option.some(leader.name()));
-        Set<InstanceName> dead = new TreeSet<>();
-        mPeers.values().stream().filter(s -> s.mRefuses).forEach(s -> dead.add(s.mName));
+        Set<InstanceName> dead = mPeers.dead();
         boolean regrouped = isSelf(leader) && !(group.equals(mGroup) && dead.equals(mDead));
         mGroup = group;
         mDead = dead;
@@ -462,11 +378,26 @@
                     .with(EventField.PEER, leader.name())
                     .with(EventField.COUNT, group.size())
                     .info();
-            ask();
+            ask(true);
         }
         mListener.leadershipChanged();
     }
 
+    /**
+     * Returns the processor that a leader ought to have. In a large fleet, whose instances are of
+     * all sizes, the smallest ones cannot bear it.
+     */
+    private long leastProcessorMillis(List<Peer> peers) {
+        if (!mDivided) {
+            return 0;
+        }
+        long largest = mSettings.processorMillis();
+        for (Peer peer : peers) {
+            largest = Math.max(largest, peer.processorMillis());
+        }
+        return largest / SMALLEST_LEADER_ONE_IN;
+    }
+
     /**
      * Tests whether this instance may lead: each registered neighbour has answered or is proved
      * dead, or has had time to answer.
@@ -481,12 +412,7 @@
         if (mSeniority == UNREGISTERED) {
             return false;
         }
-        for (PeerState state : mPeers.values()) {
-            if (!state.mReachable && !state.mRefuses) {
-                return false;
-            }
-        }
-        return true;
+        return mPeers.allAccounted();
     }
 
     private Peer self() {
@@ -494,6 +420,7 @@
                 mSettings.name(),
                 mSettings.dataCentre(),
                 mSettings.peerAddress(),
+                mSettings.processorMillis(),
                 mSeniority,
                 true,
                 mDraining,
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
@@ -14,6 +14,7 @@
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.peer.PeerClient;
 import org.wagtailproxy.scheduling.SpillOver;
 import org.wagtailproxy.serve.EventLoop;
