Join a job that another data centre runs when it is sent again

Cause: Forwards.join was never called, so in a divided fleet the leader took a resent job for a new one and ran it beside the one that it had passed on. Test: NodeTest.testResentJobJoinsTheOneThatRunsInAnotherDataCentre, red before.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Forwards.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Forwards.java
@@ -104,6 +104,7 @@
             return false;
         }
         forward.homes().put(home, answer);
+        mTellHomes.accept(job, List.of(home));
         return true;
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderDesk.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderDesk.java
@@ -207,6 +207,9 @@
             mKeeper.accept(spec, arrivedNanos, answer);
             return;
         }
+        if (mForwarder.join(spec.id(), home, answer)) {
+            return;
+        }
         Holding holding = mHoldings.computeIfAbsent(spec.id(), id -> new Holding(spec));
         holding.mHomes.put(home, answer);
         holding.mArrivedNanos = arrivedNanos;
