Let tasks go on from their checkpoints; keep the account of runs in a class of its own

A run that was interrupted began anew although its server had told how far it had come. Lists of runs and ends now carry the checkpoint, the job keeps the last one of each task, and the next start names it; the next keeper learns it from the servers' lists. The simulated server now lets looks that waited when it died go unanswered, as the network does. ServerLedger is split: RunAccount has runs and ends.

--- a/decisions/src/main/java/org/wagtailproxy/fleet/EndReport.java
+++ b/decisions/src/main/java/org/wagtailproxy/fleet/EndReport.java
@@ -10,12 +10,14 @@
  * @param task which task, not null
  * @param attempt which of its starts
  * @param kind how it ended, not null
+ * @param checkpoint from where another start can go on, empty if it has to begin anew; not null
  */
-public record EndReport(long number, TaskId task, int attempt, EndKind kind) {
+public record EndReport(long number, TaskId task, int attempt, EndKind kind, String checkpoint) {
 
     /** Checks the components. */
     public EndReport {
         Objects.requireNonNull(task, "task");
         Objects.requireNonNull(kind, "kind");
+        Objects.requireNonNull(checkpoint, "checkpoint");
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/fleet/Order.java
+++ b/decisions/src/main/java/org/wagtailproxy/fleet/Order.java
@@ -20,10 +20,16 @@
      * @param task which task, not null
      * @param attempt which of its starts, from 1
      * @param payload the text to start it with, not null
+     * @param checkpoint from where it goes on, empty if it begins anew; not null
      * @param leaseUntilMillis until when everything there may run, on the backend server's clock
      */
     record Start(
-            Recipient recipient, TaskId task, int attempt, String payload, long leaseUntilMillis)
+            Recipient recipient,
+            TaskId task,
+            int attempt,
+            String payload,
+            String checkpoint,
+            long leaseUntilMillis)
             implements Order {}
 
     /**
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/JobLedger.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/JobLedger.java
@@ -42,6 +42,7 @@
     private final int[][] mAttempts;
     private final int[][] mFailures;
     private final List<Map<ServerId, Integer>> mPerServer = new ArrayList<>();
+    private final Map<TaskId, String> mCheckpoints = new HashMap<>();
     private int mWaiting;
     private int mPlaced;
     private int mDone;
@@ -317,6 +318,16 @@
         return task.step() < mStates.length && task.index() < mStates[task.step()].length;
     }
 
+    /** Takes note of how far a task has come; its next start goes on from there. */
+    void checkpointed(TaskId task, String checkpoint) {
+        mCheckpoints.put(task, checkpoint);
+    }
+
+    /** Returns from where a task goes on, empty if it begins anew. */
+    String checkpoint(TaskId task) {
+        return mCheckpoints.getOrDefault(task, "");
+    }
+
     /** Takes over the end of a run; returns true if the task has failed as often as allowed. */
     boolean runEnded(TaskId task, RunEnd end, ServerId server, int attemptJump) {
         int step = task.step();
@@ -328,6 +339,7 @@
         mPerServer.get(step).merge(server, -1, Integer::sum);
         if (end == RunEnd.DONE) {
             mStates[step][index] = TaskState.DONE;
+            mCheckpoints.remove(task);
             mDone++;
             mChanges++;
             return false;
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/Placer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/Placer.java
@@ -81,14 +81,9 @@
         TaskId task = TaskId.of(job.mSpec.id(), step, index);
         long expected = Math.round(placement.expectedMillis(server, spec));
         ServerRun run =
-                server.start(
-                        task,
-                        attempt,
-                        spec.demand(),
-                        spec.estimateMillis(),
-                        job.mSpec.payload(),
-                        nowNanos);
+                new ServerRun(task, attempt, spec.demand(), spec.estimateMillis(), nowNanos);
         run.mStored = job.mSpec.isStored();
+        server.start(run, job.mSpec.payload(), job.checkpoint(task), nowNanos);
         mListener.taskPlaced(task, attempt, id, expected);
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunEvents.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunEvents.java
@@ -57,6 +57,14 @@
         }
     }
 
+    @Override
+    public void checkpointed(TaskId task, String checkpoint) {
+        JobLedger job = mJobs.get(task.job());
+        if (job != null && job.knows(task)) {
+            job.checkpointed(task, checkpoint);
+        }
+    }
+
     private void taskEnded(JobLedger job, boolean failed, long before, long nowNanos) {
         if (job.ended()) {
             mJobs.forgetIfIdle(job);
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
@@ -28,6 +28,14 @@
      */
     void unaccountedEnd(ServerLedger server, TaskId task, RunEnd end, long nowNanos);
 
+    /**
+     * A backend server tells from where a task can go on after its run has ended.
+     *
+     * @param task which, not null
+     * @param checkpoint the server's word for it, not empty
+     */
+    void checkpointed(TaskId task, String checkpoint);
+
     /**
      * Returns the change of a stored job that has to be saved before the server may forget its
      * ends.
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerLedger.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerLedger.java
@@ -3,19 +3,12 @@
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.wagtailproxy.fleet.EndKind;
-import org.wagtailproxy.fleet.EndReport;
 import org.wagtailproxy.fleet.LookReport;
 import org.wagtailproxy.fleet.LookResult;
 import org.wagtailproxy.fleet.Order;
 import org.wagtailproxy.fleet.Recipient;
-import org.wagtailproxy.fleet.RunReport;
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.fleet.StartResult;
 import org.wagtailproxy.fleet.StopResult;
@@ -23,17 +16,12 @@
 import org.wagtailproxy.workload.TaskId;
 
 /**
- * Keeps account of one backend server: who gives it orders, its lease, and every run on it.
- *
- * <p>A run leaves the account only when nothing of it can run any more: its end is listed, the
- * server says so in a later list, or the last lease that may have reached it has run out. Not safe
- * for use by several threads; the owner holds a lock.
+ * Keeps account of one backend server: who gives it orders, its lease, and when it is looked at.
+ * {@link RunAccount} has the runs on it. Not safe for use by several threads; the owner holds a
+ * lock.
  */
 final class ServerLedger {
 
-    /** Pause before an unacknowledged stop is sent again. */
-    private static final long STOP_AGAIN_MILLIS = 100;
-
     /** Added to the end of a lease before its runs are given up; timers fire late. */
     private static final long LEASE_MARGIN_MILLIS = 30;
 
@@ -49,9 +37,6 @@
     /** Pause between looks that renew a lease. */
     private static final long RENEW_PAUSE_MILLIS = 100;
 
-    /** Ends that are listed at a time; a list of this length may leave some out. */
-    private static final int MOST_LISTED_ENDS = 500;
-
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final LeaseTiming mTiming;
@@ -61,14 +46,11 @@
     private final ServerContact mContact;
     private final ServerHealth mHealth = new ServerHealth();
     private final ServerPace mPace = new ServerPace();
-    private final Map<TaskId, ServerRun> mRuns = new HashMap<>();
-    private final ForeignRuns mForeign = new ForeignRuns();
+    private final RunAccount mRuns;
     private final OpenLooks mLooks = new OpenLooks();
     private final List<Order> mOrders = new ArrayList<>();
     private ServerEntry mEntry;
-    private Room mUsed = Room.NONE;
     private long mBornMillis;
-    private final EndAccount mEnds = new EndAccount();
     private long mLastReported;
     private long mReportedNanos;
     private long mSeenNanos = Long.MIN_VALUE;
@@ -82,6 +64,21 @@
         mListener = listener;
         mLease = new ServerLease(timing);
         mContact = new ServerContact(timing);
+        mRuns = new RunAccount(this, listener, new RunOrders());
+    }
+
+    /** Sends the orders of the account of runs. */
+    private final class RunOrders implements RunAccount.Orders {
+
+        @Override
+        public void stop(TaskId task, int attempt) {
+            mOrders.add(new Order.Stop(recipient(), task, attempt));
+        }
+
+        @Override
+        public void wantLook() {
+            mContact.wantLook();
+        }
     }
 
     ServerEntry entry() {
@@ -93,7 +90,7 @@
     }
 
     EndAccount ends() {
-        return mEnds;
+        return mRuns.ends();
     }
 
     ServerPace pace() {
@@ -123,7 +120,7 @@
     }
 
     Collection<ServerRun> runs() {
-        return mRuns.values();
+        return mRuns.runs();
     }
 
     /** Takes over the directory's entry; null once the directory no longer lists the server. */
@@ -155,7 +152,7 @@
     /** Tests whether a new task may be sent here now. */
     boolean startable() {
         return held()
-                && mForeign.isEmpty()
+                && mRuns.foreign().isEmpty()
                 && !mContact.silent()
                 && mLease.known()
                 && mDrainingSinceNanos == Long.MAX_VALUE;
@@ -170,45 +167,44 @@
             return false;
         }
         return mHold.claimsSince(mTiming.adoptMillis(), nowNanos)
-                || (held() && !mForeign.isEmpty());
+                || (held() && !mRuns.foreign().isEmpty());
     }
 
     /** Tests whether a task fits beside what is accounted for. */
     boolean fits(Room demand) {
-        return mRuns.size() < mEntry.slots() && mUsed.plus(demand).fitsInto(mEntry.capacity());
+        return mRuns.runs().size() < mEntry.slots()
+                && mRuns.used().plus(demand).fitsInto(mEntry.capacity());
     }
 
     Room used() {
-        return mUsed;
+        return mRuns.used();
     }
 
     Room free() {
-        return mEntry.capacity().minus(mUsed);
+        return mEntry.capacity().minus(mRuns.used());
     }
 
     /** Orders a start; the caller has checked that it may be sent and fits. */
-    ServerRun start(TaskId task, int attempt, Room demand, long estimate, String text, long now) {
-        ServerRun run = new ServerRun(task, attempt, demand, estimate, now);
-        account(run);
-        mOrders.add(new Order.Start(recipient(), task, attempt, text, mLease.ask(now)));
-        return run;
+    void start(ServerRun run, String payload, String checkpoint, long nowNanos) {
+        mRuns.add(run);
+        mOrders.add(
+                new Order.Start(
+                        recipient(),
+                        run.mTask,
+                        run.mAttempt,
+                        payload,
+                        checkpoint,
+                        mLease.ask(nowNanos)));
     }
 
     /** Orders a stop; the run leaves the account when its end is proved. */
     void stop(TaskId task, long nowNanos) {
-        ServerRun run = mRuns.get(task);
-        if (run == null || run.stopOrdered()) {
-            return;
-        }
-        run.enter(ServerRun.State.STOPPING, nowNanos);
-        if (held()) {
-            mOrders.add(new Order.Stop(recipient(), task, run.mAttempt));
-        }
+        mRuns.stop(task, nowNanos);
     }
 
     void started(Order.Start order, StartResult result, long nowNanos) {
-        ServerRun run = mRuns.get(order.task());
-        boolean current = run != null && run.mAttempt == order.attempt();
+        ServerRun run = mRuns.find(order.task(), order.attempt());
+        boolean current = run != null;
         switch (result) {
             case STARTED -> {
                 mContact.answered();
@@ -242,24 +238,14 @@
             default -> {}
         }
         boolean old = result == StartResult.SUPERSEDED;
-        end(run, old ? RunEnd.ATTEMPT_TOO_LOW : RunEnd.NOT_STARTED, nowNanos);
+        mRuns.end(run, old ? RunEnd.ATTEMPT_TOO_LOW : RunEnd.NOT_STARTED, nowNanos);
     }
 
     void stopped(Order.Stop order, StopResult result, long nowNanos) {
-        ServerRun run = mRuns.get(order.task());
         if (result == StopResult.FENCED) {
             fenced(order.recipient().fencingToken(), nowNanos);
-            return;
-        }
-        if (result == StopResult.ACKNOWLEDGED) {
-            mForeign.remove(order.task());
-            mContact.wantLook();
-        }
-        if (run == null || run.mAttempt != order.attempt()) {
-            return;
-        }
-        if (result == StopResult.ACKNOWLEDGED) {
-            run.enter(ServerRun.State.STOPPED, nowNanos);
+        } else if (result == StopResult.ACKNOWLEDGED) {
+            mRuns.stopAcknowledged(order.task(), order.attempt(), nowNanos);
         }
     }
 
@@ -304,7 +290,7 @@
         expireLease(nowNanos);
         if (mHold.unwanted()) {
             mHold.release();
-            mForeign.clear();
+            mRuns.foreign().clear();
             return;
         }
         if (mHold.pauses(nowNanos)) {
@@ -341,15 +327,9 @@
     }
 
     private void hold(long nowNanos) {
-        stopOverdueForeign(nowNanos);
-        for (ServerRun run : mRuns.values()) {
-            boolean again = nowNanos - run.mStateNanos > STOP_AGAIN_MILLIS * MILLI;
-            if (run.mState == ServerRun.State.STOPPING && again) {
-                run.enter(ServerRun.State.STOPPING, nowNanos);
-                mOrders.add(new Order.Stop(recipient(), run.mTask, run.mAttempt));
-            }
-        }
-        boolean busy = !mRuns.isEmpty() || !mForeign.isEmpty();
+        mRuns.stopOverdueForeign(mTiming.adoptMillis() * MILLI, nowNanos);
+        mRuns.stopAgain(nowNanos);
+        boolean busy = !mRuns.isEmpty() || !mRuns.foreign().isEmpty();
         if (mLooks.size() < MOST_LOOKS && mContact.takeLookNow()) {
             look(lease(nowNanos), 0, nowNanos);
         } else if (lookDue(busy, nowNanos)) {
@@ -358,7 +338,7 @@
     }
 
     private boolean lookDue(boolean busy, long nowNanos) {
-        if (mEnds.holds() && nowNanos - mReportedNanos < UNSAVED_PAUSE_MILLIS * MILLI) {
+        if (mRuns.ends().holds() && nowNanos - mReportedNanos < UNSAVED_PAUSE_MILLIS * MILLI) {
             return false;
         }
         if (mLooks.size() == 0) {
@@ -378,13 +358,14 @@
      * server is silent, since its runs could then never be given up.
      */
     private Option<Long> lease(long nowNanos) {
-        boolean unsafe = mContact.silent() || !mForeign.isEmpty() || !mLease.known();
+        boolean unsafe = mContact.silent() || !mRuns.foreign().isEmpty() || !mLease.known();
         return mRuns.isEmpty() || unsafe ? Option.none() : Option.some(mLease.ask(nowNanos));
     }
 
     private void look(Option<Long> lease, long waitMillis, long nowNanos) {
         long number = mLooks.open(nowNanos);
-        mOrders.add(new Order.Look(recipient(), number, mEnds.forgettable(), lease, waitMillis));
+        mOrders.add(
+                new Order.Look(recipient(), number, mRuns.ends().forgettable(), lease, waitMillis));
     }
 
     private void report(Order.Look order, LookReport report, long sentNanos, long nowNanos) {
@@ -407,15 +388,8 @@
         if (mHold.phase() == ServerHold.Phase.CLAIMING) {
             mHold.accepted();
         }
-        Set<TaskId> listed = new HashSet<>();
-        for (EndReport end : report.ended()) {
-            listed.add(end.task());
-            ended(end, nowNanos);
-        }
         mSeenNanos = Math.max(mSeenNanos, sentNanos);
-        if (newest) {
-            compare(report, listed, sentNanos, nowNanos);
-        }
+        mRuns.report(report, newest, sentNanos, nowNanos);
     }
 
     private void peeked(LookReport report, long nowNanos) {
@@ -428,111 +402,14 @@
         }
     }
 
-    private void compare(LookReport report, Set<TaskId> listed, long sentNanos, long nowNanos) {
-        List<RunReport> foreign = new ArrayList<>();
-        for (RunReport running : report.running()) {
-            ServerRun run = mRuns.get(running.task());
-            if (run != null && run.mAttempt == running.attempt()) {
-                listed.add(running.task());
-                run.mPercent = running.percent();
-                if (run.mState == ServerRun.State.UNCERTAIN
-                        || run.mState == ServerRun.State.STARTING) {
-                    run.enter(ServerRun.State.RUNNING, nowNanos);
-                }
-            } else {
-                foreign.add(running);
-            }
-        }
-        mForeign.replace(foreign, nowNanos);
-        adoptForeign(nowNanos);
-        if (report.ended().size() >= MOST_LISTED_ENDS) {
-            mContact.wantLook();
-            return;
-        }
-        for (ServerRun run : List.copyOf(mRuns.values())) {
-            if (!listed.contains(run.mTask) && run.mStateNanos < sentNanos) {
-                missing(run, nowNanos);
-            }
-        }
-    }
-
-    /** A run that was in its state before the look was sent is not in the list. */
-    private void missing(ServerRun run, long nowNanos) {
-        switch (run.mState) {
-            case RUNNING -> end(run, RunEnd.INTERRUPTED, nowNanos);
-            case STOPPED -> end(run, RunEnd.INTERRUPTED, nowNanos);
-            case UNCERTAIN -> {
-                run.enter(ServerRun.State.STOPPING, nowNanos);
-                mOrders.add(new Order.Stop(recipient(), run.mTask, run.mAttempt));
-            }
-            default -> {}
-        }
-    }
-
-    /** Offers foreign runs to the jobs that have been handed over meanwhile. */
+    /** Offers runs of an earlier leader to the jobs that have been handed over meanwhile. */
     void adoptForeign(long nowNanos) {
-        if (!held()) {
-            return;
-        }
-        mForeign.offer(
-                (report, reportedNanos) -> {
-                    ServerRun run = mListener.adopt(this, report, reportedNanos, nowNanos);
-                    if (run != null) {
-                        account(run);
-                    }
-                    return run != null;
-                });
-    }
-
-    private void stopOverdueForeign(long nowNanos) {
-        for (RunReport run : mForeign.overdue(mTiming.adoptMillis() * MILLI, nowNanos)) {
-            mOrders.add(new Order.Stop(recipient(), run.task(), run.attempt()));
-        }
-    }
-
-    private void ended(EndReport end, long nowNanos) {
-        if (!mEnds.accept(end)) {
-            return;
-        }
-        mForeign.remove(end.task());
-        ServerRun run = mRuns.get(end.task());
-        if (run == null || run.mAttempt != end.attempt()) {
-            unaccounted(end, nowNanos);
-            return;
-        }
-        double tookMillis = (nowNanos - run.mSentNanos) / (double) MILLI;
-        if (end.kind() == EndKind.DONE) {
-            mHealth.succeeded();
-            if (!run.mAdopted) {
-                mPace.observe(tookMillis, run.mEstimateMillis);
-            }
-        } else if (end.kind() == EndKind.FAILED) {
-            mHealth.failed(run.mSentNanos, nowNanos);
-        }
-        end(run, runEnd(end.kind()), nowNanos);
-        mListener
-                .unsavedChange(end.task().job())
-                .filter(change -> run.mStored || change != EndAccount.UNREAD)
-                .forEach(change -> mEnds.hold(end, change));
-    }
-
-    /** An end of a run that an earlier leader started. */
-    private void unaccounted(EndReport end, long nowNanos) {
-        mListener.unaccountedEnd(this, end.task(), runEnd(end.kind()), nowNanos);
-        mListener.unsavedChange(end.task().job()).forEach(change -> mEnds.hold(end, change));
+        mRuns.adoptForeign(nowNanos);
     }
 
     /** Takes note that all stored jobs are known. */
     void storedJobsRead(long nowNanos) {
-        mEnds.takeUnread().forEach(end -> unaccounted(end, nowNanos));
-    }
-
-    private static RunEnd runEnd(EndKind kind) {
-        return switch (kind) {
-            case DONE -> RunEnd.DONE;
-            case FAILED -> RunEnd.FAILED;
-            default -> RunEnd.INTERRUPTED;
-        };
+        mRuns.storedJobsRead(nowNanos);
     }
 
     private boolean isReborn(LookReport report) {
@@ -544,20 +421,16 @@
         mBornMillis = report.bornMillis();
         mLease.reborn(report.clockMillis(), nowNanos);
         mContact.answered();
-        mEnds.clear();
-        mForeign.clear();
         mLooks.clear();
         mHold.release();
-        for (ServerRun run : List.copyOf(mRuns.values())) {
-            end(run, RunEnd.INTERRUPTED, nowNanos);
-        }
+        mRuns.reborn(nowNanos);
     }
 
     private void fenced(long token, long nowNanos) {
         if (token < mHold.token()) {
             return;
         }
-        mForeign.clear();
+        mRuns.foreign().clear();
         mLooks.clear();
         if (!mHold.exceeded(nowNanos)) {
             mListener.fenced(this);
@@ -573,25 +446,13 @@
         if (nowNanos < lastNanos) {
             return;
         }
-        for (ServerRun run : List.copyOf(mRuns.values())) {
-            boolean mayStartLate = run.mMayStartLate && held() && !mGone;
-            if (!mayStartLate) {
-                end(run, RunEnd.INTERRUPTED, nowNanos);
-            }
+        if (held() && !mGone) {
+            mRuns.interruptStarted(nowNanos);
+        } else {
+            mRuns.interruptAll(nowNanos);
         }
     }
 
-    private void account(ServerRun run) {
-        mRuns.put(run.mTask, run);
-        mUsed = mUsed.plus(run.mDemand);
-    }
-
-    private void end(ServerRun run, RunEnd end, long nowNanos) {
-        mRuns.remove(run.mTask);
-        mUsed = mUsed.minus(run.mDemand);
-        mListener.runEnded(this, run, end, nowNanos);
-    }
-
     private Recipient recipient() {
         return new Recipient(mEntry.id(), mEntry.address(), mHold.token());
     }
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -162,6 +162,9 @@
         long mBorn = 5;
         long mWorkMillis = 60;
 
+        /** Tells how many milliseconds of work each task has done, and goes on from there. */
+        boolean mCheckpoints;
+
         /** The next start gets no answer and is carried out after this many milliseconds. */
         long mLateMillis = -1;
 
@@ -219,6 +222,10 @@
         void die() {
             mUp = false;
             mRunning.clear();
+            for (Waiting each : mWaiting) {
+                LookResult late = LookResult.of(LookResult.Kind.UNANSWERED);
+                later(200, () -> looked(each.order(), late));
+            }
             mWaiting.clear();
         }
 
@@ -259,7 +266,7 @@
         private void end(TaskId task, EndKind kind) {
             Run run = mRunning.remove(task);
             mHighest.merge(task, run.mAttempt, Math::max);
-            mEnds.add(new EndReport(mNextEnd++, task, run.mAttempt, kind));
+            mEnds.add(new EndReport(mNextEnd++, task, run.mAttempt, kind, checkpoint(run)));
             if (kind == EndKind.DONE) {
                 mDone.merge(task, 1, Integer::sum);
             }
@@ -268,6 +275,10 @@
             waiting.forEach(each -> report(each.order()));
         }
 
+        private String checkpoint(Run run) {
+            return mCheckpoints ? Integer.toString((int) (mWorkMillis - run.mLeft)) : "";
+        }
+
         private void receive(Order order) {
             if (order instanceof Order.Start start) {
                 receiveStart(start);
@@ -306,7 +317,8 @@
             }
             mLeaseMillis = Math.max(mLeaseMillis, lease);
             mStarts++;
-            mRunning.put(start.task(), new Run(start.attempt(), mWorkMillis));
+            int done = start.checkpoint().isEmpty() ? 0 : Integer.parseInt(start.checkpoint());
+            mRunning.put(start.task(), new Run(start.attempt(), mWorkMillis - done));
             checkTwice(start.task());
             if (mRunning.size() * 14_000L > mCpu) {
                 mViolations.add(mNowMillis + ": " + mId + " is over its room");
@@ -365,7 +377,7 @@
             mRunning.forEach(
                     (task, run) -> {
                         double done = 100 * (1 - run.mLeft / mWorkMillis);
-                        running.add(new RunReport(task, run.mAttempt, (int) done));
+                        running.add(new RunReport(task, run.mAttempt, (int) done, checkpoint(run)));
                     });
             LookReport report = new LookReport(clock(), mBorn, running, mEnds);
             later(1, () -> looked(look, LookResult.answered(report)));
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
@@ -141,6 +141,40 @@
         assertThat(mSimulation.mStarts, is(1));
     }
 
+    @Test
+    void testTaskThatWasInterruptedGoesOnFromItsCheckpoint() {
+        fleet(2, 3000);
+        mSimulation.mServers.values().forEach(server -> server.mCheckpoints = true);
+        StoredJob job = job(StepSpec.of(1, DEMAND, 3000));
+        keep(job, 0);
+        mSimulation.run(2500);
+        var first = mSimulation.mServers.values().stream().filter(s -> !s.mRunning.isEmpty());
+        first.forEach(ServerSimulation.SimulatedServer::die);
+        // The lease has to run out first; begun anew it would take 3,000 ms beyond that.
+        mSimulation.run(2900);
+        assertThat(stored(job).state(), is(StoredJob.State.COMPLETE));
+        assertThat(mSimulation.mStarts, is(2));
+        assertThat(mSimulation.mViolations, is(empty()));
+    }
+
+    @Test
+    void testNextKeeperGoesOnFromTheCheckpointOfAnEndThatWasNotSaved() {
+        fleet(1, 1000);
+        var server = mSimulation.mServers.values().iterator().next();
+        server.mCheckpoints = true;
+        StoredJob job = job(StepSpec.of(1, DEMAND, 1000));
+        keep(job, 0);
+        mSimulation.run(700);
+        mSimulation.mScheduler.abdicate();
+        mSimulation.list();
+        // The run of the earlier keeper is stopped, since nobody knows its job yet.
+        mSimulation.run(400);
+        keep(job, 64);
+        mSimulation.mScheduler.storedJobsRead(mSimulation.nowNanos());
+        mSimulation.run(450);
+        assertThat(stored(job).state(), is(StoredJob.State.COMPLETE));
+    }
+
     @Test
     void testEndsOfUnknownJobsAreForgottenWhereNothingIsStored() {
         fleet(1, 60);
