Run jobs whose tasks last until they are cancelled

Such jobs were refused. They are stored; a task is started again however it ends, without a limit on failures and without a write; the rule for stalled tasks and the projection of room leave them out. Tests: StoredJobSchedulingTest, four.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/JobLedger.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/JobLedger.java
@@ -80,7 +80,9 @@
         mTakenInNanos = nowNanos;
         mDeadlineNanos = deadlineNanos;
         long objective = spec.objectiveMillis();
-        mAimNanos = arrivedNanos + (objective - returnMillis) * MILLI;
+        // A lasting job is never late, so it keeps its place in the order.
+        mAimNanos =
+                spec.lasting() ? NEVER_NANOS : arrivedNanos + (objective - returnMillis) * MILLI;
         mWorthlessNanos =
                 spec.isStored()
                         ? NEVER_NANOS
@@ -337,7 +339,7 @@
         }
         mPlaced--;
         mPerServer.get(step).merge(server, -1, Integer::sum);
-        if (end == RunEnd.DONE) {
+        if (end == RunEnd.DONE && !mSpec.lasting()) {
             mStates[step][index] = TaskState.DONE;
             mCheckpoints.remove(task);
             mDone++;
@@ -357,7 +359,7 @@
         if (!knows(task) || mStates[task.step()][task.index()] != TaskState.WAITING) {
             return false;
         }
-        if (end == RunEnd.DONE) {
+        if (end == RunEnd.DONE && !mSpec.lasting()) {
             mStates[task.step()][task.index()] = TaskState.DONE;
             mWaiting--;
             mDone++;
@@ -367,6 +369,9 @@
     }
 
     private boolean failed(TaskId task) {
+        if (mSpec.lasting()) {
+            return false;
+        }
         mChanges++;
         return ++mFailures[task.step()][task.index()] >= mSpec.terms().mostFailures();
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/JobPhase.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/JobPhase.java
@@ -6,9 +6,9 @@
     UNKNOWN,
     /** No task of it has been started. */
     WAITING,
-    /** Some tasks have been started, others wait. */
+    /** Some tasks have been started, others wait, or it does not end by itself. */
     BEGUN,
-    /** Every task has been started. */
+    /** Every task has been started, so that its end is near. */
     ENDING;
 
     static JobPhase of(JobLedger job) {
@@ -18,6 +18,6 @@
         if (!job.begun()) {
             return WAITING;
         }
-        return job.waiting() == 0 ? ENDING : BEGUN;
+        return job.waiting() == 0 && !job.mSpec.lasting() ? ENDING : BEGUN;
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/Placer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/Placer.java
@@ -83,6 +83,7 @@
         ServerRun run =
                 new ServerRun(task, attempt, spec.demand(), spec.estimateMillis(), nowNanos);
         run.mStored = job.mSpec.isStored();
+        run.mLasting = job.mSpec.lasting();
         server.start(run, job.mSpec.payload(), job.checkpoint(task), nowNanos);
         mListener.taskPlaced(task, attempt, id, expected);
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/Projection.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/Projection.java
@@ -64,6 +64,9 @@
             capacity += server.entry().capacity().cpuMillis();
             double pace = server.pace().ratio(mPaces.usual());
             for (ServerRun run : server.runs()) {
+                if (run.mLasting && !run.stopOrdered()) {
+                    continue;
+                }
                 double left = leftMillis(run, pace, nowNanos);
                 mReleases.add(new Release(left, run.mDemand.cpuMillis()));
             }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunAccount.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunAccount.java
@@ -213,9 +213,12 @@
                 });
     }
 
+    /** Stops runs that no job here accounts for; those of stored jobs wait for these to be read. */
     void stopOverdueForeign(long adoptNanos, long nowNanos) {
         for (RunReport run : mForeign.overdue(adoptNanos, nowNanos)) {
-            mOrders.stop(run.task(), run.attempt());
+            if (!mListener.unsavedChange(run.task().job()).contains(EndAccount.UNREAD)) {
+                mOrders.stop(run.task(), run.attempt());
+            }
         }
     }
 
@@ -233,7 +236,7 @@
         double tookMillis = (nowNanos - run.mSentNanos) / (double) MILLI;
         if (end.kind() == EndKind.DONE) {
             mServer.health().succeeded();
-            if (!run.mAdopted) {
+            if (!run.mAdopted && !run.mLasting) {
                 mServer.pace().observe(tookMillis, run.mEstimateMillis);
             }
         } else if (end.kind() == EndKind.FAILED) {
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunEvents.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunEvents.java
@@ -107,6 +107,7 @@
                         reportedNanos - ranNanos);
         run.mAdopted = true;
         run.mStored = job.mSpec.isStored();
+        run.mLasting = job.mSpec.lasting();
         run.enter(ServerRun.State.RUNNING, nowNanos);
         return run;
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRun.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRun.java
@@ -33,6 +33,9 @@
     /** True if its job is a stored one, whose ends have to be saved. */
     boolean mStored;
 
+    /** True if it runs until its job is cancelled, so that its progress says nothing. */
+    boolean mLasting;
+
     /** True if another instance started it; when it did is guessed from how much is done. */
     boolean mAdopted;
 
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/StallRule.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/StallRule.java
@@ -21,7 +21,7 @@
     void stopStalled(ServerLedger server, long nowNanos) {
         double pace = server.pace().ratio(1);
         for (ServerRun run : List.copyOf(server.runs())) {
-            if (run.mState != ServerRun.State.RUNNING) {
+            if (run.mState != ServerRun.State.RUNNING || run.mLasting) {
                 continue;
             }
             double tookMillis = (nowNanos - run.mSentNanos) / MILLI;
--- a/decisions/src/main/java/org/wagtailproxy/workload/WorkSpec.java
+++ b/decisions/src/main/java/org/wagtailproxy/workload/WorkSpec.java
@@ -14,6 +14,7 @@
  * @param terms what its queue grants it, not null
  * @param storedIn the queue that keeps it in the store until after its end, empty if its caller
  *     waits for the end instead; not null
+ * @param lasting true if its tasks run until the job is cancelled, however often they end
  */
 public record WorkSpec(
         JobId id,
@@ -21,7 +22,8 @@
         String payload,
         List<StepSpec> steps,
         Terms terms,
-        String storedIn) {
+        String storedIn,
+        boolean lasting) {
 
     /** Checks the components. */
     public WorkSpec {
@@ -48,7 +50,7 @@
      */
     public static WorkSpec of(
             JobId id, ServiceName service, String payload, List<StepSpec> steps, Terms terms) {
-        return new WorkSpec(id, service, payload, steps, terms, "");
+        return new WorkSpec(id, service, payload, steps, terms, "", false);
     }
 
     /**
@@ -58,7 +60,16 @@
      * @return the stored job, never null
      */
     public WorkSpec storedIn(String queue) {
-        return new WorkSpec(id, service, payload, steps, terms, queue);
+        return new WorkSpec(id, service, payload, steps, terms, queue, lasting);
+    }
+
+    /**
+     * Makes the job one whose tasks run until it is cancelled.
+     *
+     * @return the lasting job, never null
+     */
+    public WorkSpec untilCancelled() {
+        return new WorkSpec(id, service, payload, steps, terms, storedIn, true);
     }
 
     /**
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
@@ -175,6 +175,68 @@
         assertThat(stored(job).state(), is(StoredJob.State.COMPLETE));
     }
 
+    private StoredJob lasting(StepSpec step) {
+        return StoredJob.of(job(step).spec().untilCancelled());
+    }
+
+    @Test
+    void testLastingTaskIsStartedAgainHoweverOftenItEnds() {
+        fleet(2, 100);
+        mSimulation.mServers.values().iterator().next().mFails = true;
+        StoredJob job = lasting(StepSpec.of(2, DEMAND, 100));
+        keep(job, 0);
+        mSimulation.run(3000);
+        // Two failures would end a job of another kind.
+        assertThat(mSimulation.mStarts, is(greaterThan(20)));
+        assertThat(mSimulation.mScheduler.phase(job.spec().id()), is(JobPhase.BEGUN));
+        assertThat(mSimulation.mViolations, is(empty()));
+    }
+
+    @Test
+    void testLastingTaskThatTellsNoProgressIsLeftAlone() {
+        fleet(1, 60_000);
+        mSimulation.mServers.values().forEach(server -> server.mHangs = true);
+        keep(lasting(StepSpec.of(1, DEMAND, 100)), 0);
+        mSimulation.run(5000);
+        assertThat(mSimulation.mStarts, is(1));
+        assertThat(running(), is(1));
+    }
+
+    @Test
+    void testCancelledLastingJobIsStopped() {
+        fleet(1, 60_000);
+        StoredJob job = lasting(StepSpec.of(2, DEMAND, 100));
+        keep(job, 0);
+        mSimulation.run(500);
+        mSimulation.mScheduler.cancel(job.spec().id(), mSimulation.nowNanos());
+        mSimulation.flush();
+        mSimulation.run(100);
+        assertThat(running(), is(0));
+        assertThat(stored(job).state(), is(StoredJob.State.CANCELLED));
+    }
+
+    @Test
+    void testTasksGoOnWhileTheNextKeeperReadsTheJobs() {
+        fleet(1, 60_000);
+        StoredJob job = lasting(StepSpec.of(2, DEMAND, 100));
+        keep(job, 0);
+        mSimulation.run(500);
+        mSimulation.mScheduler.abdicate();
+        mSimulation.list();
+        // Longer than runs of jobs that are not stored are left alone, shorter than their lease.
+        mSimulation.run(450);
+        assertThat(running(), is(2));
+        keep(job, 64);
+        mSimulation.mScheduler.storedJobsRead(mSimulation.nowNanos());
+        mSimulation.run(3000);
+        assertThat(running(), is(2));
+        assertThat(mSimulation.mStarts, is(2));
+    }
+
+    private int running() {
+        return mSimulation.mServers.values().stream().mapToInt(s -> s.mRunning.size()).sum();
+    }
+
     @Test
     void testEndsOfUnknownJobsAreForgottenWhereNothingIsStored() {
         fleet(1, 60);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/WorkMessages.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/WorkMessages.java
@@ -35,6 +35,7 @@
                         .setTargetMillis(spec.terms().targetMillis())
                         .setMostFailures(spec.terms().mostFailures())
                         .setStoredIn(spec.storedIn())
+                        .setLasting(spec.lasting())
                         .setProgress(progress(progress));
         for (StepSpec step : spec.steps()) {
             message.addSteps(
@@ -85,7 +86,8 @@
                             message.getPayload(),
                             steps,
                             terms,
-                            message.getStoredIn()));
+                            message.getStoredIn(),
+                            message.getLasting()));
         } catch (IllegalArgumentException wrong) {
             return Either.left(Failure.of(FailureKind.MALFORMED_REQUEST, wrong.getMessage()));
         }
--- a/wire/src/main/java/org/wagtailproxy/wire/Peer.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Peer.java
@@ -254,7 +254,7 @@
       "rsion\030\010 \001(\004\022\025\n\rconfiguration\030\t \001(\014\022\027\n\017fr" +
       "ee_cpu_millis\030\n \001(\004\022\024\n\014queue_millis\030\013 \001(" +
       "\004\022\022\n\nkeeps_jobs\030\014 \001(\010\022\021\n\tstoreless\030\r \001(\010" +
-      "\"\321\002\n\nSubmitWork\022\013\n\003job\030\001 \001(\t\022\017\n\007service\030" +
+      "\"\342\002\n\nSubmitWork\022\013\n\003job\030\001 \001(\t\022\017\n\007service\030" +
       "\002 \001(\t\022\017\n\007payload\030\003 \001(\t\022*\n\005steps\030\004 \003(\0132\033." +
       "wagtailproxy.wire.WorkStep\022\020\n\010priority\030\005" +
       " \001(\r\022\024\n\014slack_factor\030\006 \001(\001\022\025\n\rtarget_mil" +
@@ -262,36 +262,37 @@
       "millis\030\t \001(\004\022\027\n\017patience_millis\030\n \001(\004\022\014\n" +
       "\004home\030\013 \001(\t\0221\n\010progress\030\014 \001(\0132\037.wagtailp" +
       "roxy.wire.WorkProgress\022\021\n\tforwarded\030\r \001(" +
-      "\010\022\021\n\tstored_in\030\016 \001(\t\"\273\001\n\010WorkStep\022\r\n\005tas" +
-      "ks\030\001 \001(\r\022\022\n\ncpu_millis\030\002 \001(\004\022\030\n\020memory_m" +
-      "egabytes\030\003 \001(\004\022\024\n\014accelerators\030\004 \001(\004\022\027\n\017" +
-      "estimate_millis\030\005 \001(\004\022\r\n\005after\030\006 \003(\r\022\r\n\005" +
-      "label\030\007 \001(\t\022\014\n\004rack\030\010 \001(\t\022\027\n\017most_per_se" +
-      "rver\030\t \001(\r\"]\n\014WorkProgress\022\027\n\017highest_at" +
-      "tempt\030\001 \001(\r\022\014\n\004done\030\002 \003(\r\022\017\n\007runs_on\030\003 \003" +
-      "(\t\022\025\n\rruns_on_known\030\004 \001(\010\"\201\002\n\nWorkAnswer" +
-      "\0220\n\004kind\030\001 \001(\0162\".wagtailproxy.wire.WorkA" +
-      "nswer.Kind\022\016\n\006reason\030\002 \001(\t\022\032\n\022retry_afte" +
-      "r_millis\030\003 \001(\004\0221\n\010progress\030\004 \001(\0132\037.wagta" +
-      "ilproxy.wire.WorkProgress\"b\n\004Kind\022\013\n\007UNK" +
-      "NOWN\020\000\022\014\n\010COMPLETE\020\001\022\n\n\006FAILED\020\002\022\013\n\007REFU" +
-      "SED\020\003\022\r\n\tABANDONED\020\004\022\t\n\005MOVED\020\005\022\014\n\010ACCEP" +
-      "TED\020\006\")\n\014WithdrawWork\022\013\n\003job\030\001 \001(\t\022\014\n\004ho" +
-      "me\030\002 \001(\t\"\034\n\rWorkForwarded\022\013\n\003job\030\001 \001(\t\"4" +
-      "\n\006AskJob\022\013\n\003job\030\001 \001(\t\022\r\n\005queue\030\002 \001(\t\022\016\n\006" +
-      "cancel\030\003 \001(\010\"\275\001\n\007JobTold\0227\n\tcondition\030\001 " +
-      "\001(\0162$.wagtailproxy.wire.JobTold.Conditio" +
-      "n\022\017\n\007pending\030\002 \001(\r\"h\n\tCondition\022\017\n\013UNAVA" +
-      "ILABLE\020\000\022\010\n\004GONE\020\001\022\n\n\006QUEUED\020\002\022\013\n\007RUNNIN" +
-      "G\020\003\022\014\n\010COMPLETE\020\004\022\n\n\006FAILED\020\005\022\r\n\tCANCELL" +
-      "ED\020\006\"\307\001\n\tJobRecord\022+\n\004work\030\001 \001(\0132\035.wagta" +
-      "ilproxy.wire.SubmitWork\0221\n\005state\030\002 \001(\0162\"" +
-      ".wagtailproxy.wire.JobRecord.State\022\014\n\004do" +
-      "ne\030\003 \003(\r\022\020\n\010failures\030\004 \003(\r\":\n\005State\022\010\n\004O" +
-      "PEN\020\000\022\014\n\010COMPLETE\020\001\022\n\n\006FAILED\020\002\022\r\n\tCANCE" +
-      "LLED\020\003\"E\n\014KeeperRecord\022\014\n\004name\030\001 \001(\t\022\023\n\013" +
-      "incarnation\030\002 \001(\t\022\022\n\ngeneration\030\003 \001(\004B\033\n" +
-      "\025org.wagtailproxy.wireH\001P\001b\006proto3"
+      "\010\022\021\n\tstored_in\030\016 \001(\t\022\017\n\007lasting\030\017 \001(\010\"\273\001" +
+      "\n\010WorkStep\022\r\n\005tasks\030\001 \001(\r\022\022\n\ncpu_millis\030" +
+      "\002 \001(\004\022\030\n\020memory_megabytes\030\003 \001(\004\022\024\n\014accel" +
+      "erators\030\004 \001(\004\022\027\n\017estimate_millis\030\005 \001(\004\022\r" +
+      "\n\005after\030\006 \003(\r\022\r\n\005label\030\007 \001(\t\022\014\n\004rack\030\010 \001" +
+      "(\t\022\027\n\017most_per_server\030\t \001(\r\"]\n\014WorkProgr" +
+      "ess\022\027\n\017highest_attempt\030\001 \001(\r\022\014\n\004done\030\002 \003" +
+      "(\r\022\017\n\007runs_on\030\003 \003(\t\022\025\n\rruns_on_known\030\004 \001" +
+      "(\010\"\201\002\n\nWorkAnswer\0220\n\004kind\030\001 \001(\0162\".wagtai" +
+      "lproxy.wire.WorkAnswer.Kind\022\016\n\006reason\030\002 " +
+      "\001(\t\022\032\n\022retry_after_millis\030\003 \001(\004\0221\n\010progr" +
+      "ess\030\004 \001(\0132\037.wagtailproxy.wire.WorkProgre" +
+      "ss\"b\n\004Kind\022\013\n\007UNKNOWN\020\000\022\014\n\010COMPLETE\020\001\022\n\n" +
+      "\006FAILED\020\002\022\013\n\007REFUSED\020\003\022\r\n\tABANDONED\020\004\022\t\n" +
+      "\005MOVED\020\005\022\014\n\010ACCEPTED\020\006\")\n\014WithdrawWork\022\013" +
+      "\n\003job\030\001 \001(\t\022\014\n\004home\030\002 \001(\t\"\034\n\rWorkForward" +
+      "ed\022\013\n\003job\030\001 \001(\t\"4\n\006AskJob\022\013\n\003job\030\001 \001(\t\022\r" +
+      "\n\005queue\030\002 \001(\t\022\016\n\006cancel\030\003 \001(\010\"\275\001\n\007JobTol" +
+      "d\0227\n\tcondition\030\001 \001(\0162$.wagtailproxy.wire" +
+      ".JobTold.Condition\022\017\n\007pending\030\002 \001(\r\"h\n\tC" +
+      "ondition\022\017\n\013UNAVAILABLE\020\000\022\010\n\004GONE\020\001\022\n\n\006Q" +
+      "UEUED\020\002\022\013\n\007RUNNING\020\003\022\014\n\010COMPLETE\020\004\022\n\n\006FA" +
+      "ILED\020\005\022\r\n\tCANCELLED\020\006\"\307\001\n\tJobRecord\022+\n\004w" +
+      "ork\030\001 \001(\0132\035.wagtailproxy.wire.SubmitWork" +
+      "\0221\n\005state\030\002 \001(\0162\".wagtailproxy.wire.JobR" +
+      "ecord.State\022\014\n\004done\030\003 \003(\r\022\020\n\010failures\030\004 " +
+      "\003(\r\":\n\005State\022\010\n\004OPEN\020\000\022\014\n\010COMPLETE\020\001\022\n\n\006" +
+      "FAILED\020\002\022\r\n\tCANCELLED\020\003\"E\n\014KeeperRecord\022" +
+      "\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\022\n\nge" +
+      "neration\030\003 \001(\004B\033\n\025org.wagtailproxy.wireH" +
+      "\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -410,7 +411,7 @@
     internal_static_wagtailproxy_wire_SubmitWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wagtailproxy_wire_SubmitWork_descriptor,
-        new java.lang.String[] { "Job", "Service", "Payload", "Steps", "Priority", "SlackFactor", "TargetMillis", "MostFailures", "AgeMillis", "PatienceMillis", "Home", "Progress", "Forwarded", "StoredIn", });
+        new java.lang.String[] { "Job", "Service", "Payload", "Steps", "Priority", "SlackFactor", "TargetMillis", "MostFailures", "AgeMillis", "PatienceMillis", "Home", "Progress", "Forwarded", "StoredIn", "Lasting", });
     internal_static_wagtailproxy_wire_WorkStep_descriptor =
       getDescriptor().getMessageType(19);
     internal_static_wagtailproxy_wire_WorkStep_fieldAccessorTable = new
--- a/wire/src/main/java/org/wagtailproxy/wire/SubmitWork.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/SubmitWork.java
@@ -422,6 +422,21 @@
     }
   }
 
+  public static final int LASTING_FIELD_NUMBER = 15;
+  private boolean lasting_ = false;
+  /**
+   * <pre>
+   * Its tasks run until the job is cancelled.
+   * </pre>
+   *
+   * <code>bool lasting = 15;</code>
+   * @return The lasting.
+   */
+  @java.lang.Override
+  public boolean getLasting() {
+    return lasting_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -478,6 +493,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(storedIn_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 14, storedIn_);
     }
+    if (lasting_ != false) {
+      output.writeBool(15, lasting_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -538,6 +556,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(storedIn_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(14, storedIn_);
     }
+    if (lasting_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(15, lasting_);
+    }
     return size;
   }
   @java.lang.Override
@@ -594,6 +616,8 @@
         != other.getForwarded()) return false;
     if (!getStoredIn()
         .equals(other.getStoredIn())) return false;
+    if (getLasting()
+        != other.getLasting()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -642,6 +666,9 @@
         getForwarded());
     hash = (37 * hash) + STORED_IN_FIELD_NUMBER;
     hash = (53 * hash) + getStoredIn().hashCode();
+    hash = (37 * hash) + LASTING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLasting());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -808,6 +835,7 @@
       }
       forwarded_ = false;
       storedIn_ = "";
+      lasting_ = false;
       return this;
     }
 
@@ -897,6 +925,9 @@
       if (((from_bitField0_ & 0x00002000) != 0)) {
         result.storedIn_ = storedIn_;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.lasting_ = lasting_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -987,6 +1018,9 @@
         bitField0_ |= 0x00002000;
         onChanged();
       }
+      if (other.getLasting() != false) {
+        setLasting(other.getLasting());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1091,6 +1125,11 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 114
+            case 120: {
+              lasting_ = input.readBool();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 120
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2109,6 +2148,50 @@
       return this;
     }
 
+    private boolean lasting_ ;
+    /**
+     * <pre>
+     * Its tasks run until the job is cancelled.
+     * </pre>
+     *
+     * <code>bool lasting = 15;</code>
+     * @return The lasting.
+     */
+    @java.lang.Override
+    public boolean getLasting() {
+      return lasting_;
+    }
+    /**
+     * <pre>
+     * Its tasks run until the job is cancelled.
+     * </pre>
+     *
+     * <code>bool lasting = 15;</code>
+     * @param value The lasting to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLasting(boolean value) {
+
+      lasting_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Its tasks run until the job is cancelled.
+     * </pre>
+     *
+     * <code>bool lasting = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLasting() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      lasting_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wagtailproxy.wire.SubmitWork)
   }
 
--- a/wire/src/main/java/org/wagtailproxy/wire/SubmitWorkOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/SubmitWorkOrBuilder.java
@@ -174,4 +174,14 @@
    */
   com.google.protobuf.ByteString
       getStoredInBytes();
+
+  /**
+   * <pre>
+   * Its tasks run until the job is cancelled.
+   * </pre>
+   *
+   * <code>bool lasting = 15;</code>
+   * @return The lasting.
+   */
+  boolean getLasting();
 }
