--- a/decisions/src/main/java/org/wagtailproxy/leadership/Leadership.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/Leadership.java
@@ -22,6 +22,9 @@
  */
 public final class Leadership {
 
+    /** A large instance has at least this part of the largest one's processor. */
+    private static final int SMALLEST_LEADER_ONE_IN = 2;
+
     private final Peer mSelf;
     private final long mLeastProcessorMillis;
 
@@ -41,14 +44,18 @@
     }
 
     /**
-     * Sets the processor that a leader ought to have. A smaller instance leads only if no larger
-     * one can.
+     * Lets small instances lead only if no larger one can, as those of a large fleet differ and the
+     * smallest cannot bear it.
      *
-     * @param processorMillis the processor in thousandths of a core
+     * @param peers the other instances of the data centre, reachable or not, not null
      * @return the changed decisions, never null
      */
-    public Leadership withLeastProcessor(long processorMillis) {
-        return new Leadership(mSelf, processorMillis);
+    public Leadership amongLarge(Collection<Peer> peers) {
+        long largest = mSelf.processorMillis();
+        for (Peer peer : peers) {
+            largest = Math.max(largest, peer.processorMillis());
+        }
+        return new Leadership(mSelf, largest / SMALLEST_LEADER_ONE_IN);
     }
 
     /**
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -343,6 +343,22 @@
         return mPeers.values().stream().map(State::peer).toList();
     }
 
+    /**
+     * Returns the names of the peers of a data centre.
+     *
+     * @param dataCentre where, not null
+     * @return a set that the caller may change, never null
+     */
+    public Set<InstanceName> namesIn(DataCentre dataCentre) {
+        Set<InstanceName> names = new TreeSet<>();
+        for (State state : mPeers.values()) {
+            if (state.mFirst.dataCentre().equals(dataCentre)) {
+                names.add(state.name());
+            }
+        }
+        return names;
+    }
+
     /**
      * Returns a peer.
      *
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerLedger.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerLedger.java
@@ -25,18 +25,6 @@
     /** Added to the end of a lease before its runs are given up; timers fire late. */
     private static final long LEASE_MARGIN_MILLIS = 30;
 
-    /** Looks at a time: one that waits, one that renews the lease, one that is wanted at once. */
-    private static final int MOST_LOOKS = 3;
-
-    /** Time after which the look of a claim is followed by another one; its answer may be lost. */
-    private static final long CLAIM_HEDGE_MILLIS = 35;
-
-    /** Pause between looks while ends are being saved, which takes the store a few milliseconds. */
-    private static final long UNSAVED_PAUSE_MILLIS = 40;
-
-    /** Pause between looks that renew a lease. */
-    private static final long RENEW_PAUSE_MILLIS = 100;
-
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final LeaseTiming mTiming;
@@ -49,16 +37,12 @@
     private final RunAccount mRuns;
     private final OpenLooks mLooks = new OpenLooks();
     private final List<Order> mOrders = new ArrayList<>();
-    private ServerEntry mEntry;
+    private final ServerListing mListing;
     private long mBornMillis;
-    private long mLastReported;
-    private long mReportedNanos;
     private long mSeenNanos = Long.MIN_VALUE;
-    private long mDrainingSinceNanos = Long.MAX_VALUE;
-    private boolean mGone;
 
     ServerLedger(ServerEntry entry, LeaseTiming timing, TokenSource tokens, RunListener listener) {
-        mEntry = entry;
+        mListing = new ServerListing(entry);
         mTiming = timing;
         mHold = new ServerHold(tokens);
         mListener = listener;
@@ -82,7 +66,7 @@
     }
 
     ServerEntry entry() {
-        return mEntry;
+        return mListing.entry();
     }
 
     ServerHealth health() {
@@ -124,25 +108,15 @@
     }
 
     /** Takes over the directory's entry; null once the directory no longer lists the server. */
-    void list(ServerEntry entry, long nowNanos) {
-        mGone = entry == null;
-        if (entry != null) {
-            if (!entry.address().equals(mEntry.address())) {
-                mLease.forgetClock();
-            }
-            mEntry = entry;
-        }
-        boolean leaving = mGone || mEntry.draining();
-        if (!leaving) {
-            mDrainingSinceNanos = Long.MAX_VALUE;
-        } else if (mDrainingSinceNanos == Long.MAX_VALUE) {
-            mDrainingSinceNanos = nowNanos;
+    void list(ServerEntry entry) {
+        if (mListing.list(entry)) {
+            mLease.forgetClock();
         }
     }
 
     /** Tests whether the server can be forgotten. */
     boolean forgettable() {
-        return mGone && mRuns.isEmpty();
+        return mListing.gone() && mRuns.isEmpty();
     }
 
     void claim(Claim claim) {
@@ -155,7 +129,7 @@
                 && mRuns.foreign().isEmpty()
                 && !mContact.silent()
                 && mLease.known()
-                && mDrainingSinceNanos == Long.MAX_VALUE;
+                && !mListing.leaving();
     }
 
     /**
@@ -163,7 +137,7 @@
      * earlier leader wait for their jobs to be handed over.
      */
     boolean settling(long nowNanos) {
-        if (silent() || mDrainingSinceNanos != Long.MAX_VALUE) {
+        if (silent() || mListing.leaving()) {
             return false;
         }
         return mHold.claimsSince(mTiming.adoptMillis(), nowNanos)
@@ -172,8 +146,8 @@
 
     /** Tests whether a task fits beside what is accounted for. */
     boolean fits(Room demand) {
-        return mRuns.runs().size() < mEntry.slots()
-                && mRuns.used().plus(demand).fitsInto(mEntry.capacity());
+        return mRuns.runs().size() < entry().slots()
+                && mRuns.used().plus(demand).fitsInto(entry().capacity());
     }
 
     Room used() {
@@ -181,7 +155,7 @@
     }
 
     Room free() {
-        return mEntry.capacity().minus(mRuns.used());
+        return entry().capacity().minus(mRuns.used());
     }
 
     /** Orders a start; the caller has checked that it may be sent and fits. */
@@ -300,10 +274,7 @@
             case UNCLAIMED -> begin(nowNanos);
             case HELD -> hold(nowNanos);
             default -> {
-                boolean late =
-                        mLooks.size() < MOST_LOOKS
-                                && mLooks.newestMillis(nowNanos) > CLAIM_HEDGE_MILLIS;
-                if (mLooks.size() == 0 || late) {
+                if (mLooks.claimDue(nowNanos)) {
                     look(Option.none(), 0, nowNanos);
                 }
             }
@@ -330,7 +301,7 @@
         mRuns.stopOverdueForeign(mTiming.adoptMillis() * MILLI, nowNanos);
         mRuns.stopAgain(nowNanos);
         boolean busy = !mRuns.isEmpty() || !mRuns.foreign().isEmpty();
-        if (mLooks.size() < MOST_LOOKS && mContact.takeLookNow()) {
+        if (!mLooks.full() && mContact.takeLookNow()) {
             look(lease(nowNanos), 0, nowNanos);
         } else if (lookDue(busy, nowNanos)) {
             look(lease(nowNanos), mContact.waitMillis(busy, nowNanos), nowNanos);
@@ -338,19 +309,14 @@
     }
 
     private boolean lookDue(boolean busy, long nowNanos) {
-        if (mRuns.ends().holds() && nowNanos - mReportedNanos < UNSAVED_PAUSE_MILLIS * MILLI) {
+        if (mRuns.ends().holds() && mLooks.reportedLately(nowNanos)) {
             return false;
         }
-        if (mLooks.size() == 0) {
-            return true;
-        }
-        if (!busy || mLooks.size() >= MOST_LOOKS) {
-            return false;
+        if (!busy) {
+            return mLooks.isEmpty();
         }
-        long newestMillis = mLooks.newestMillis(nowNanos);
-        boolean renew = mLease.renewalDue(nowNanos) && mLooks.size() < MOST_LOOKS - 1;
-        return (renew && newestMillis > RENEW_PAUSE_MILLIS)
-                || mContact.hedgeDue(newestMillis, nowNanos);
+        return mLooks.due(mLease.renewalDue(nowNanos), nowNanos)
+                || (!mLooks.full() && mContact.hedgeDue(mLooks.newestMillis(nowNanos), nowNanos));
     }
 
     /**
@@ -378,9 +344,7 @@
         }
         mLease.sample(report.clockMillis(), nowNanos);
         order.leaseUntilMillis().forEach(mLease::granted);
-        boolean newest = order.number() > mLastReported;
-        mLastReported = Math.max(mLastReported, order.number());
-        mReportedNanos = nowNanos;
+        boolean newest = mLooks.reported(order.number(), nowNanos);
         if (mHold.phase() == ServerHold.Phase.PEEKING) {
             peeked(report, nowNanos);
             return;
@@ -446,7 +410,7 @@
         if (nowNanos < lastNanos) {
             return;
         }
-        if (held() && !mGone) {
+        if (held() && !mListing.gone()) {
             mRuns.interruptStarted(nowNanos);
         } else {
             mRuns.interruptAll(nowNanos);
@@ -454,6 +418,6 @@
     }
 
     private Recipient recipient() {
-        return new Recipient(mEntry.id(), mEntry.address(), mHold.token());
+        return new Recipient(entry().id(), entry().address(), mHold.token());
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerPool.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerPool.java
@@ -27,7 +27,7 @@
         mMostEjectedOneIn = mostEjectedOneIn;
     }
 
-    void list(Collection<ServerEntry> entries, long nowNanos) {
+    void list(Collection<ServerEntry> entries) {
         Map<ServerId, ServerEntry> listed = new HashMap<>();
         for (ServerEntry entry : entries) {
             listed.put(entry.id(), entry);
@@ -35,7 +35,7 @@
                     entry.id(), id -> new ServerLedger(entry, mTiming, mTokens, mRuns));
         }
         for (ServerLedger server : mServers.values()) {
-            server.list(listed.get(server.entry().id()), nowNanos);
+            server.list(listed.get(server.entry().id()));
         }
         mServers.values().removeIf(ServerLedger::forgettable);
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -46,6 +46,7 @@
     private long mTickNanos = NEVER_NANOS;
     private final InheritedRuns mInherited;
     private final JobBook mJobs = new JobBook();
+    private final StoredJobs mStored;
 
     private ServiceScheduler(
             LeaseTiming timing,
@@ -65,6 +66,7 @@
                         tokens,
                         new RunEvents(mJobs, listener, this::end),
                         tuning.mostEjectedOneIn());
+        mStored = new StoredJobs(this, mJobs, mServers, listener);
     }
 
     /**
@@ -95,7 +97,7 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public synchronized void list(Collection<ServerEntry> entries, long nowNanos) {
-        mServers.list(entries, nowNanos);
+        mServers.list(entries);
     }
 
     /**
@@ -221,123 +223,12 @@
     }
 
     /**
-     * Decides whether a job that is to be stored would be refused if its caller waited for its end.
+     * Returns what concerns stored jobs.
      *
-     * @param spec the job, not null
-     * @param arrivedNanos when its caller sent it, by the monotonic time
-     * @param nowNanos the monotonic time in nanoseconds
-     * @return when its caller should come back, in milliseconds; none if it is to be accepted
-     */
-    public synchronized Option<Long> refusal(WorkSpec spec, long arrivedNanos, long nowNanos) {
-        JobLedger job =
-                new JobLedger(
-                        spec,
-                        WorkProgress.NONE,
-                        arrivedNanos,
-                        JobLedger.NEVER_NANOS,
-                        nowNanos,
-                        mTuning.returnMillis());
-        Projection projection = projection(nowNanos);
-        return mReview.isHopeless(job, queue(nowNanos), projection, nowNanos)
-                ? Option.some(retryMillis(projection, nowNanos))
-                : Option.none();
-    }
-
-    /**
-     * Takes a stored job in.
-     *
-     * @param job the job, open, not null
-     * @param highestAttempt exceeds the attempts of earlier leaders, 0 if there was none
-     * @param nowNanos the monotonic time in nanoseconds
-     */
-    public synchronized void keep(StoredJob job, int highestAttempt, long nowNanos) {
-        JobLedger ledger = JobLedger.stored(job, highestAttempt, nowNanos);
-        mJobs.add(ledger);
-        // Runs of a term that was given up may not have been stopped yet.
-        for (ServerLedger server : mServers.all()) {
-            for (ServerRun run : server.runs()) {
-                if (run.mTask.job().equals(job.spec().id())) {
-                    ledger.adopt(run.mTask, run.mAttempt, server.entry().id());
-                }
-            }
-        }
-        if (ledger.inherited()) {
-            mServers.all().forEach(ServerLedger::wantLook);
-            mServers.all().forEach(server -> server.adoptForeign(nowNanos));
-        }
-        if (ledger.complete()) {
-            end(ledger, WorkOutcome.of(WorkOutcome.Kind.COMPLETE, "done"), nowNanos);
-        }
-        place(nowNanos);
-    }
-
-    /**
-     * Sets whether jobs that are not known may be stored ones. Ends of their tasks then stay listed
-     * at the servers until all stored jobs have been taken in.
-     *
-     * @param expected false if no job is known to be stored
-     * @param nowNanos the monotonic time in nanoseconds
-     */
-    public synchronized void expectStoredJobs(boolean expected, long nowNanos) {
-        if (mJobs.expectStoredJobs(expected)) {
-            mServers.all().forEach(server -> server.storedJobsRead(nowNanos));
-        }
-    }
-
-    /**
-     * Takes note that all stored jobs have been taken in.
-     *
-     * @param nowNanos the monotonic time in nanoseconds
-     */
-    public synchronized void storedJobsRead(long nowNanos) {
-        mJobs.storedJobsRead(true);
-        mServers.all().forEach(server -> server.storedJobsRead(nowNanos));
-    }
-
-    /**
-     * Takes note that changes of a stored job are saved.
-     *
-     * @param id which, not null
-     * @param change the last of them, as told to the listener
-     */
-    public synchronized void saved(JobId id, long change) {
-        JobLedger job = mJobs.get(id);
-        if (job != null) {
-            job.saved(change);
-            mJobs.forgetIfIdle(job);
-        }
-        mServers.all().forEach(server -> server.ends().saved(id, change));
-    }
-
-    /**
-     * Stops a stored job for good.
-     *
-     * @param id which, not null
-     * @param nowNanos the monotonic time in nanoseconds
+     * @return the same object each time, never null
      */
-    public synchronized void cancel(JobId id, long nowNanos) {
-        JobLedger job = mJobs.get(id);
-        if (job != null && !job.ended()) {
-            close(job, StoredJob.State.CANCELLED, nowNanos);
-            mListener.storedJobChanged(job.storedJob(), job.changes());
-            place(nowNanos);
-        }
-    }
-
-    /**
-     * Forgets all stored jobs and stops their tasks, because another leader may take them over.
-     *
-     * @param nowNanos the monotonic time in nanoseconds
-     */
-    public synchronized void giveUpStoredJobs(long nowNanos) {
-        mJobs.storedJobsRead(false);
-        for (JobLedger job : mJobs.copy()) {
-            if (job.mSpec.isStored()) {
-                close(job, StoredJob.State.OPEN, nowNanos);
-                mJobs.remove(job);
-            }
-        }
-        mServers.all().forEach(server -> server.ends().forgetChanges());
+    public StoredJobs stored() {
+        return mStored;
     }
 
     /**
@@ -522,7 +413,7 @@
      * Places what can be placed. After a stall nothing is placed before the next round of the
      * clock, which first finds out whether another leader has taken over.
      */
-    private void place(long nowNanos) {
+    void place(long nowNanos) {
         if (nowNanos - mTickNanos > STALL_MILLIS * MILLI) {
             return;
         }
@@ -561,12 +452,28 @@
                 nowNanos);
     }
 
+    /** Decides whether a job that is not in the book would be refused; as {@link StoredJobs}. */
+    Option<Long> refusal(WorkSpec spec, long arrivedNanos, long nowNanos) {
+        JobLedger job =
+                new JobLedger(
+                        spec,
+                        WorkProgress.NONE,
+                        arrivedNanos,
+                        JobLedger.NEVER_NANOS,
+                        nowNanos,
+                        mTuning.returnMillis());
+        Projection projection = projection(nowNanos);
+        return mReview.isHopeless(job, queue(nowNanos), projection, nowNanos)
+                ? Option.some(retryMillis(projection, nowNanos))
+                : Option.none();
+    }
+
     private long retryMillis(Projection projection, long nowNanos) {
         double wait = QueueReview.waitMillis(queue(nowNanos), projection);
         return Math.round(Math.min(wait, mTuning.longestRetryMillis()));
     }
 
-    private void end(JobLedger job, WorkOutcome outcome, long nowNanos) {
+    void end(JobLedger job, WorkOutcome outcome, long nowNanos) {
         boolean complete = outcome.kind() == WorkOutcome.Kind.COMPLETE;
         StoredJob.State state = complete ? StoredJob.State.COMPLETE : StoredJob.State.FAILED;
         close(job, state, nowNanos);
@@ -580,7 +487,7 @@
         mListener.jobEnded(job.mSpec.id(), outcome);
     }
 
-    private void close(JobLedger job, StoredJob.State state, long nowNanos) {
+    void close(JobLedger job, StoredJob.State state, long nowNanos) {
         job.end(state);
         for (ServerLedger server : mServers.all()) {
             for (ServerRun run : List.copyOf(server.runs())) {
--- /dev/null
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/StoredJobs.java
@@ -0,0 +1,153 @@
+package org.wagtailproxy.scheduling;
+
+import io.vavr.control.Option;
+import org.wagtailproxy.workload.JobId;
+import org.wagtailproxy.workload.StoredJob;
+import org.wagtailproxy.workload.WorkOutcome;
+import org.wagtailproxy.workload.WorkSpec;
+
+/**
+ * The part of a scheduler that concerns stored jobs: what must be saved before a backend server may
+ * forget it, and what the next keeper takes over. Under the scheduler's lock.
+ */
+public final class StoredJobs {
+
+    private final ServiceScheduler mScheduler;
+    private final JobBook mJobs;
+    private final ServerPool mServers;
+    private final SchedulerListener mListener;
+
+    StoredJobs(
+            ServiceScheduler scheduler,
+            JobBook jobs,
+            ServerPool servers,
+            SchedulerListener listener) {
+        mScheduler = scheduler;
+        mJobs = jobs;
+        mServers = servers;
+        mListener = listener;
+    }
+
+    /**
+     * Decides whether a job that is to be stored would be refused if its caller waited for its end.
+     *
+     * @param spec the job, not null
+     * @param arrivedNanos when its caller sent it, by the monotonic time
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return when its caller should come back, in milliseconds; none if it is to be accepted
+     */
+    public Option<Long> refusal(WorkSpec spec, long arrivedNanos, long nowNanos) {
+        synchronized (mScheduler) {
+            return mScheduler.refusal(spec, arrivedNanos, nowNanos);
+        }
+    }
+
+    /**
+     * Takes a stored job in.
+     *
+     * @param job the job, open, not null
+     * @param highestAttempt exceeds the attempts of earlier leaders, 0 if there was none
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void keep(StoredJob job, int highestAttempt, long nowNanos) {
+        synchronized (mScheduler) {
+            JobLedger ledger = JobLedger.stored(job, highestAttempt, nowNanos);
+            mJobs.add(ledger);
+            // Runs of a term that was given up may not have been stopped yet.
+            for (ServerLedger server : mServers.all()) {
+                for (ServerRun run : server.runs()) {
+                    if (run.mTask.job().equals(job.spec().id())) {
+                        ledger.adopt(run.mTask, run.mAttempt, server.entry().id());
+                    }
+                }
+            }
+            if (ledger.inherited()) {
+                mServers.all().forEach(ServerLedger::wantLook);
+                mServers.all().forEach(server -> server.adoptForeign(nowNanos));
+            }
+            if (ledger.complete()) {
+                mScheduler.end(ledger, WorkOutcome.of(WorkOutcome.Kind.COMPLETE, "done"), nowNanos);
+            }
+            mScheduler.place(nowNanos);
+        }
+    }
+
+    /**
+     * Sets whether jobs that are not known may be stored ones. Ends of their tasks then stay listed
+     * at the servers until all stored jobs have been taken in.
+     *
+     * @param expected false if no job is known to be stored
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void expect(boolean expected, long nowNanos) {
+        synchronized (mScheduler) {
+            if (mJobs.expectStoredJobs(expected)) {
+                mServers.all().forEach(server -> server.storedJobsRead(nowNanos));
+            }
+        }
+    }
+
+    /**
+     * Takes note that all stored jobs have been taken in.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void allRead(long nowNanos) {
+        synchronized (mScheduler) {
+            mJobs.storedJobsRead(true);
+            mServers.all().forEach(server -> server.storedJobsRead(nowNanos));
+        }
+    }
+
+    /**
+     * Takes note that changes of a stored job are saved.
+     *
+     * @param id which, not null
+     * @param change the last of them, as told to the listener
+     */
+    public void saved(JobId id, long change) {
+        synchronized (mScheduler) {
+            JobLedger job = mJobs.get(id);
+            if (job != null) {
+                job.saved(change);
+                mJobs.forgetIfIdle(job);
+            }
+            mServers.all().forEach(server -> server.ends().saved(id, change));
+        }
+    }
+
+    /**
+     * Stops a stored job for good.
+     *
+     * @param id which, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void cancel(JobId id, long nowNanos) {
+        synchronized (mScheduler) {
+            JobLedger job = mJobs.get(id);
+            if (job != null && !job.ended()) {
+                mScheduler.close(job, StoredJob.State.CANCELLED, nowNanos);
+                mListener.storedJobChanged(job.storedJob(), job.changes());
+                mScheduler.place(nowNanos);
+            }
+        }
+    }
+
+    /**
+     * Forgets all stored jobs and stops their tasks, because another leader may take them over.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void giveUp(long nowNanos) {
+        synchronized (mScheduler) {
+            mJobs.storedJobsRead(false);
+            for (JobLedger job : mJobs.copy()) {
+                if (job.mSpec.isStored()) {
+                    mScheduler.close(job, StoredJob.State.OPEN, nowNanos);
+                    mJobs.remove(job);
+                }
+            }
+            mServers.all().forEach(server -> server.ends().forgetChanges());
+        }
+    }
+}
--- a/decisions/src/test/java/org/wagtailproxy/leadership/LeadershipTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/LeadershipTest.java
@@ -92,21 +92,30 @@
 
     @Test
     void testSmallInstanceLeadsOnlyIfNoLargerOneIsReached() {
-        Leadership small = Leadership.of(peer(A, 10, true, "a")).withLeastProcessor(1001);
-        Peer large =
-                new Peer(
-                        B,
-                        DataCentre.of("pwani-a"),
-                        HostAddress.of("10.0.0.1", 7000),
-                        1500,
-                        20,
-                        true,
-                        false,
-                        false,
-                        Option.none());
-        assertThat(small.leader(List.of(large)).name(), is(B));
-        assertThat(small.leader(List.of(peer(C, 30, true, ""))).name(), is(A));
-        assertThat(small.leader(List.of(draining(large))).name(), is(A));
+        Peer self = peer(A, 10, true, "a");
+        Peer large = sized(peer(B, 20, true, ""), 2100);
+        Peer like = sized(peer(C, 30, true, ""), 1900);
+        assertThat(leaderAmongLarge(self, large, like), is(B));
+        assertThat(leaderAmongLarge(self, like), is(A));
+        assertThat(leaderAmongLarge(self, draining(large)), is(A));
+        assertThat(leaderAmongLarge(self, sized(peer(B, 20, false, ""), 2100), like), is(C));
+    }
+
+    private static InstanceName leaderAmongLarge(Peer self, Peer... peers) {
+        return Leadership.of(self).amongLarge(List.of(peers)).leader(List.of(peers)).name();
+    }
+
+    private static Peer sized(Peer peer, long processorMillis) {
+        return new Peer(
+                peer.name(),
+                peer.dataCentre(),
+                peer.address(),
+                processorMillis,
+                peer.seniority(),
+                peer.reachable(),
+                peer.draining(),
+                peer.storeless(),
+                peer.follows());
     }
 
     @Test
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -409,7 +409,7 @@
         public void storedJobChanged(StoredJob job, long change) {
             mStored.put(job.spec().id(), job);
             if (mSaves) {
-                later(5, () -> mScheduler.saved(job.spec().id(), change));
+                later(5, () -> mScheduler.stored().saved(job.spec().id(), change));
             }
         }
 
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
@@ -28,8 +28,8 @@
         for (int number = 0; number < servers; number++) {
             mSimulation.add("s" + number, 1, 32_000).mWorkMillis = workMillis;
         }
-        mSimulation.mScheduler.expectStoredJobs(true, mSimulation.nowNanos());
-        mSimulation.mScheduler.storedJobsRead(mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().expect(true, mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().allRead(mSimulation.nowNanos());
         mSimulation.run(100);
     }
 
@@ -43,7 +43,7 @@
     }
 
     private void keep(StoredJob job, int highestAttempt) {
-        mSimulation.mScheduler.keep(job, highestAttempt, mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().keep(job, highestAttempt, mSimulation.nowNanos());
         mSimulation.flush();
     }
 
@@ -53,7 +53,7 @@
         mSimulation.list();
         mSimulation.run(30);
         keep(stored, 64);
-        mSimulation.mScheduler.storedJobsRead(mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().allRead(mSimulation.nowNanos());
     }
 
     private StoredJob stored(StoredJob job) {
@@ -101,7 +101,7 @@
         mSimulation.run(800);
         mSimulation.mSaves = true;
         keep(job, 64);
-        mSimulation.mScheduler.storedJobsRead(mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().allRead(mSimulation.nowNanos());
         mSimulation.run(2000);
         assertThat(stored(job).state(), is(StoredJob.State.COMPLETE));
         assertThat(mSimulation.mViolations, is(empty()));
@@ -114,10 +114,10 @@
         StoredJob job = job(StepSpec.of(4, DEMAND, 300));
         keep(job, 0);
         mSimulation.run(280);
-        mSimulation.mScheduler.giveUpStoredJobs(mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().giveUp(mSimulation.nowNanos());
         mSimulation.flush();
         keep(job, 64);
-        mSimulation.mScheduler.storedJobsRead(mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().allRead(mSimulation.nowNanos());
         mSimulation.run(3000);
         assertThat(stored(job).state(), is(StoredJob.State.COMPLETE));
         assertThat(mSimulation.mViolations, is(empty()));
@@ -131,10 +131,10 @@
         keep(job, 0);
         mSimulation.run(99);
         // The stop comes too late: the run is done before it arrives.
-        mSimulation.mScheduler.giveUpStoredJobs(mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().giveUp(mSimulation.nowNanos());
         mSimulation.run(50);
         keep(job, 64);
-        mSimulation.mScheduler.storedJobsRead(mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().allRead(mSimulation.nowNanos());
         mSimulation.flush();
         mSimulation.run(2000);
         assertThat(stored(job).state(), is(StoredJob.State.COMPLETE));
@@ -170,7 +170,7 @@
         // The run of the earlier keeper is stopped, since nobody knows its job yet.
         mSimulation.run(400);
         keep(job, 64);
-        mSimulation.mScheduler.storedJobsRead(mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().allRead(mSimulation.nowNanos());
         mSimulation.run(450);
         assertThat(stored(job).state(), is(StoredJob.State.COMPLETE));
     }
@@ -208,7 +208,7 @@
         StoredJob job = lasting(StepSpec.of(2, DEMAND, 100));
         keep(job, 0);
         mSimulation.run(500);
-        mSimulation.mScheduler.cancel(job.spec().id(), mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().cancel(job.spec().id(), mSimulation.nowNanos());
         mSimulation.flush();
         mSimulation.run(100);
         assertThat(running(), is(0));
@@ -227,7 +227,7 @@
         mSimulation.run(450);
         assertThat(running(), is(2));
         keep(job, 64);
-        mSimulation.mScheduler.storedJobsRead(mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().allRead(mSimulation.nowNanos());
         mSimulation.run(3000);
         assertThat(running(), is(2));
         assertThat(mSimulation.mStarts, is(2));
@@ -249,7 +249,7 @@
         mSimulation.run(300);
         var server = mSimulation.mServers.values().iterator().next();
         assertThat(server.listedEnds(), greaterThan(0));
-        mSimulation.mScheduler.expectStoredJobs(false, mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().expect(false, mSimulation.nowNanos());
         mSimulation.run(100);
         assertThat(server.listedEnds(), is(0));
     }
@@ -278,7 +278,7 @@
                         new StepSpec(2, DEMAND, 60, List.of(0), "", "", 0));
         keep(job, 0);
         mSimulation.run(50);
-        mSimulation.mScheduler.cancel(job.spec().id(), mSimulation.nowNanos());
+        mSimulation.mScheduler.stored().cancel(job.spec().id(), mSimulation.nowNanos());
         mSimulation.flush();
         mSimulation.run(200);
         assertThat(stored(job).state(), is(StoredJob.State.CANCELLED));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -1,7 +1,6 @@
 package org.wagtailproxy.dispatcher;
 
 import com.google.common.io.Closer;
-import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.Closeable;
 import java.io.IOException;
@@ -15,10 +14,8 @@
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.identity.DataCentre;
-import org.wagtailproxy.identity.Names;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.leadership.Pool;
@@ -34,14 +31,10 @@
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.KeeperRecord;
-import org.wagtailproxy.wire.Presence;
-import org.wagtailproxy.wire.SubmitWork;
-import org.wagtailproxy.wire.WithdrawWork;
 import org.wagtailproxy.wire.WorkForwarded;
 import org.wagtailproxy.workload.JobCondition;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.WorkOutcome;
-import org.wagtailproxy.workload.WorkProgress;
 import org.wagtailproxy.workload.WorkSpec;
 
 /**
@@ -72,8 +65,6 @@
     /** Silence of the store after which another instance had better keep the stored jobs. */
     private static final long STORELESS_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
-    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
-
     private final Closer mCloser = Closer.create();
     private final DispatcherSettings mSettings;
     private final EventLoop mLoop;
@@ -130,9 +121,11 @@
         mClient = client;
         mJobDesk = new JobDesk(loop, mMesh, client, mLeaderDesk.keeper());
         mHomeDesk = new HomeDesk(settings, loop, mMesh, client, mLeaderDesk, decisions);
+        PeerCalls calls =
+                new PeerCalls(loop, mMesh, mRemote, mLeaderDesk, mJobDesk, this::isPooled);
         mCloser.register(
                 PeerServer.start(
-                        settings.peerAddress(), links.group(), this::handle, links.bytes()));
+                        settings.peerAddress(), links.group(), calls::handle, links.bytes()));
     }
 
     /**
@@ -416,85 +409,6 @@
         }
     }
 
-    private void handle(Envelope request, Consumer<Envelope.Builder> reply) {
-        mLoop.run(() -> serve(request, reply));
-    }
-
-    private void serve(Envelope request, Consumer<Envelope.Builder> reply) {
-        switch (request.getBodyCase()) {
-            case PRESENCE -> reply.accept(presence(request.getPresence()));
-            case SUBMIT_WORK -> submitted(request.getSubmitWork(), reply);
-            case ASK_JOB ->
-                    mJobDesk.answer(
-                            request.getAskJob(),
-                            told -> reply.accept(Envelope.newBuilder().setJobTold(told)));
-            case WITHDRAW_WORK -> withdrawn(request.getWithdrawWork(), reply);
-            default -> reply.accept(Envelope.newBuilder());
-        }
-    }
-
-    /** Answers with the room that is free here if another data centre's leader may ask. */
-    private Envelope.Builder presence(Presence asker) {
-        boolean named = Names.isName(asker.getName()) && Names.isName(asker.getDataCentre());
-        // An instance of the pool may have lost its registration behind a cut; it is no remote one.
-        boolean remote = named && !isPooled(DataCentre.of(asker.getDataCentre()));
-        if (remote) {
-            mRemote.heard(InstanceName.of(asker.getName()));
-        }
-        Presence.Builder presence =
-                mMesh.answer(asker).setKeepsJobs(mLeaderDesk.keeper().keepsAny());
-        if (remote && mMesh.leads()) {
-            presence.setFreeCpuMillis(mLeaderDesk.freeCpuMillis())
-                    .setQueueMillis(mLeaderDesk.queueMillis());
-        }
-        return Envelope.newBuilder().setPresence(presence);
-    }
-
-    private void submitted(SubmitWork message, Consumer<Envelope.Builder> reply) {
-        Consumer<Either<WorkProgress, WorkOutcome>> answer =
-                result ->
-                        reply.accept(
-                                Envelope.newBuilder()
-                                        .setWorkAnswer(
-                                                result.fold(
-                                                        WorkMessages::moved,
-                                                        WorkMessages::answer)));
-        Either<Failure, WorkSpec> spec = WorkMessages.spec(message);
-        if (spec.isLeft() || !Names.isName(message.getHome())) {
-            answer.accept(Either.right(WorkOutcome.refused("unreadable", 0)));
-            return;
-        }
-        WorkProgress progress = WorkMessages.progress(spec.get().id(), message.getProgress());
-        InstanceName home = InstanceName.of(message.getHome());
-        if (!mMesh.leads()) {
-            answer.accept(Either.left(progress));
-            return;
-        }
-        if (!mMesh.reaches(home) && !mRemote.hears(home)) {
-            // It reaches this instance again before it is seen to be back.
-            mLeaderDesk.healed();
-        }
-        mMesh.followed(home);
-        long nowNanos = mLoop.nowNanos();
-        mLeaderDesk.submit(
-                spec.get(),
-                progress,
-                nowNanos - message.getAgeMillis() * MILLI,
-                nowNanos + message.getPatienceMillis() * MILLI,
-                home,
-                !message.getForwarded(),
-                answer);
-    }
-
-    private void withdrawn(WithdrawWork message, Consumer<Envelope.Builder> reply) {
-        Option<JobId> job = JobId.parse(message.getJob());
-        if (job.isDefined() && Names.isName(message.getHome())) {
-            InstanceName home = InstanceName.of(message.getHome());
-            mLeaderDesk.withdraw(job.get(), home);
-        }
-        reply.accept(Envelope.newBuilder());
-    }
-
     /** Reacts to changes of leadership. */
     private final class MeshChanges implements Mesh.Listener {
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Forwards.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Forwards.java
@@ -33,7 +33,7 @@
  * <p>A job whose remote leader is lost is given up: its tasks may still run there, where nobody
  * here can look. Their leader stops them once it no longer hears this one.
  */
-final class Forwards implements LeaderDesk.Forwarder {
+final class Forwards implements Forwarder {
 
     /** Time for the remote answer to arrive after the caller's time has run out. */
     private static final long ANSWER_SLACK_MILLIS = 200;
@@ -72,7 +72,7 @@
     }
 
     @Override
-    public boolean forward(WorkSpec spec, LeaderDesk.Holding holding) {
+    public boolean forward(WorkSpec spec, Holding holding) {
         long nowNanos = mLoop.nowNanos();
         Option<DataCentre> target = mSpillOver.choose(spec, nowNanos);
         Option<HostAddress> leader = target.flatMap(mLeaders::address);
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Holding.java
@@ -0,0 +1,69 @@
+package org.wagtailproxy.dispatcher;
+
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.wagtailproxy.identity.ServiceName;
+import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.workload.WorkOutcome;
+import org.wagtailproxy.workload.WorkProgress;
+import org.wagtailproxy.workload.WorkSpec;
+
+/** Who waits at a leader for the outcome of a job. Confined to the event loop. */
+final class Holding {
+
+    private final ServiceName mService;
+    private final int mPriority;
+    private final Map<InstanceName, Consumer<Either<WorkProgress, WorkOutcome>>> mHomes =
+            new TreeMap<>();
+    private long mArrivedNanos;
+    private long mDeadlineNanos;
+    private boolean mMayForward;
+    private boolean mBegun;
+
+    Holding(WorkSpec spec) {
+        mService = spec.service();
+        mPriority = spec.terms().priority();
+    }
+
+    /** Takes over what the instance that passes the job on tells. */
+    void expect(long arrivedNanos, long deadlineNanos, boolean mayForward) {
+        mArrivedNanos = arrivedNanos;
+        mDeadlineNanos = deadlineNanos;
+        mMayForward = mayForward;
+    }
+
+    ServiceName service() {
+        return mService;
+    }
+
+    int priority() {
+        return mPriority;
+    }
+
+    long arrivedNanos() {
+        return mArrivedNanos;
+    }
+
+    long deadlineNanos() {
+        return mDeadlineNanos;
+    }
+
+    /** Tests whether another data centre may run the job. */
+    boolean mayForward() {
+        return mMayForward;
+    }
+
+    /** Takes note that a task has been started; returns true the first time. */
+    boolean begin() {
+        boolean first = !mBegun;
+        mBegun = true;
+        return first;
+    }
+
+    /** Returns the instances that answer callers, each with what takes the outcome. */
+    Map<InstanceName, Consumer<Either<WorkProgress, WorkOutcome>>> homes() {
+        return mHomes;
+    }
+}
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobKeeper.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobKeeper.java
@@ -65,7 +65,7 @@
     private final KeeperRecord mSelf;
     private final Schedulers mSchedulers;
     private final CommitQueue mQueue = new CommitQueue();
-    private final Map<JobId, Entry> mEntries = new HashMap<>();
+    private final Map<JobId, KeptJob> mEntries = new HashMap<>();
     private final List<Early> mEarly = new ArrayList<>();
     private Option<KeeperTerm> mTerm = Option.none();
     private long mBeginNanos;
@@ -88,24 +88,6 @@
         void flush();
     }
 
-    /** What is known of a stored job. */
-    private static final class Entry {
-        private StoredJob mJob;
-
-        /** The state that the store has, none while the job is not accepted. */
-        private Option<StoredJob.State> mSaved = Option.none();
-
-        private long mEndedNanos;
-        private final List<Consumer<Either<WorkProgress, WorkOutcome>>> mAcceptors =
-                new ArrayList<>();
-        private final List<Consumer<JobCondition>> mCancels = new ArrayList<>();
-        private final List<Question> mQuestions = new ArrayList<>();
-
-        private Entry(StoredJob job) {
-            mJob = job;
-        }
-    }
-
     /** A job that came while the jobs were being read. */
     private record Early(
             WorkSpec spec, long arrivedNanos, Consumer<Either<WorkProgress, WorkOutcome>> answer) {}
@@ -154,9 +136,9 @@
         mTerm = Option.none();
         mBegan = false;
         mQueue.clear();
-        List<Entry> entries = new ArrayList<>(mEntries.values());
+        List<KeptJob> entries = new ArrayList<>(mEntries.values());
         mEntries.clear();
-        for (Entry entry : entries) {
+        for (KeptJob entry : entries) {
             // The write that is under way may still be done, and the job run by the next keeper.
             WorkProgress maybe = WorkProgress.NONE.plusAttempts(1);
             entry.mAcceptors.forEach(each -> each.accept(Either.left(maybe)));
@@ -186,7 +168,7 @@
             mEarly.add(new Early(spec, arrivedNanos, answer));
             return;
         }
-        Entry known = mEntries.get(spec.id());
+        KeptJob known = mEntries.get(spec.id());
         if (known != null) {
             if (known.mSaved.isDefined()) {
                 answer.accept(accepted());
@@ -196,12 +178,15 @@
             return;
         }
         Option<Long> refusal =
-                mSchedulers.of(spec.service()).refusal(spec, arrivedNanos, mLoop.nowNanos());
+                mSchedulers
+                        .of(spec.service())
+                        .stored()
+                        .refusal(spec, arrivedNanos, mLoop.nowNanos());
         if (refusal.isDefined()) {
             answer.accept(Either.right(WorkOutcome.refused("no room in time", refusal.get())));
             return;
         }
-        Entry entry = new Entry(StoredJob.of(spec));
+        KeptJob entry = new KeptJob(StoredJob.of(spec));
         entry.mAcceptors.add(answer);
         mEntries.put(spec.id(), entry);
         mQueue.add(new JobChange(entry.mJob, 0, false));
@@ -210,7 +195,7 @@
 
     /** Saves a change of a job. */
     void changed(StoredJob job, long change) {
-        Entry entry = mEntries.get(job.spec().id());
+        KeptJob entry = mEntries.get(job.spec().id());
         if (entry != null) {
             entry.mJob = job;
             mQueue.add(new JobChange(job, change, false));
@@ -220,7 +205,7 @@
 
     /** Cancels a job; answers once the store has it. */
     void cancel(JobId id, Consumer<JobCondition> answer) {
-        Entry entry = mEntries.get(id);
+        KeptJob entry = mEntries.get(id);
         if (!mBegan || entry == null) {
             answer.accept(mBegan ? JobCondition.GONE : JobCondition.UNAVAILABLE);
             return;
@@ -237,7 +222,7 @@
             changed(entry.mJob.in(StoredJob.State.CANCELLED), 0);
             return;
         }
-        mSchedulers.of(entry.mJob.spec().service()).cancel(id, mLoop.nowNanos());
+        mSchedulers.of(entry.mJob.spec().service()).stored().cancel(id, mLoop.nowNanos());
         mSchedulers.flush();
     }
 
@@ -246,39 +231,24 @@
      * the answer waits a short time for it.
      */
     void ask(JobId id, Consumer<JobCondition> answer) {
-        Entry entry = mEntries.get(id);
+        KeptJob entry = mEntries.get(id);
         // The job has ended if its scheduler knows no more of it.
         boolean ending = condition(id) == JobCondition.RUNNING && phase(entry) != JobPhase.BEGUN;
         if (!ending) {
             answer.accept(condition(id));
             return;
         }
-        Question question = new Question(answer);
+        KeptJob.Question question = new KeptJob.Question(answer);
         entry.mQuestions.add(question);
         mLoop.later(ASKED_WAIT_MILLIS, () -> question.answer(condition(id)));
     }
 
-    /** A question that waits; it is answered once. */
-    private static final class Question {
-        private Option<Consumer<JobCondition>> mAnswer;
-
-        private Question(Consumer<JobCondition> answer) {
-            mAnswer = Option.some(answer);
-        }
-
-        private void answer(JobCondition condition) {
-            Option<Consumer<JobCondition>> answer = mAnswer;
-            mAnswer = Option.none();
-            answer.forEach(waiting -> waiting.accept(condition));
-        }
-    }
-
     /** Tells where a job stands now. */
     private JobCondition condition(JobId id) {
         if (!mBegan) {
             return JobCondition.UNAVAILABLE;
         }
-        Entry entry = mEntries.get(id);
+        KeptJob entry = mEntries.get(id);
         if (entry == null || entry.mSaved.isEmpty()) {
             return entry == null ? JobCondition.GONE : JobCondition.UNAVAILABLE;
         }
@@ -291,14 +261,14 @@
         };
     }
 
-    private JobPhase phase(Entry entry) {
+    private JobPhase phase(KeptJob entry) {
         return mSchedulers.of(entry.mJob.spec().service()).phase(entry.mJob.spec().id());
     }
 
     /** Counts the accepted jobs of a queue that have not begun. */
     int pending(String queue) {
         int pending = 0;
-        for (Map.Entry<JobId, Entry> each : mEntries.entrySet()) {
+        for (Map.Entry<JobId, KeptJob> each : mEntries.entrySet()) {
             boolean of = each.getValue().mJob.spec().storedIn().equals(queue);
             pending += of && condition(each.getKey()) == JobCondition.QUEUED ? 1 : 0;
         }
@@ -308,7 +278,7 @@
     /** Removes jobs that ended long ago, and refuses those that have waited too long. */
     void tick() {
         long nowNanos = mLoop.nowNanos();
-        for (Entry entry : mEntries.values()) {
+        for (KeptJob entry : mEntries.values()) {
             boolean ended = entry.mSaved.exists(state -> state != StoredJob.State.OPEN);
             if (ended && nowNanos - entry.mEndedNanos > KEPT_NANOS) {
                 entry.mEndedNanos = nowNanos;
@@ -360,7 +330,7 @@
 
     private void saved(JobChange change) {
         JobId id = change.job().spec().id();
-        Entry entry = mEntries.get(id);
+        KeptJob entry = mEntries.get(id);
         if (change.removed()) {
             mEntries.remove(id);
             return;
@@ -380,9 +350,9 @@
             entry.mQuestions.forEach(question -> question.answer(condition(id)));
             entry.mQuestions.clear();
         } else if (first && !entry.mJob.ended()) {
-            scheduler.keep(change.job(), 0, mLoop.nowNanos());
+            scheduler.stored().keep(change.job(), 0, mLoop.nowNanos());
         }
-        scheduler.saved(id, change.change());
+        scheduler.stored().saved(id, change.change());
         entry.mAcceptors.forEach(answer -> answer.accept(accepted()));
         entry.mAcceptors.clear();
     }
@@ -395,14 +365,17 @@
             mBegan = true;
             int attempt = Math.toIntExact(term.generation() * ATTEMPTS_OF_A_KEEPER);
             for (StoredJob job : jobs) {
-                Entry entry = new Entry(job);
+                KeptJob entry = new KeptJob(job);
                 entry.mSaved = Option.some(job.state());
                 entry.mEndedNanos = mLoop.nowNanos();
                 mEntries.put(job.spec().id(), entry);
             }
             for (StoredJob job : jobs) {
                 if (!job.ended()) {
-                    mSchedulers.of(job.spec().service()).keep(job, attempt, mLoop.nowNanos());
+                    mSchedulers
+                            .of(job.spec().service())
+                            .stored()
+                            .keep(job, attempt, mLoop.nowNanos());
                 }
             }
             mSchedulers.storedJobsRead();
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderDesk.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderDesk.java
@@ -35,9 +35,6 @@
 /** The leader's part: schedules the jobs of its group on the backend servers it gives orders to. */
 final class LeaderDesk {
 
-    /** How long an order may stay unanswered; a sound server answers in a few milliseconds. */
-    private static final long ORDER_TIMEOUT_MILLIS = 120;
-
     /** Pause between rounds of the clock while jobs are open. */
     private static final long BUSY_TICK_MILLIS = 20;
 
@@ -49,7 +46,7 @@
 
     private final DispatcherSettings mSettings;
     private final EventLoop mLoop;
-    private final ServerOrders mOrders;
+    private final OrderSender mOrders;
     private final TokenSource mTokens;
     private final DecisionLog mLog;
     private final Forwarder mForwarder;
@@ -68,20 +65,6 @@
     private final SuspensionWatch mSuspensions;
     private Function<ServerEntry, Claim> mClaims = entry -> Claim.NONE;
 
-    /** Passes a job on to another data centre. */
-    interface Forwarder {
-
-        /** Forwards a job if there is room elsewhere; returns false if there is none. */
-        boolean forward(WorkSpec spec, Holding holding);
-
-        /** Adds an instance that waits for a forwarded job; false if the job is not forwarded. */
-        boolean join(
-                JobId job, InstanceName home, Consumer<Either<WorkProgress, WorkOutcome>> answer);
-
-        /** Gives up the interest of an instance; without any interest the job is stopped. */
-        void withdraw(JobId job, InstanceName home);
-    }
-
     /** Hears what casts doubt on the leadership. */
     interface Listener {
 
@@ -92,35 +75,6 @@
         void fenced(ServerEntry server);
     }
 
-    /** Who waits for the outcome of a job. */
-    static final class Holding {
-        private final ServiceName mService;
-        private final int mPriority;
-        private final Map<InstanceName, Consumer<Either<WorkProgress, WorkOutcome>>> mHomes =
-                new TreeMap<>();
-        private long mArrivedNanos;
-        private long mDeadlineNanos;
-        private boolean mMayForward;
-        private boolean mBegun;
-
-        private Holding(WorkSpec spec) {
-            mService = spec.service();
-            mPriority = spec.terms().priority();
-        }
-
-        long arrivedNanos() {
-            return mArrivedNanos;
-        }
-
-        long deadlineNanos() {
-            return mDeadlineNanos;
-        }
-
-        Map<InstanceName, Consumer<Either<WorkProgress, WorkOutcome>>> homes() {
-            return mHomes;
-        }
-    }
-
     LeaderDesk(
             DispatcherSettings settings,
             EventLoop loop,
@@ -132,7 +86,7 @@
             Function<JobKeeper.Schedulers, JobKeeper> keeper) {
         mSettings = settings;
         mLoop = loop;
-        mOrders = orders;
+        mOrders = new OrderSender(orders, log, this::now, this::flush);
         mTokens = tokens;
         mLog = log;
         mForwarder = forwarder;
@@ -160,7 +114,7 @@
         mKeeper.tick();
         mStoredJobsExpected = kept || mKeeper.isReading();
         for (ServiceScheduler scheduler : mSchedulers.values()) {
-            scheduler.expectStoredJobs(mStoredJobsExpected, now());
+            scheduler.stored().expect(mStoredJobsExpected, now());
         }
     }
 
@@ -211,10 +165,8 @@
             return;
         }
         Holding holding = mHoldings.computeIfAbsent(spec.id(), id -> new Holding(spec));
-        holding.mHomes.put(home, answer);
-        holding.mArrivedNanos = arrivedNanos;
-        holding.mDeadlineNanos = deadlineNanos;
-        holding.mMayForward = mayForward;
+        holding.homes().put(home, answer);
+        holding.expect(arrivedNanos, deadlineNanos, mayForward);
         ServiceScheduler scheduler = scheduler(spec.service());
         scheduler.submit(spec, progress, arrivedNanos, deadlineNanos, nowNanos);
         if (scheduler.phase(spec.id()) == JobPhase.WAITING) {
@@ -272,7 +224,7 @@
 
     private void forward(ServiceScheduler scheduler, WorkSpec spec) {
         Holding holding = mHoldings.get(spec.id());
-        if (holding != null && holding.mMayForward && mForwarder.forward(spec, holding)) {
+        if (holding != null && holding.mayForward() && mForwarder.forward(spec, holding)) {
             scheduler.release(spec.id());
             mHoldings.remove(spec.id());
         }
@@ -291,11 +243,11 @@
             mForwarder.withdraw(job, home);
             return;
         }
-        holding.mHomes.remove(home);
-        if (holding.mHomes.isEmpty()) {
+        holding.homes().remove(home);
+        if (holding.homes().isEmpty()) {
             mHoldings.remove(job);
             mLog.jobWithdrawn(job, home);
-            scheduler(holding.mService).withdraw(job, now());
+            scheduler(holding.service()).withdraw(job, now());
             flush();
         }
     }
@@ -303,7 +255,7 @@
     /** Stops the jobs whose callers' instances are gone. */
     void withdrawLost(Predicate<InstanceName> alive) {
         for (Map.Entry<JobId, Holding> each : List.copyOf(mHoldings.entrySet())) {
-            for (InstanceName home : List.copyOf(each.getValue().mHomes.keySet())) {
+            for (InstanceName home : List.copyOf(each.getValue().homes().keySet())) {
                 if (!alive.test(home)) {
                     withdraw(each.getKey(), home);
                 }
@@ -355,7 +307,7 @@
         mHoldings.clear();
         for (Map.Entry<JobId, Holding> each : holdings) {
             WorkProgress progress = moved.getOrDefault(each.getKey(), WorkProgress.NONE);
-            each.getValue().mHomes.values().forEach(home -> home.accept(Either.left(progress)));
+            each.getValue().homes().values().forEach(home -> home.accept(Either.left(progress)));
         }
     }
 
@@ -371,9 +323,9 @@
                                     new Outcomes());
                     list(name, scheduler);
                     scheduler.distrust(mDistrustUntilNanos);
-                    scheduler.expectStoredJobs(mStoredJobsExpected, now());
+                    scheduler.stored().expect(mStoredJobsExpected, now());
                     if (mKeeper.keeps()) {
-                        scheduler.storedJobsRead(now());
+                        scheduler.stored().allRead(now());
                     }
                     return scheduler;
                 });
@@ -393,41 +345,11 @@
     private void flush() {
         for (ServiceScheduler scheduler : mSchedulers.values()) {
             for (Order order : scheduler.takeOrders()) {
-                send(scheduler, order);
+                mOrders.send(scheduler, order);
             }
         }
     }
 
-    private void send(ServiceScheduler scheduler, Order order) {
-        if (order instanceof Order.Start start) {
-            mOrders.start(
-                    start,
-                    ORDER_TIMEOUT_MILLIS,
-                    result -> {
-                        mLog.startAnswered(start, result);
-                        scheduler.started(start, result, now());
-                        flush();
-                    });
-        } else if (order instanceof Order.Stop stop) {
-            mOrders.stop(
-                    stop,
-                    ORDER_TIMEOUT_MILLIS,
-                    result -> {
-                        scheduler.stopped(stop, result, now());
-                        flush();
-                    });
-        } else if (order instanceof Order.Look look) {
-            mOrders.look(
-                    look,
-                    look.waitMillis() + ORDER_TIMEOUT_MILLIS,
-                    result -> {
-                        mLog.looked(look, result);
-                        scheduler.looked(look, result, now());
-                        flush();
-                    });
-        }
-    }
-
     /** Lets the keeper run its jobs. */
     private final class KeptSchedulers implements JobKeeper.Schedulers {
 
@@ -438,12 +360,12 @@
 
         @Override
         public void storedJobsRead() {
-            mSchedulers.values().forEach(each -> each.storedJobsRead(now()));
+            mSchedulers.values().forEach(each -> each.stored().allRead(now()));
         }
 
         @Override
         public void giveUpStoredJobs() {
-            mSchedulers.values().forEach(each -> each.giveUpStoredJobs(now()));
+            mSchedulers.values().forEach(each -> each.stored().giveUp(now()));
             LeaderDesk.this.flush();
         }
 
@@ -463,7 +385,7 @@
             mLog.jobEnded(job, outcome);
             Holding holding = mHoldings.remove(job);
             if (holding != null) {
-                holding.mHomes.values().forEach(home -> home.accept(Either.right(outcome)));
+                holding.homes().values().forEach(home -> home.accept(Either.right(outcome)));
             }
         }
 
@@ -475,10 +397,9 @@
         @Override
         public void taskPlaced(TaskId task, int attempt, ServerId server, long expectedMillis) {
             Holding holding = mHoldings.get(task.job());
-            if (holding != null && !holding.mBegun) {
-                holding.mBegun = true;
-                long waitedNanos = now() - holding.mArrivedNanos;
-                mLog.jobBegan(holding.mPriority, TimeUnit.NANOSECONDS.toMillis(waitedNanos));
+            if (holding != null && holding.begin()) {
+                long waitedNanos = now() - holding.arrivedNanos();
+                mLog.jobBegan(holding.priority(), TimeUnit.NANOSECONDS.toMillis(waitedNanos));
             }
             mLog.taskPlaced(task, attempt, server, expectedMillis);
         }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Mesh.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Mesh.java
@@ -16,13 +16,11 @@
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
-import org.wagtailproxy.identity.Names;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.leadership.Leadership;
 import org.wagtailproxy.leadership.Majority;
 import org.wagtailproxy.leadership.Peer;
-import org.wagtailproxy.leadership.PeerNews;
 import org.wagtailproxy.leadership.PeerQuestion;
 import org.wagtailproxy.leadership.PeerTable;
 import org.wagtailproxy.observe.EventField;
@@ -65,9 +63,6 @@
     /** Time in which peers are asked before this instance may lead for the first time. */
     private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
 
-    /** A leader of a large fleet has at least this part of the largest instance's processor. */
-    private static final int SMALLEST_LEADER_ONE_IN = 2;
-
     /** Seniority of an instance that the store has not registered yet. */
     private static final long UNREGISTERED = Long.MAX_VALUE;
 
@@ -222,15 +217,10 @@
     }
 
     private Set<InstanceName> instancesOf(DataCentre dataCentre) {
-        Set<InstanceName> instances = new TreeSet<>();
+        Set<InstanceName> instances = mPeers.namesIn(dataCentre);
         if (dataCentre.equals(mSettings.dataCentre())) {
             instances.add(mSettings.name());
         }
-        for (Peer peer : mPeers.peers()) {
-            if (peer.dataCentre().equals(dataCentre)) {
-                instances.add(peer.name());
-            }
-        }
         return instances;
     }
 
@@ -322,22 +312,7 @@
 
     private void heard(Presence presence) {
         mTokens.heard(presence.getHighestToken());
-        if (!Names.isName(presence.getName())) {
-            return;
-        }
-        Option<InstanceName> follows =
-                Names.isName(presence.getFollows())
-                        ? Option.some(InstanceName.of(presence.getFollows()))
-                        : Option.none();
-        PeerNews news =
-                new PeerNews(
-                        InstanceName.of(presence.getName()),
-                        presence.getSeniority(),
-                        follows,
-                        presence.getDraining(),
-                        presence.getStoreless(),
-                        presence.getKeepsJobs());
-        if (mPeers.heard(news)) {
+        if (PresenceMessages.news(presence).exists(mPeers::heard)) {
             reconsider();
         }
     }
@@ -355,8 +330,10 @@
     private void reconsider() {
         boolean settled = settled();
         List<Peer> peers = mPeers.peers();
-        Leadership leadership =
-                Leadership.of(self()).withLeastProcessor(leastProcessorMillis(peers));
+        Leadership leadership = Leadership.of(self());
+        if (mDivided) {
+            leadership = leadership.amongLarge(peers);
+        }
         Peer leader = leadership.leader(peers);
         Set<InstanceName> group = leadership.group(peers);
         if (isSelf(leader) && !(mListed && Leadership.mayBegin(settled, group, registered()))) {
@@ -383,21 +360,6 @@
         mListener.leadershipChanged();
     }
 
-    /**
-     * Returns the processor that a leader ought to have. In a large fleet, whose instances are of
-     * all sizes, the smallest ones cannot bear it.
-     */
-    private long leastProcessorMillis(List<Peer> peers) {
-        if (!mDivided) {
-            return 0;
-        }
-        long largest = mSettings.processorMillis();
-        for (Peer peer : peers) {
-            largest = Math.max(largest, peer.processorMillis());
-        }
-        return largest / SMALLEST_LEADER_ONE_IN;
-    }
-
     /**
      * Tests whether this instance may lead: each registered neighbour has answered or is proved
      * dead, or has had time to answer.
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
@@ -0,0 +1,31 @@
+package org.wagtailproxy.dispatcher;
+
+import io.vavr.control.Option;
+import org.wagtailproxy.identity.Names;
+import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.leadership.PeerNews;
+import org.wagtailproxy.wire.Presence;
+
+/** Reads what instances tell of themselves. */
+final class PresenceMessages {
+
+    private PresenceMessages() {}
+
+    /** Returns what an instance tells, none if it does not give its name. */
+    static Option<PeerNews> news(Presence presence) {
+        return name(presence.getName())
+                .map(
+                        name ->
+                                new PeerNews(
+                                        name,
+                                        presence.getSeniority(),
+                                        name(presence.getFollows()),
+                                        presence.getDraining(),
+                                        presence.getStoreless(),
+                                        presence.getKeepsJobs()));
+    }
+
+    private static Option<InstanceName> name(String text) {
+        return Names.isName(text) ? Option.some(InstanceName.of(text)) : Option.none();
+    }
+}
