Read the servers anew after a long pause instead of all their heartbeats; ask fewer peers in a divided fleet

Cause: on a grown site (350 servers) each of 37 instances read some 930 changes every 4 s, nearly all heartbeats, although only leaders use them. In a divided fleet followers ask their leader and two heirs in every round, whatever the size of the pool. Tests: StoreMirrorTest, PeerTableTest.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -18,8 +18,9 @@
  * What an instance knows of the others of its pool, and whom it asks when.
  *
  * <p>Answers dead, frozen and cut-off peers, which are noticed within half a second. In a large
- * pool only the leader and the peers that may lead next are asked in every round, so that the
- * number of questions does not grow with the square of the pool. Confined to one thread.
+ * fleet, which is divided, only the leader and the peers that may lead next are asked in every
+ * round, so that the number of questions does not grow with the square of the pool. Confined to one
+ * thread.
  */
 public final class PeerTable {
 
@@ -35,17 +36,15 @@
     /** Missing answers after which a connection is taken as silent; a busy peer misses one. */
     private static final int MISSES_BEFORE_DROP = 2;
 
-    /** Peers up to which all are asked in every round; as many as a pool of all data centres. */
-    private static final int MOST_ASKED = 16;
+    /** Reachable peers that are asked in every round of a divided fleet, by seniority. */
+    private static final int HEIRS = 2;
 
-    /** Reachable peers that are asked in every round of a larger pool, by seniority. */
-    private static final int HEIRS = 3;
-
-    /** Pause between questions to the other peers of a larger pool; a few rounds. */
+    /** Pause between questions to the other peers of a divided fleet; a few rounds. */
     private static final long RARELY_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
 
     private final Map<InstanceName, State> mPeers = new TreeMap<>();
     private int mSuspensions;
+    private boolean mDivided;
 
     /** What came of a peer's answer. */
     public enum Contact {
@@ -123,8 +122,11 @@
      * @param records the other instances of the pool, not null
      * @param pooled tests whether a data centre belongs to the pool, which may have been divided;
      *     not null
+     * @param divided true if the fleet has several pools, for it is large
      */
-    public void list(Collection<InstanceRecord> records, Predicate<DataCentre> pooled) {
+    public void list(
+            Collection<InstanceRecord> records, Predicate<DataCentre> pooled, boolean divided) {
+        mDivided = divided;
         mPeers.values().removeIf(state -> !pooled.test(state.mFirst.dataCentre()));
         mPeers.values().forEach(state -> state.mRegistered = false);
         for (InstanceRecord record : records) {
@@ -146,7 +148,7 @@
      *     never null
      */
     public List<PeerQuestion> ask(boolean all, Option<InstanceName> leader, long nowNanos) {
-        Set<InstanceName> often = all || mPeers.size() <= MOST_ASKED ? Set.of() : heirs(leader);
+        Set<InstanceName> often = all || !mDivided ? Set.of() : heirs(leader);
         List<PeerQuestion> questions = new ArrayList<>();
         for (State state : mPeers.values()) {
             state.mAskedRarely =
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Mesh.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Mesh.java
@@ -117,7 +117,7 @@
         }
         List<InstanceRecord> others = new ArrayList<>(records);
         others.removeIf(record -> record.name().equals(mSettings.name()));
-        mPeers.list(others, pooled);
+        mPeers.list(others, pooled, divided);
         mDivided = divided;
         if (mLeader.exists(leader -> !isSelf(leader) && mPeers.find(leader.name()).isEmpty())) {
             reconsider();
--- a/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
+++ b/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
@@ -15,9 +15,10 @@
  * Keeps a copy of the items under a prefix: reads them once, then watches. Confined to the event
  * loop.
  *
- * <p>A watch that ends without news starts again where it left off; after lost history everything
- * is read again. A watch that stays silent past its wait is a failure of the call, so a connection
- * that went silent costs one wait.
+ * <p>After a long pause everything is read again, which costs less than all changes since. A watch
+ * that ends without news starts again where it left off; after lost history everything is read
+ * again. A watch that stays silent past its wait is a failure of the call, so a connection that
+ * went silent costs one wait.
  */
 public final class StoreMirror {
 
@@ -46,6 +47,12 @@
     /** Longest pause after repeated failures; the configuration has to be in force in 2 s. */
     private static final long LONGEST_RETRY_MILLIS = 1000;
 
+    /**
+     * Age of the copy from which it is read anew instead of being brought up to date: its items
+     * have changed more than once by then, and a watch would tell each change.
+     */
+    private static final long OLD_MILLIS = 3000;
+
     /** Wait of a watch while the store does not answer. */
     private static final long PROBE_WAIT_MILLIS = 1;
 
@@ -159,7 +166,7 @@
         if (mPausing) {
             mPauses++;
             mPausing = false;
-            watch();
+            refresh();
         }
     }
 
@@ -171,11 +178,19 @@
                 () -> {
                     if (pause == mPauses && mPausing) {
                         mPausing = false;
-                        watch();
+                        refresh();
                     }
                 });
     }
 
+    private void refresh() {
+        if (ageMillis() < OLD_MILLIS) {
+            watch();
+        } else {
+            read("");
+        }
+    }
+
     private void watch() {
         // A call that is lost in an outage must not hide the store's return for a whole wait.
         long wait = mReached ? mWaitMillis : PROBE_WAIT_MILLIS;
