Log the runs of a job in full only if it was not complete in time

Cause: a leader of a grown site wrote over a thousand lines a second, nearly all of them starts and ends of runs that went as expected. Change: these are noted and dropped once their job is complete in time; the job's last line has their number. Of every other job they are written, with the time at which they happened, as soon as something goes otherwise than expected.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
@@ -22,6 +22,7 @@
 
     private final EventLog mLog;
     private final MetricsRecorder mMetrics;
+    private final RunNotes mNotes = new RunNotes();
 
     DecisionLog(EventLog log, MetricsRecorder metrics) {
         mLog = log;
@@ -61,13 +62,35 @@
     }
 
     void jobWithdrawn(JobId job, InstanceName home) {
+        tell(job);
         mLog.event(EventName.JOB_WITHDRAWN)
                 .with(EventField.JOB, job)
                 .with(EventField.PEER, home)
                 .info();
     }
 
-    void jobEnded(JobId job, WorkOutcome outcome) {
+    /** The job goes to the next leader; what happened to it here may be asked for. */
+    void jobHandedOver(JobId job) {
+        tell(job);
+    }
+
+    /**
+     * Logs the end of a job at its leader.
+     *
+     * @param late true if it comes after the job's objective
+     */
+    void jobEnded(JobId job, WorkOutcome outcome, boolean late) {
+        if (outcome.kind() == WorkOutcome.Kind.COMPLETE && !late) {
+            long runs = mNotes.take(job).stream().filter(note -> !note.placed()).count();
+            mLog.event(EventName.JOB_ENDED)
+                    .with(EventField.JOB, job)
+                    .with(EventField.OUTCOME, outcome.kind())
+                    .with(EventField.REASON, outcome.reason())
+                    .with(EventField.COUNT, runs)
+                    .info();
+            return;
+        }
+        tell(job);
         mLog.event(EventName.JOB_ENDED)
                 .with(EventField.JOB, job)
                 .with(EventField.OUTCOME, outcome.kind())
@@ -100,20 +123,48 @@
         return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
-    void taskPlaced(TaskId task, int attempt, ServerId server, long expectedMillis) {
-        mLog.event(EventName.TASK_PLACED)
-                .with(EventField.JOB, task.job())
-                .with(EventField.TASK, task)
-                .with(EventField.ATTEMPT, attempt)
-                .with(EventField.SERVER, server)
-                .with(EventField.MILLISECONDS, expectedMillis)
-                .info();
+    /**
+     * Logs the start of a task.
+     *
+     * @param awaited true if the end of its job will be logged, which decides whether it is told
+     */
+    void taskPlaced(
+            TaskId task, int attempt, ServerId server, long expectedMillis, boolean awaited) {
+        RunNotes.Note note =
+                new RunNotes.Note(mLog.nowMillis(), true, task, attempt, server, expectedMillis);
+        if (awaited) {
+            mNotes.add(note);
+        } else {
+            tell(note);
+        }
+    }
+
+    /** Writes what is noted of a job. */
+    private void tell(JobId job) {
+        mNotes.take(job).forEach(this::tell);
+    }
+
+    private void tell(RunNotes.Note note) {
+        EventLog.Line line =
+                mLog.event(
+                                note.placed() ? EventName.TASK_PLACED : EventName.RUN_ENDED,
+                                note.atMillis())
+                        .with(EventField.JOB, note.task().job())
+                        .with(EventField.TASK, note.task())
+                        .with(EventField.ATTEMPT, note.attempt())
+                        .with(EventField.SERVER, note.server())
+                        .with(EventField.MILLISECONDS, note.millis());
+        if (!note.placed()) {
+            line.with(EventField.OUTCOME, RunEnd.DONE);
+        }
+        line.info();
     }
 
     void startAnswered(Order.Start order, StartResult result) {
         if (result == StartResult.STARTED) {
             return;
         }
+        tell(order.task().job());
         mLog.event(EventName.START_FAILED)
                 .with(EventField.JOB, order.task().job())
                 .with(EventField.TASK, order.task())
@@ -134,15 +185,32 @@
                 .info();
     }
 
+    /**
+     * Logs the end of a run.
+     *
+     * @param awaited true if the end of its job will be logged, which decides whether it is told
+     */
     void runEnded(
             TaskId task,
             int attempt,
             ServerId server,
             RunEnd end,
             long tookMillis,
-            long estimateMillis) {
+            long estimateMillis,
+            boolean awaited) {
         boolean done = end == RunEnd.DONE;
         mMetrics.record(metrics -> metrics.runEnded(word(end), done, tookMillis, estimateMillis));
+        if (done) {
+            RunNotes.Note note =
+                    new RunNotes.Note(mLog.nowMillis(), false, task, attempt, server, tookMillis);
+            if (awaited) {
+                mNotes.add(note);
+            } else {
+                tell(note);
+            }
+            return;
+        }
+        tell(task.job());
         mLog.event(EventName.RUN_ENDED)
                 .with(EventField.JOB, task.job())
                 .with(EventField.TASK, task)
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Forwards.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Forwards.java
@@ -152,7 +152,7 @@
                 told
                         ? WorkMessages.outcome(answer.get().getWorkAnswer())
                         : WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "remote leader lost");
-        mLog.jobEnded(job, outcome);
+        mLog.jobEnded(job, outcome, false);
         forward.homes().values().forEach(home -> home.accept(Either.right(outcome)));
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Holding.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Holding.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wagtailproxy.identity.ServiceName;
 import org.wagtailproxy.leadership.InstanceName;
@@ -15,6 +16,7 @@
 
     private final ServiceName mService;
     private final int mPriority;
+    private final long mObjectiveMillis;
     private final Map<InstanceName, Consumer<Either<WorkProgress, WorkOutcome>>> mHomes =
             new TreeMap<>();
     private long mArrivedNanos;
@@ -25,6 +27,7 @@
     Holding(WorkSpec spec) {
         mService = spec.service();
         mPriority = spec.terms().priority();
+        mObjectiveMillis = spec.objectiveMillis();
     }
 
     /** Takes over what the instance that passes the job on tells. */
@@ -46,6 +49,11 @@
         return mArrivedNanos;
     }
 
+    /** Tests whether the job's objective has passed. */
+    boolean late(long nowNanos) {
+        return nowNanos - mArrivedNanos > TimeUnit.MILLISECONDS.toNanos(mObjectiveMillis);
+    }
+
     long deadlineNanos() {
         return mDeadlineNanos;
     }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderDesk.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderDesk.java
@@ -306,6 +306,7 @@
         List<Map.Entry<JobId, Holding>> holdings = new ArrayList<>(mHoldings.entrySet());
         mHoldings.clear();
         for (Map.Entry<JobId, Holding> each : holdings) {
+            mLog.jobHandedOver(each.getKey());
             WorkProgress progress = moved.getOrDefault(each.getKey(), WorkProgress.NONE);
             each.getValue().homes().values().forEach(home -> home.accept(Either.left(progress)));
         }
@@ -382,8 +383,8 @@
 
         @Override
         public void jobEnded(JobId job, WorkOutcome outcome) {
-            mLog.jobEnded(job, outcome);
             Holding holding = mHoldings.remove(job);
+            mLog.jobEnded(job, outcome, holding == null || holding.late(now()));
             if (holding != null) {
                 holding.homes().values().forEach(home -> home.accept(Either.right(outcome)));
             }
@@ -401,13 +402,14 @@
                 long waitedNanos = now() - holding.arrivedNanos();
                 mLog.jobBegan(holding.priority(), TimeUnit.NANOSECONDS.toMillis(waitedNanos));
             }
-            mLog.taskPlaced(task, attempt, server, expectedMillis);
+            mLog.taskPlaced(task, attempt, server, expectedMillis, holding != null);
         }
 
         @Override
         public void runEnded(
                 TaskId task, int attempt, ServerId server, RunEnd end, long took, long estimate) {
-            mLog.runEnded(task, attempt, server, end, took, estimate);
+            boolean awaited = mHoldings.containsKey(task.job());
+            mLog.runEnded(task, attempt, server, end, took, estimate, awaited);
         }
 
         @Override
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventLog.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventLog.java
@@ -60,10 +60,30 @@
      * @return the line, to be written by one of its methods
      */
     public Line event(EventName name) {
+        return event(name, nowMillis());
+    }
+
+    /**
+     * Returns the time of day that lines carry.
+     *
+     * @return the time in milliseconds since 1970
+     */
+    public long nowMillis() {
+        return System.currentTimeMillis();
+    }
+
+    /**
+     * Begins a line for what happened before.
+     *
+     * @param name the event, not null
+     * @param atMillis when it happened, in milliseconds since 1970
+     * @return the line, to be written by one of its methods
+     */
+    public Line event(EventName name, long atMillis) {
         Objects.requireNonNull(name, "name");
         StringMapMessage message = new StringMapMessage(8);
         message.put(EVENT, name.word());
-        message.put("atMillis", Long.toString(System.currentTimeMillis()));
+        message.put("atMillis", Long.toString(atMillis));
         message.put("instance", mInstance);
         message.put("dataCentre", mDataCentre);
         message.put("incarnation", mIncarnation);
