--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -30,8 +30,11 @@
 
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
-    /** Pause between rounds after which this process may have stood still; several rounds. */
-    private static final long STALL_MILLIS = 350;
+    /**
+     * Pause between rounds of the clock, in milliseconds, after which this process may have stood
+     * still; several rounds.
+     */
+    public static final long STALL_MILLIS = 350;
 
     /** Before any round of the clock. */
     private static final long NEVER_NANOS = Long.MIN_VALUE / 2;
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
@@ -130,8 +130,12 @@
      */
     void taskPlaced(
             TaskId task, int attempt, ServerId server, long expectedMillis, boolean awaited) {
-        RunNotes.Note note =
-                new RunNotes.Note(mLog.nowMillis(), true, task, attempt, server, expectedMillis);
+        noteOrTell(
+                new RunNotes.Note(mLog.nowMillis(), true, task, attempt, server, expectedMillis),
+                awaited);
+    }
+
+    private void noteOrTell(RunNotes.Note note, boolean awaited) {
         if (awaited) {
             mNotes.add(note);
         } else {
@@ -201,13 +205,9 @@
         boolean done = end == RunEnd.DONE;
         mMetrics.record(metrics -> metrics.runEnded(word(end), done, tookMillis, estimateMillis));
         if (done) {
-            RunNotes.Note note =
-                    new RunNotes.Note(mLog.nowMillis(), false, task, attempt, server, tookMillis);
-            if (awaited) {
-                mNotes.add(note);
-            } else {
-                tell(note);
-            }
+            noteOrTell(
+                    new RunNotes.Note(mLog.nowMillis(), false, task, attempt, server, tookMillis),
+                    awaited);
             return;
         }
         tell(task.job());
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderDesk.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderDesk.java
@@ -38,8 +38,8 @@
     /** Pause between rounds of the clock while jobs are open. */
     private static final long BUSY_TICK_MILLIS = 20;
 
-    /** Pause between rounds after which this process may have stood still; several rounds. */
-    private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
+    private static final long STALL_NANOS =
+            TimeUnit.MILLISECONDS.toNanos(ServiceScheduler.STALL_MILLIS);
 
     /** Time in which jobs from the other side of a cut come, and servers are listed again. */
     private static final long HEALED_NANOS = TimeUnit.SECONDS.toNanos(4);
