Stop runs of nobody as soon as the stored jobs are read, not a period later

Their time was set anew when they were passed over, so that a new leader that does not reach the store stopped them 500 ms after it saw them instead of 400.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ForeignRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ForeignRuns.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 import org.wagtailproxy.fleet.RunReport;
 import org.wagtailproxy.workload.TaskId;
 
@@ -44,12 +45,16 @@
         mRuns.values().removeIf(foreign -> taker.test(foreign.report(), foreign.sinceNanos()));
     }
 
-    /** Returns the runs that nobody has taken for a time, once in that time. */
-    List<RunReport> overdue(long nanos, long nowNanos) {
+    /**
+     * Returns the runs that nobody has taken for a time, once in that time.
+     *
+     * @param stoppable tests whether a run is to be returned; others stay overdue
+     */
+    List<RunReport> overdue(long nanos, long nowNanos, Predicate<RunReport> stoppable) {
         List<RunReport> overdue = new ArrayList<>();
         for (Map.Entry<TaskId, Foreign> each : mRuns.entrySet()) {
             RunReport report = each.getValue().report();
-            if (nowNanos - each.getValue().sinceNanos() > nanos) {
+            if (nowNanos - each.getValue().sinceNanos() > nanos && stoppable.test(report)) {
                 each.setValue(new Foreign(report, nowNanos));
                 overdue.add(report);
             }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunAccount.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunAccount.java
@@ -215,13 +215,16 @@
 
     /** Stops runs that no job here accounts for; those of stored jobs wait for these to be read. */
     void stopOverdueForeign(long adoptNanos, long nowNanos) {
-        for (RunReport run : mForeign.overdue(adoptNanos, nowNanos)) {
-            if (!mListener.unsavedChange(run.task().job()).contains(EndAccount.UNREAD)) {
-                mOrders.stop(run.task(), run.attempt());
-            }
+        for (RunReport run : mForeign.overdue(adoptNanos, nowNanos, this::isRead)) {
+            mOrders.stop(run.task(), run.attempt());
         }
     }
 
+    /** Tests whether it is known whether the job of a run is a stored one. */
+    private boolean isRead(RunReport run) {
+        return !mListener.unsavedChange(run.task().job()).contains(EndAccount.UNREAD);
+    }
+
     private void ended(EndReport end, long nowNanos) {
         if (!mEnds.accept(end)) {
             return;
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
@@ -233,6 +233,20 @@
         assertThat(mSimulation.mStarts, is(2));
     }
 
+    @Test
+    void testRunsOfNobodyAreStoppedAsSoonAsTheJobsAreRead() {
+        fleet(1, 60_000);
+        keep(lasting(StepSpec.of(2, DEMAND, 100)), 0);
+        mSimulation.run(500);
+        mSimulation.mScheduler.abdicate();
+        mSimulation.list();
+        mSimulation.run(400);
+        assertThat(running(), is(2));
+        mSimulation.mScheduler.stored().allRead(mSimulation.nowNanos());
+        mSimulation.run(50);
+        assertThat(running(), is(0));
+    }
+
     private int running() {
         return mSimulation.mServers.values().stream().mapToInt(s -> s.mRunning.size()).sum();
     }
