--- a/control/src/main/java/org/wagtailproxy/control/InstanceClient.java
+++ b/control/src/main/java/org/wagtailproxy/control/InstanceClient.java
@@ -1,5 +1,7 @@
 package org.wagtailproxy.control;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -46,24 +48,22 @@
 
     /** Reads a text from any address. */
     static Either<ControlFailure, String> text(String address) {
+        HttpRequest request;
         try {
-            HttpRequest request =
-                    HttpRequest.newBuilder(URI.create(address)).timeout(CONNECT_TIMEOUT).build();
-            HttpResponse<String> response = client().send(request, BodyHandlers.ofString());
-            return response.statusCode() < FIRST_ERROR
-                    ? Either.right(response.body())
-                    : Either.left(
-                            ControlFailure.of(
-                                    ExitCode.REFUSED, address + ": " + response.statusCode()));
+            request = HttpRequest.newBuilder(URI.create(address)).timeout(CONNECT_TIMEOUT).build();
         } catch (IllegalArgumentException wrong) {
             return Either.left(ControlFailure.of(ExitCode.USAGE, "not an address: " + address));
-        } catch (IOException failure) {
-            return Either.left(
-                    ControlFailure.of(ExitCode.UNREACHABLE, address + " does not answer"));
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            return Either.left(ControlFailure.of(ExitCode.UNREACHABLE, "interrupted"));
         }
+        return exchange(client(), request, address)
+                .flatMap(
+                        response ->
+                                response.statusCode() < FIRST_ERROR
+                                        ? Either.right(new String(response.body(), UTF_8))
+                                        : Either.left(refusal(address, response.statusCode())));
+    }
+
+    private static ControlFailure refusal(String address, int status) {
+        return ControlFailure.of(ExitCode.REFUSED, address + " answers with status " + status);
     }
 
     private static HttpClient client() {
@@ -94,15 +94,20 @@
     }
 
     private Either<ControlFailure, JsonNode> send(HttpRequest.Builder request) {
+        return exchange(mClient, request.build(), mAddress)
+                .flatMap(
+                        response ->
+                                response.statusCode() < FIRST_ERROR
+                                        ? parse(response.body())
+                                        : Either.left(failure(response)));
+    }
+
+    private static Either<ControlFailure, HttpResponse<byte[]>> exchange(
+            HttpClient client, HttpRequest request, Object whom) {
         try {
-            HttpResponse<byte[]> response =
-                    mClient.send(request.build(), BodyHandlers.ofByteArray());
-            return response.statusCode() < FIRST_ERROR
-                    ? parse(response.body())
-                    : Either.left(failure(response));
+            return Either.right(client.send(request, BodyHandlers.ofByteArray()));
         } catch (IOException failure) {
-            return Either.left(
-                    ControlFailure.of(ExitCode.UNREACHABLE, mAddress + " does not answer"));
+            return Either.left(ControlFailure.of(ExitCode.UNREACHABLE, whom + " does not answer"));
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
             return Either.left(ControlFailure.of(ExitCode.UNREACHABLE, "interrupted"));
--- a/control/src/test/java/org/wagtailproxy/control/MainTest.java
+++ b/control/src/test/java/org/wagtailproxy/control/MainTest.java
@@ -24,6 +24,18 @@
         assertThat(run("--address", "somewhere", "session"), is(ExitCode.USAGE.code()));
     }
 
+    @Test
+    void testMetricsThatCannotBeReadFailTheBurnReport() {
+        assertThat(
+                run("burn", "--metrics", "http://127.0.0.1:1/metrics"),
+                is(ExitCode.UNREACHABLE.code()));
+        assertThat(run("burn", "--metrics", "http://not an address"), is(ExitCode.USAGE.code()));
+        assertThat(run("burn", "--metrics", "nosuch.txt"), is(ExitCode.USAGE.code()));
+        assertThat(
+                run("burn", "--target", "1000", "--metrics", "nosuch.txt"),
+                is(ExitCode.USAGE.code()));
+    }
+
     @Test
     void testUnknownCommandIsAUsageError() {
         assertThat(run("frobnicate"), is(ExitCode.USAGE.code()));
