Keep the jobs of the frozen list's test open until their home is paused

With the pause delayed by a second the same assertion fails in the same way, and the state is complete: jobs of 0.75 s had ended, rightly, before their home was paused. The jobs now take 7.5 s; the assertion stays and shows the state.

--- a/integration-tests/src/test/java/org/wagtailproxy/integration/SameEndIT.java
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/SameEndIT.java
@@ -104,14 +104,15 @@
     void testFrozenListAloneBringsNoVerdict() throws Exception {
         try (Cluster cluster = Cluster.start(1, 3, 1, 1)) {
             Entry home = cluster.entry(0);
-            List<String> names = submit(cluster, home, "lagging", 3, 20, 100);
+            // Far longer than the submission takes beside other load, so that no job ends before.
+            List<String> names = submit(cluster, home, "lagging", 3, 20, 1000);
             cluster.platform().freezeList(true);
             home.process().pause();
             cluster.delist(home);
             Thread.sleep(5000);
             for (String name : names) {
                 Answer answer = cluster.caller().get(cluster.entry(1), name, 0);
-                assertThat(answer.type(), is("home-unreachable"));
+                assertThat(answer.state(), answer.type(), is("home-unreachable"));
             }
             home.process().resume();
             Ends ends = new Ends(cluster);
