Keep tasks placed that a restarted server may be running

Callers could see a task run twice at the same time: a server that started again under its id had accepted a start command before the leader knew of the restart (or accepted one later, before it was claimed again), and the task was placed on another server at once.

Cause: the first report of the new incarnation ended every run as interrupted. That holds only for runs which the earlier incarnation has listed. The new one has seen no token, so it carries out start commands that were meant for the earlier one until it has accepted a higher token. The answer to a start command doesn't tell which incarnation gave it.

Runs that the earlier incarnation has not listed are now kept until the claim of the new one is answered. A run that this report omits and whose token is lower than the accepted one has not begun and can't begin, so it is ended. While the claim is open, commands with ends of the lease by the earlier clock may be carried out, so the lease then counts as the longest that the server grants.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -42,6 +42,10 @@
     private final List<ServerCommand> mCommands = new ArrayList<>();
     private final DirectoryListing mListing;
     private long mIncarnationStartMillis;
+
+    /** True from a restart of the server until it has accepted a token above all earlier ones. */
+    private boolean mUnfencedAfterRestart;
+
     private long mLastPolledNanos = Long.MIN_VALUE;
 
     BackendServer(
@@ -173,6 +177,7 @@
      * accepts tasks and that the task fits.
      */
     void start(ServerRun run, String payload, String checkpoint, long nowNanos) {
+        run.mToken = token();
         mRuns.add(run);
         mCommands.add(
                 new ServerCommand.Start(
@@ -377,11 +382,20 @@
         }
         if (mClaim.phase() == ServerClaim.Phase.CLAIMING) {
             mClaim.onTokenAccepted();
+            onEarlierTokensFenced(nowNanos);
         }
         mLastPolledNanos = Math.max(mLastPolledNanos, sentNanos);
         mRuns.onReport(report, newest, sentNanos, nowNanos);
     }
 
+    /** Ends the time in which a restarted server may carry out commands with earlier tokens. */
+    private void onEarlierTokensFenced(long nowNanos) {
+        if (mUnfencedAfterRestart) {
+            mUnfencedAfterRestart = false;
+            mLease.assumeLongest(nowNanos);
+        }
+    }
+
     private void onPeekReport(PollReport report, long nowNanos) {
         if (report.running().isEmpty()) {
             mClaim.raiseToken();
@@ -409,8 +423,8 @@
     }
 
     /**
-     * Resets the state after a restart of the server. The new incarnation has none of the earlier
-     * runs and has seen no token, so the server is claimed again.
+     * Resets the state after a restart of the server. The new incarnation continues no run and has
+     * seen no token, so the server is claimed again.
      */
     private void onRestart(PollReport report, long nowNanos) {
         mIncarnationStartMillis = report.startedMillis();
@@ -418,6 +432,8 @@
         mReachability.onAnswer();
         mPolls.clear();
         mClaim.release();
+        mUnfencedAfterRestart = true;
+        mLease.assumeLongest(nowNanos);
         mRuns.onRestart(nowNanos);
     }
 
@@ -425,6 +441,7 @@
         if (token < mClaim.token()) {
             return;
         }
+        onEarlierTokensFenced(nowNanos);
         mRuns.orphans().clear();
         mPolls.clear();
         if (!mClaim.onTokenExceeded(nowNanos)) {
@@ -437,6 +454,11 @@
         if (mRuns.isEmpty() || (isHeld() && !mReachability.isUnresponsive())) {
             return;
         }
+        boolean claimable = !mClaim.isModeNone() && !mListing.isDelisted();
+        if (mUnfencedAfterRestart && claimable) {
+            // The server may still start runs, until the answer to the claim shows which of them.
+            return;
+        }
         long lastNanos = mLease.latestEndNanos() + LEASE_MARGIN_MILLIS * NANOS_PER_MILLI;
         if (nowNanos < lastNanos) {
             return;
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/LeaseTiming.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/LeaseTiming.java
@@ -4,6 +4,7 @@
  * Defines the times for leases and polls of backend servers, in milliseconds.
  *
  * @param leaseMillis duration of a lease
+ * @param maxLeaseMillis the longest lease that a backend server grants, whatever is requested
  * @param renewMillis remaining time of a lease at which it is renewed
  * @param busyWaitMillis how long a poll may wait for an end while tasks run
  * @param idleWaitMillis how long a poll may wait while nothing runs
@@ -11,6 +12,7 @@
  */
 public record LeaseTiming(
         long leaseMillis,
+        long maxLeaseMillis,
         long renewMillis,
         long busyWaitMillis,
         long idleWaitMillis,
@@ -40,6 +42,7 @@
         }
         long lease = Math.min(maxLeaseMillis, MAX_LEASE_MILLIS);
         long busyWait = Math.min(lease / 3, MAX_BUSY_WAIT_MILLIS);
-        return new LeaseTiming(lease, lease / 2, busyWait, IDLE_WAIT_MILLIS, ADOPT_MILLIS);
+        return new LeaseTiming(
+                lease, maxLeaseMillis, lease / 2, busyWait, IDLE_WAIT_MILLIS, ADOPT_MILLIS);
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerLease.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerLease.java
@@ -30,6 +30,12 @@
         return untilMillis;
     }
 
+    /** Takes the lease for the longest that the server may have granted to anyone until now. */
+    void assumeLongest(long nowNanos) {
+        long untilMillis = mClock.nowMillis(nowNanos) + mTiming.maxLeaseMillis();
+        mRequestedUntilMillis = Math.max(mRequestedUntilMillis, untilMillis);
+    }
+
     void recordGrant(long untilMillis) {
         mGrantedUntilMillis = Math.max(mGrantedUntilMillis, untilMillis);
     }
@@ -47,7 +53,7 @@
         mClock.reset();
     }
 
-    /** Resets the lease for a new incarnation, which has granted nothing. */
+    /** Resets the lease for a new incarnation, which has granted nothing that is known here. */
     void reset(long clockMillis, long nowNanos) {
         mClock.reset();
         mClock.sample(clockMillis, nowNanos);
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRun.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRun.java
@@ -30,6 +30,12 @@
     int mPercent;
     boolean mMayStartLate;
 
+    /** Fencing token of the start command. */
+    long mToken;
+
+    /** True if the current incarnation of the server has listed the run. */
+    boolean mListed;
+
     /** True if the job is a stored one, so that the end of the run has to be saved. */
     boolean mStored;
 
@@ -52,6 +58,16 @@
         return mState == State.STOPPING || mState == State.STOPPED;
     }
 
+    /** Discards what an earlier incarnation of the server has confirmed. */
+    void onRestart(long nowNanos) {
+        mMayStartLate = true;
+        switch (mState) {
+            case RUNNING -> enter(State.UNCERTAIN, nowNanos);
+            case STOPPED -> enter(State.STOPPING, nowNanos);
+            default -> {}
+        }
+    }
+
     void enter(State state, long nowNanos) {
         mState = state;
         mStateNanos = nowNanos;
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
@@ -171,6 +171,7 @@
                 continue;
             }
             listed.add(running.task());
+            run.mListed = true;
             run.mPercent = running.percent();
             onCheckpoint(running.task(), running.checkpoint());
             if (run.mState == ServerRun.State.UNCERTAIN || run.mState == ServerRun.State.STARTING) {
@@ -184,7 +185,13 @@
             return;
         }
         for (ServerRun run : List.copyOf(mRuns.values())) {
-            if (!listed.contains(run.mTask) && run.mStateNanos < sentNanos) {
+            if (listed.contains(run.mTask)) {
+                continue;
+            }
+            if (run.mToken < mServer.token()) {
+                // The server has accepted a higher token, so the start command comes too late.
+                end(run, RunEnd.INTERRUPTED, nowNanos);
+            } else if (run.mStateNanos < sentNanos) {
                 onMissing(run, nowNanos);
             }
         }
@@ -208,6 +215,8 @@
                 (report, reportedNanos) -> {
                     ServerRun run = mListener.adopt(mServer, report, reportedNanos, nowNanos);
                     if (run != null) {
+                        run.mToken = mServer.token();
+                        run.mListed = true;
                         add(run);
                         onCheckpoint(report.task(), report.checkpoint());
                     }
@@ -280,11 +289,21 @@
         }
     }
 
-    /** Discards the state of an earlier incarnation of the server and ends its runs. */
+    /**
+     * Discards the state of an earlier incarnation of the server and ends the runs that it has
+     * listed. The new incarnation may have carried out the other start commands, or may still do so
+     * until it is claimed; these runs are resolved by the report to the claim.
+     */
     void onRestart(long nowNanos) {
         mEnds.clear();
         mOrphans.clear();
-        interruptAll(nowNanos);
+        for (ServerRun run : List.copyOf(mRuns.values())) {
+            if (run.mListed) {
+                end(run, RunEnd.INTERRUPTED, nowNanos);
+            } else {
+                run.onRestart(nowNanos);
+            }
+        }
     }
 
     private static RunEnd toRunEnd(EndKind kind) {
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
@@ -152,6 +152,21 @@
         assertThat(mSimulation.mViolations, is(empty()));
     }
 
+    @Test
+    void testTaskStartedByRestartedServerBeforeItsRestartIsDetectedIsNotRunTwice() {
+        addServers(2);
+        var servers = List.copyOf(mSimulation.mServers.values());
+        servers.forEach(server -> server.mWorkMillis = 900);
+        servers.get(0).restart();
+        JobId job = submit(2, 2, 900, 6000);
+        mSimulation.run(10);
+        assertThat(servers.get(0).mRunning.size(), is(2));
+        mSimulation.run(2500);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(mSimulation.mStarts, is(2));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
     @Test
     void testFailingServerIsEjectedAndJobsCompleteElsewhere() {
         addServers(6);
