Keep a stopped run tracked while its start may come late

Callers could see a task run twice at the same time: a job was withdrawn while the start command of its task was under way, its server lost contact for a lease, and the job was sent again. The late start was then carried out on the first server while the task ran on another one.

Cause: only the state UNCERTAIN marked a run as one that may start late. A run that was stopped, or whose server's lease ended, before the start command had failed never entered that state, so it was dropped with the lease. The claim and its token stay the same, so nothing fences the command, and runs that are placed there later extend the lease for it.

A run may now start late from the beginning, until the server has answered the start, listed the run or acknowledged its stop.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -201,8 +201,11 @@
             case STARTED -> {
                 mReachability.onAnswer();
                 mLease.recordGrant(command.leaseUntilMillis());
-                if (tracked && run.mState == ServerRun.State.STARTING) {
-                    run.enter(ServerRun.State.RUNNING, nowNanos);
+                if (tracked) {
+                    run.mMayStartLate = false;
+                    if (run.mState == ServerRun.State.STARTING) {
+                        run.enter(ServerRun.State.RUNNING, nowNanos);
+                    }
                 }
             }
             case UNANSWERED -> {
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRun.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRun.java
@@ -28,7 +28,9 @@
     State mState = State.STARTING;
     long mStateNanos;
     int mPercent;
-    boolean mMayStartLate;
+
+    /** True until it is certain that the start command will not be carried out any more. */
+    boolean mMayStartLate = true;
 
     /** Fencing token of the start command. */
     long mToken;
@@ -60,20 +62,18 @@
 
     /** Discards what an earlier incarnation of the server has confirmed. */
     void onRestart(long nowNanos) {
-        mMayStartLate = true;
         switch (mState) {
             case RUNNING -> enter(State.UNCERTAIN, nowNanos);
             case STOPPED -> enter(State.STOPPING, nowNanos);
             default -> {}
         }
+        mMayStartLate = true;
     }
 
     void enter(State state, long nowNanos) {
         mState = state;
         mStateNanos = nowNanos;
-        if (state == State.UNCERTAIN) {
-            mMayStartLate = true;
-        } else if (state == State.RUNNING) {
+        if (state == State.RUNNING || state == State.STOPPED) {
             mMayStartLate = false;
         }
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
@@ -172,6 +172,7 @@
             }
             listed.add(running.task());
             run.mListed = true;
+            run.mMayStartLate = false;
             run.mPercent = running.percent();
             onCheckpoint(running.task(), running.checkpoint());
             if (run.mState == ServerRun.State.UNCERTAIN || run.mState == ServerRun.State.STARTING) {
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
@@ -167,6 +167,24 @@
         assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
     }
 
+    @Test
+    void testStoppedTaskWhoseStartIsStillUnderWayAfterTheLeaseIsNotRunTwice() {
+        addServers(2);
+        var servers = List.copyOf(mSimulation.mServers.values());
+        servers.forEach(server -> server.mWorkMillis = 2500);
+        servers.get(0).mNextStartDelayMillis = 2500;
+        JobId job = submit(2, 1, 2500, 9000);
+        mSimulation.run(10);
+        mSimulation.mScheduler.withdraw(job, mSimulation.nowNanos());
+        servers.get(0).mUnresponsive = true;
+        mSimulation.run(1400);
+        resubmit(job, 2, 1, 2500, 9000);
+        mSimulation.run(50);
+        servers.get(0).mUnresponsive = false;
+        mSimulation.run(3000);
+        assertThat(mSimulation.mViolations, is(empty()));
+    }
+
     @Test
     void testFailingServerIsEjectedAndJobsCompleteElsewhere() {
         addServers(6);
