Release the claim to a delisted server with its runs

Callers could see a task run twice at the same time: a server was unresponsive and missing in the directory for the length of a lease, then was listed and responsive again, and carried out a start command of before while the task ran on another server.

Cause: the runs of a delisted server end with the lease even if their start has got no answer, but the claim stayed. If the entry came back before the server was removed here, the server was used with the same token, so that nothing fenced the late start, and the lease of newly placed runs admitted it.

The claim is now released when these runs end. The server gets its next task after it has accepted a higher token, which fences commands still under way; until then nothing extends its lease.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -469,6 +469,8 @@
         if (isHeld() && !mListing.isDelisted()) {
             mRuns.interruptStarted(nowNanos);
         } else {
+            // Start commands under way are fenced if the server is listed and claimed again.
+            mClaim.release();
             mRuns.interruptAll(nowNanos);
         }
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -381,7 +381,9 @@
     }
 
     private void tickAndPlace(BackendServer server, long nowNanos) {
+        boolean wasHeld = server.isHeld();
         server.tick(nowNanos);
+        notifyClaimChange(server, wasHeld);
         placeTasks(nowNanos);
     }
 
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
@@ -185,6 +185,26 @@
         assertThat(mSimulation.mViolations, is(empty()));
     }
 
+    @Test
+    void testStartThatArrivesAfterServerWasDelistedAndListedAgainDoesNotRunTaskTwice() {
+        addServers(2);
+        var servers = List.copyOf(mSimulation.mServers.values());
+        servers.forEach(server -> server.mWorkMillis = 2500);
+        servers.get(0).mNextStartDelayMillis = 3000;
+        submit(2, 1, 2500, 9000);
+        mSimulation.run(150);
+        servers.get(0).mUnresponsive = true;
+        servers.get(0).mListed = false;
+        mSimulation.list();
+        mSimulation.run(1300);
+        assertThat(servers.get(1).mRunning.size(), is(1));
+        servers.get(0).mUnresponsive = false;
+        servers.get(0).mListed = true;
+        mSimulation.list();
+        mSimulation.run(3000);
+        assertThat(mSimulation.mViolations, is(empty()));
+    }
+
     @Test
     void testFailingServerIsEjectedAndJobsCompleteElsewhere() {
         addServers(6);
