Count an orphaned run until it has ended, not until its stop is acknowledged

Backend servers could get tasks beyond their capacity, and runs of another leader could outlive their lease and so overlap with their next run.

Cause: the acknowledgement of a stop removed the run from the orphaned ones at once, though the server takes up to its stop timeout to end it. Until the next report the server then accepted tasks, and polls extended the lease of everything on it, the run being stopped included.

The run now counts until a report lists its end or omits it.

Evidence: OrphanedRunsTest fails on the code before ("1481: s0 is over its room").

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
@@ -135,7 +135,7 @@
     }
 
     void onStopAcknowledged(TaskId task, int attempt, long nowNanos) {
-        mOrphans.remove(task);
+        // An orphaned run counts until a report shows that it has ended.
         mCommands.requestPoll();
         ServerRun run = find(task, attempt);
         if (run != null) {
--- /dev/null
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/OrphanedRunsTest.java
@@ -0,0 +1,49 @@
+package org.wagtailproxy.scheduling;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wagtailproxy.workload.JobId;
+import org.wagtailproxy.workload.QueueTerms;
+import org.wagtailproxy.workload.ResourceAmount;
+import org.wagtailproxy.workload.StepSpec;
+import org.wagtailproxy.workload.WorkProgress;
+import org.wagtailproxy.workload.WorkSpec;
+
+class OrphanedRunsTest {
+
+    private final ServerSimulation mSimulation = new ServerSimulation();
+
+    private void submit(String id) {
+        StepSpec step = StepSpec.of(2, ResourceAmount.of(14_000, 64, 0), 900);
+        WorkSpec spec =
+                WorkSpec.of(
+                        new JobId(id),
+                        ServerSimulation.SERVICE,
+                        "text",
+                        List.of(step),
+                        QueueTerms.of(2, 1.6, 60, 3));
+        long now = mSimulation.nowNanos();
+        long deadlineNanos = now + 3000 * ServerSimulation.NANOS_PER_MILLI;
+        mSimulation.mScheduler.submit(spec, WorkProgress.NONE, now, deadlineNanos, now);
+        mSimulation.flush();
+    }
+
+    @Test
+    void testServerWhoseOrphanedRunsAreBeingStoppedGetsNoTaskBeforeTheyHaveEnded() {
+        mSimulation.add("s0", 1, 32_000).mWorkMillis = 5000;
+        mSimulation.run(100);
+        submit("0000000000000001");
+        mSimulation.run(100);
+        mSimulation.mScheduler.stepDown();
+        mSimulation.list();
+        mSimulation.run(100);
+        submit("0000000000000002");
+        mSimulation.run(400);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(mSimulation.mStarts, is(4));
+    }
+}
