Keep the highest attempt of a task when a lower run of it is adopted

The next leader could be told a lower highest attempt than the one that was inherited. Backend servers then refuse its starts as too low, and a leader that still has the job takes the hand-over for an older one.

Cause: the adoption of a run replaced the count of attempts of its task by the run's attempt.

The count now never falls.

Evidence: testAdoptedRunDoesNotLowerAttemptsThatNextLeaderIsTold fails on the code before ("Expected: is a value equal to or greater than <65> but: <2> was less than <65>"). No run shows that a task ran twice by it.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
@@ -328,8 +328,9 @@
         if (!contains(task) || mTaskStates[task.step()][task.index()] != TaskState.WAITING) {
             return false;
         }
+        int earlierAttempt = mAttempts[task.step()][task.index()];
         place(task.step(), task.index(), server);
-        mAttempts[task.step()][task.index()] = attempt;
+        mAttempts[task.step()][task.index()] = Math.max(earlierAttempt, attempt);
         return true;
     }
 
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/OrphanedRunsTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/OrphanedRunsTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
@@ -18,6 +19,10 @@
     private final ServerSimulation mSimulation = new ServerSimulation();
 
     private void submit(String id) {
+        submit(id, WorkProgress.NONE);
+    }
+
+    private void submit(String id, WorkProgress progress) {
         StepSpec step = StepSpec.of(2, ResourceAmount.of(14_000, 64, 0), 900);
         WorkSpec spec =
                 WorkSpec.of(
@@ -28,7 +33,7 @@
                         QueueTerms.of(2, 1.6, 60, 3));
         long now = mSimulation.nowNanos();
         long deadlineNanos = now + 3000 * ServerSimulation.NANOS_PER_MILLI;
-        mSimulation.mScheduler.submit(spec, WorkProgress.NONE, now, deadlineNanos, now);
+        mSimulation.mScheduler.submit(spec, progress, now, deadlineNanos, now);
         mSimulation.flush();
     }
 
@@ -46,4 +51,18 @@
         assertThat(mSimulation.mViolations, is(empty()));
         assertThat(mSimulation.mStarts, is(4));
     }
+
+    @Test
+    void testAdoptedRunDoesNotLowerAttemptsThatNextLeaderIsTold() {
+        ServerSimulation.SimulatedServer server = mSimulation.add("s0", 1, 32_000);
+        server.mWorkMillis = 2000;
+        mSimulation.run(100);
+        JobId job = new JobId("0000000000000001");
+        server.addRunOfEarlierLeader(server.mToken, job, 2);
+        submit(job.value(), WorkProgress.of(List.of(), 65));
+        mSimulation.run(100);
+        WorkProgress progress = mSimulation.mScheduler.stepDown().get(job);
+        assertThat(progress.highestAttempt(), is(greaterThanOrEqualTo(65)));
+        assertThat(mSimulation.mStarts, is(0));
+    }
 }
