--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRun.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRun.java
@@ -28,7 +28,15 @@
     State mState = State.STARTING;
     long mStateNanos;
     int mPercent;
-    boolean mMayStartLate;
+
+    /** True until it is certain that the start command will not be carried out any more. */
+    boolean mMayStartLate = true;
+
+    /** Fencing token of the start command. */
+    long mToken;
+
+    /** True if the current incarnation of the server has listed the run. */
+    boolean mListed;
 
     /** True if the job is a stored one, so that the end of the run has to be saved. */
     boolean mStored;
@@ -52,12 +60,20 @@
         return mState == State.STOPPING || mState == State.STOPPED;
     }
 
+    /** Discards what an earlier incarnation of the server has confirmed. */
+    void onRestart(long nowNanos) {
+        switch (mState) {
+            case RUNNING -> enter(State.UNCERTAIN, nowNanos);
+            case STOPPED -> enter(State.STOPPING, nowNanos);
+            default -> {}
+        }
+        mMayStartLate = true;
+    }
+
     void enter(State state, long nowNanos) {
         mState = state;
         mStateNanos = nowNanos;
-        if (state == State.UNCERTAIN) {
-            mMayStartLate = true;
-        } else if (state == State.RUNNING) {
+        if (state == State.RUNNING || state == State.STOPPED) {
             mMayStartLate = false;
         }
     }
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
@@ -152,6 +152,59 @@
         assertThat(mSimulation.mViolations, is(empty()));
     }
 
+    @Test
+    void testTaskStartedByRestartedServerBeforeItsRestartIsDetectedIsNotRunTwice() {
+        addServers(2);
+        var servers = List.copyOf(mSimulation.mServers.values());
+        servers.forEach(server -> server.mWorkMillis = 900);
+        servers.get(0).restart();
+        JobId job = submit(2, 2, 900, 6000);
+        mSimulation.run(10);
+        assertThat(servers.get(0).mRunning.size(), is(2));
+        mSimulation.run(2500);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(mSimulation.mStarts, is(2));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
+    @Test
+    void testStoppedTaskWhoseStartIsStillUnderWayAfterTheLeaseIsNotRunTwice() {
+        addServers(2);
+        var servers = List.copyOf(mSimulation.mServers.values());
+        servers.forEach(server -> server.mWorkMillis = 2500);
+        servers.get(0).mNextStartDelayMillis = 2500;
+        JobId job = submit(2, 1, 2500, 9000);
+        mSimulation.run(10);
+        mSimulation.mScheduler.withdraw(job, mSimulation.nowNanos());
+        servers.get(0).mUnresponsive = true;
+        mSimulation.run(1400);
+        resubmit(job, 2, 1, 2500, 9000);
+        mSimulation.run(50);
+        servers.get(0).mUnresponsive = false;
+        mSimulation.run(3000);
+        assertThat(mSimulation.mViolations, is(empty()));
+    }
+
+    @Test
+    void testStartThatArrivesAfterServerWasDelistedAndListedAgainDoesNotRunTaskTwice() {
+        addServers(2);
+        var servers = List.copyOf(mSimulation.mServers.values());
+        servers.forEach(server -> server.mWorkMillis = 2500);
+        servers.get(0).mNextStartDelayMillis = 3000;
+        submit(2, 1, 2500, 9000);
+        mSimulation.run(150);
+        servers.get(0).mUnresponsive = true;
+        servers.get(0).mListed = false;
+        mSimulation.list();
+        mSimulation.run(1300);
+        assertThat(servers.get(1).mRunning.size(), is(1));
+        servers.get(0).mUnresponsive = false;
+        servers.get(0).mListed = true;
+        mSimulation.list();
+        mSimulation.run(3000);
+        assertThat(mSimulation.mViolations, is(empty()));
+    }
+
     @Test
     void testFailingServerIsEjectedAndJobsCompleteElsewhere() {
         addServers(6);
