Keep a divided fleet divided while registrations lapse

Callers could see tasks stopped and started again, and jobs given up: when the store lost the registrations of a fleet of 20 and more instances, every leader but the most senior one gave up its servers and jobs within a second, though all instances were alive, and took new ones when they had registered again.

Cause: the division followed the length of the list of registrations. With 16 or fewer listed the fleet became one pool at once. Change: instances that answer probes count as well, and Pool merges a divided fleet only after it has been small for 30 s without a break. An outage and the registrations after it take a few seconds, so no leader changes because of them. A large fleet is divided at once, as before.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/Pool.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/Pool.java
@@ -1,14 +1,18 @@
 package org.wagtailproxy.leadership;
 
+import java.util.concurrent.TimeUnit;
 import org.wagtailproxy.identity.DataCentre;
 
 /**
- * Decides from the number of registered instances whether one leader serves all data centres or
- * each data centre has its own leader.
+ * Decides from the number of instances whether one leader serves all data centres or each data
+ * centre has its own leader.
  *
  * <p>Designed for jobs of eight and more tasks on data centres of a dozen servers: one queue for
  * all data centres fits jobs that would wait in a queue for a single one. A fleet that is too large
- * for one leader is divided by data centre.
+ * for one leader is divided by data centre. A change of the decision moves jobs between leaders
+ * that control different backend servers, and registrations lapse together when the store loses
+ * them, so a divided fleet is merged only after it has been small for a long time. Not thread-safe;
+ * confined to one thread.
  */
 public final class Pool {
 
@@ -25,7 +29,15 @@
      */
     private static final int MIN_DIVIDED_INSTANCES = 20;
 
+    /**
+     * Time for which a divided fleet has to be small before it is merged; far above an outage of
+     * the store and the time in which all instances register again.
+     */
+    private static final long MIN_SMALL_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     private boolean mSpansDataCentres = true;
+    private boolean mMergePending;
+    private long mSmallSinceNanos;
 
     /** Creates the decision for a fleet of unknown size: one leader serves all data centres. */
     public Pool() {}
@@ -33,16 +45,34 @@
     /**
      * Updates the decision for a number of instances.
      *
-     * @param instances the number of registered instances
-     * @return true if one leader serves all data centres
+     * @param instances the number of instances that are registered or answer probes
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return true if the decision has changed
      */
-    public boolean update(int instances) {
+    public boolean update(int instances, long nowNanos) {
+        boolean spannedDataCentres = mSpansDataCentres;
         if (instances >= MIN_DIVIDED_INSTANCES) {
             mSpansDataCentres = false;
-        } else if (instances <= MAX_POOLED_INSTANCES) {
+        }
+        if (mSpansDataCentres || instances > MAX_POOLED_INSTANCES) {
+            mMergePending = false;
+        } else if (!mMergePending) {
+            mMergePending = true;
+            mSmallSinceNanos = nowNanos;
+        } else if (nowNanos - mSmallSinceNanos >= MIN_SMALL_NANOS) {
+            mMergePending = false;
             mSpansDataCentres = true;
         }
-        return mSpansDataCentres;
+        return mSpansDataCentres != spannedDataCentres;
+    }
+
+    /**
+     * Checks whether the decision may change without a change of the number of instances.
+     *
+     * @return true if a divided fleet is small, but has not been so for long enough to be merged
+     */
+    public boolean isMergePending() {
+        return mMergePending;
     }
 
     /**
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PoolTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PoolTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.wagtailproxy.identity.DataCentre;
 
@@ -11,17 +12,19 @@
     private static final DataCentre HERE = DataCentre.of("here");
     private static final DataCentre THERE = DataCentre.of("there");
 
+    private long mNowNanos = -7;
+
     @Test
     void testSmallFleetIsOnePool() {
         Pool pool = new Pool();
-        pool.update(9);
+        assertThat(pool.update(9, mNowNanos), is(false));
         assertThat(pool.isSamePool(HERE, THERE), is(true));
     }
 
     @Test
     void testLargeFleetHasAPoolForEachDataCentre() {
         Pool pool = new Pool();
-        pool.update(40);
+        assertThat(pool.update(40, mNowNanos), is(true));
         assertThat(pool.isSamePool(HERE, THERE), is(false));
         assertThat(pool.isSamePool(HERE, HERE), is(true));
     }
@@ -29,10 +32,43 @@
     @Test
     void testDecisionStaysWhileTheSizeIsBetweenTheLimits() {
         Pool pool = new Pool();
-        pool.update(40);
-        pool.update(18);
+        pool.update(40, mNowNanos);
+        passSeconds(100);
+        pool.update(18, mNowNanos);
+        passSeconds(100);
+        assertThat(pool.update(18, mNowNanos), is(false));
         assertThat(pool.isSamePool(HERE, THERE), is(false));
-        pool.update(16);
+        assertThat(pool.isMergePending(), is(false));
+    }
+
+    @Test
+    void testRegistrationsThatLapseTogetherDoNotMergeADividedFleet() {
+        Pool pool = new Pool();
+        pool.update(40, mNowNanos);
+        for (int outage = 0; outage < 10; outage++) {
+            pool.update(0, mNowNanos);
+            passSeconds(5);
+            assertThat(pool.update(16, mNowNanos), is(false));
+            pool.update(17, mNowNanos);
+        }
+        assertThat(pool.spansDataCentres(), is(false));
+    }
+
+    @Test
+    void testDividedFleetThatStaysSmallIsMerged() {
+        Pool pool = new Pool();
+        pool.update(40, mNowNanos);
+        pool.update(16, mNowNanos);
+        passSeconds(29);
+        assertThat(pool.update(16, mNowNanos), is(false));
+        assertThat(pool.isMergePending(), is(true));
+        passSeconds(1);
+        assertThat(pool.update(16, mNowNanos), is(true));
         assertThat(pool.isSamePool(HERE, THERE), is(true));
+        assertThat(pool.isMergePending(), is(false));
+    }
+
+    private void passSeconds(long seconds) {
+        mNowNanos += TimeUnit.SECONDS.toNanos(seconds);
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
@@ -86,6 +87,7 @@
     private final JobRelay mJobRelay;
     private final StoredJobClient mStoredJobClient;
     private final Pool mPool = new Pool();
+    private Collection<InstanceRecord> mInstances = List.of();
     private Collection<ServerEntry> mServers = List.of();
     private boolean mStoreReachable;
     private long mStoreChangedNanos;
@@ -171,10 +173,22 @@
      * @param instances those of all data centres, not null
      */
     public void updateInstances(Collection<InstanceRecord> instances) {
-        mPool.update(instances.size());
+        mInstances = List.copyOf(instances);
+        updatePool();
+        applyInstances();
+    }
+
+    /** Decides anew whether the fleet is divided. Returns true if the decision has changed. */
+    private boolean updatePool() {
+        Set<InstanceName> names = mElection.reachableInstances();
+        mInstances.forEach(record -> names.add(record.name()));
+        return mPool.update(names.size(), mLoop.nowNanos());
+    }
+
+    private void applyInstances() {
         List<InstanceRecord> pool = new ArrayList<>();
         List<InstanceRecord> others = new ArrayList<>();
-        for (InstanceRecord record : instances) {
+        for (InstanceRecord record : mInstances) {
             (isInSamePool(record.dataCentre()) ? pool : others).add(record);
         }
         mElection.updateInstances(pool, this::isInSamePool, !mPool.spansDataCentres());
@@ -389,6 +403,9 @@
         mLoop.schedule(LeaderElection.TICK_MILLIS, this::tick);
         mLeaderScheduler.detectSuspension();
         mElection.updateStoreUnreachable(isStoreUnreachable());
+        if (mPool.isMergePending() && updatePool()) {
+            applyInstances();
+        }
         mElection.tick();
         mLeaderScheduler.withdrawJobsOfLostHomes(this::isHomeAlive);
         mForwarder.withdrawJobsOfLostHomes(this::isHomeAlive);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -204,6 +204,14 @@
         return registered;
     }
 
+    /** Returns this instance and the peers that answer probes, as a set that may be changed. */
+    Set<InstanceName> reachableInstances() {
+        Set<InstanceName> reachable = new TreeSet<>();
+        mPeers.peers().stream().filter(Peer::reachable).forEach(p -> reachable.add(p.name()));
+        reachable.add(mSettings.name());
+        return reachable;
+    }
+
     boolean isReachable(InstanceName name) {
         return mPeers.find(name).exists(Peer::reachable);
     }
