Leave backend servers outside the pool to their own leader

Callers could see jobs slow down or given up for a second when a fleet grew until it was divided by data centre: the leader that a data centre got claimed the servers of the other data centres as well, and runs there were interrupted. Cause: once the fleet is divided, the instances of other data centres are no longer known, so their servers had no preferred owner; a leader claims a server without one first. It did so from the election until its list of servers was cut to the pool, and for servers with runs until these ended. Change: a server outside the pool is not claimed. What this instance held there is released; its runs there end with their leases or are adopted by the leader of their pool.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -195,10 +195,18 @@
         mRemote.updateInstances(others);
         updateSchedulerServers();
         if (mElection.isLeader()) {
-            mLeaderScheduler.updateClaims(mElection::claimMode, true);
+            mLeaderScheduler.updateClaims(this::claimMode, true);
         }
     }
 
+    /**
+     * Returns the claim mode for a backend server. Servers outside the pool belong to another
+     * leader, also those that this instance held before the fleet was divided.
+     */
+    private ClaimMode claimMode(ServerEntry server) {
+        return isInSamePool(server.dataCentre()) ? mElection.claimMode(server) : ClaimMode.NONE;
+    }
+
     /**
      * Records that this instance is registered, and its seniority.
      *
@@ -455,7 +463,7 @@
         public void onLeadershipChanged() {
             boolean isLeader = mElection.isLeader();
             mLeaderScheduler.updateClaims(
-                    entry -> isLeader ? mElection.claimMode(entry) : ClaimMode.NONE, isLeader);
+                    server -> isLeader ? claimMode(server) : ClaimMode.NONE, isLeader);
             mJobRelay.reassignJobs();
             if (isLeader) {
                 mListener.onBecameLeader();
