Wait for leases where jobs cross a change of the division

A task that must run once could run twice at the same time (TWICE) when a fleet was divided by data centre, or merged, while the job ran. Cause: a home in the second data centre follows the leader there from then on and submits its jobs to it as inherited ones with unknown servers. That leader places a task once all servers of its pool have been polled, but the earlier leader may have started it on a server of another data centre, and stops it only when it hears of the withdrawal. Evidence: DividedFleetTest.testJobOfMergedFleetRunsOnceWhenTheFleetIsDivided on the code before: expected 0 simultaneous runs, was 4. Log of that run: tasks placed by n1 on i-0 and i-1, leader-followed n2 at n3 at 2242761 ms, job-moved "another leader", job-passed-on to n2 at 2242773 ms; n1's runs ended at 2243578 ms and later. Red in four runs of six on the code before; why the two others were green was not looked into. Change: a change of the division marks the list of servers as incomplete for 4 s, as a healed network partition does, so that jobs which arrive with unknown servers wait for the lease.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -182,7 +182,11 @@
     private boolean updatePool() {
         Set<InstanceName> names = mElection.reachableInstances();
         mInstances.forEach(record -> names.add(record.name()));
-        return mPool.update(names.size(), mLoop.nowNanos());
+        boolean changed = mPool.update(names.size(), mLoop.nowNanos());
+        if (changed) {
+            mLeaderScheduler.onPoolChanged();
+        }
+        return changed;
     }
 
     private void applyInstances() {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -49,8 +49,8 @@
             TimeUnit.MILLISECONDS.toNanos(ServiceScheduler.MAX_TICK_PAUSE_MILLIS);
 
     /**
-     * Time after a network partition has healed in which jobs arrive from its other side and
-     * backend servers are listed again.
+     * Time after a network partition has healed, or the pool has changed, in which jobs arrive from
+     * the other side and backend servers are listed again.
      */
     private static final long PARTITION_RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(4);
 
@@ -254,6 +254,18 @@
      * for a while, so jobs from the other side may run on servers that are not listed here.
      */
     void onPartitionHealed() {
+        assumeIncompleteServerList();
+    }
+
+    /**
+     * Records that the fleet has been divided into pools or merged: jobs of an earlier leader may
+     * run on servers that are not listed here, which belong to another pool.
+     */
+    void onPoolChanged() {
+        assumeIncompleteServerList();
+    }
+
+    private void assumeIncompleteServerList() {
         mServersIncompleteUntilNanos = now() + PARTITION_RECOVERY_NANOS;
         mSchedulers
                 .values()
