Wait for leases where a home outside the pool brings a started job

A task that must run once could run twice at the same time (TWICE) in a fleet divided by data centre, when a home that did not know of the division, for example one that had just started and read a short list of registrations, turned from the leader of its data centre to one of another. Cause: the new leader took a job of a home that it does not reach as one from the other side of a healed partition, and waited for the lease, but not if the home had probed it within 520 ms. That exception is meant for leaders that forward jobs; a home that does not know of the division probes every leader. Evidence: DividedFleetTest.testJobOfHomeThatDoesNotKnowTheDivisionRunsOnce on the code before: expected 0 simultaneous runs, was 4, in three runs of four; why the fourth was green was not looked into. Change: the exception is for forwarded jobs only, of which no task has started.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -108,9 +108,11 @@
             answer.accept(Either.left(progress));
             return;
         }
-        if (!mElection.isReachable(home) && !mRemoteLeaders.hasProbedRecently(home)) {
+        boolean isForwarded = message.getForwarded() && mRemoteLeaders.hasProbedRecently(home);
+        if (!mElection.isReachable(home) && !isForwarded) {
             // After a network partition, requests of a peer can arrive before a probe finds it
-            // reachable.
+            // reachable. An instance outside the pool may not know yet that the fleet is divided;
+            // an earlier leader may have started its job on servers that are not listed here.
             mLeaderScheduler.onPartitionHealed();
         }
         mElection.recordFollower(home);
