Wait for leases while a home follows a leader outside the pool

A task that must run once could run twice at the same time (TWICE) when a home learnt of the division by data centre later than the leader of its data centre, for example a home that had just started and read a short list of registrations: its job ran on servers of another data centre, and the leader that it turned to polled those of its own pool only. Cause: the leader waits for leases for 4 s after its own division at most, and knows nothing of the moment at which its followers divide. While one reports a leader that a divided pool does not have, the list of servers counts as incomplete, and for 4 s more (PeerTable.followsOutsidePool).

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -309,6 +309,21 @@
         return changed;
     }
 
+    /**
+     * Checks whether a peer of a divided fleet follows a leader outside the pool, because it does
+     * not know of the division yet. Its jobs may run on backend servers outside the pool.
+     *
+     * @param status the status that an instance reports of itself, not null
+     * @param self the name of this instance, not null
+     * @return true if the instance is a peer and its leader is neither one nor this instance
+     */
+    public boolean followsOutsidePool(PeerStatus status, InstanceName self) {
+        return mDivided
+                && mPeers.containsKey(status.name())
+                && status.follows()
+                        .exists(leader -> !leader.equals(self) && !mPeers.containsKey(leader));
+    }
+
     /**
      * Records that a peer follows a leader, as its behaviour shows.
      *
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
@@ -115,6 +115,24 @@
         assertThat(mTable.onAnswer(probe, 9, mNowNanos), is(PeerTable.ContactChange.REACHED));
     }
 
+    @Test
+    void testLeaderOutsideThePoolOfADividedFleetIsNoticed() {
+        mTable.updateRegistered(List.of(record(1, NEAR), record(2, NEAR)), NEAR::equals, true);
+        assertThat(followsOutsidePool(1, 9), is(true));
+        assertThat(followsOutsidePool(1, 2), is(false));
+        assertThat(followsOutsidePool(1, 5), is(false));
+        assertThat(followsOutsidePool(8, 9), is(false));
+        mTable.updateRegistered(List.of(record(1, NEAR)), dataCentre -> true, false);
+        assertThat(followsOutsidePool(1, 9), is(false));
+    }
+
+    /** Checks a reported leader in the table of instance 5. */
+    private boolean followsOutsidePool(int peer, int leader) {
+        PeerStatus status =
+                new PeerStatus(name(peer), 1, Option.some(name(leader)), false, false, false);
+        return mTable.followsOutsidePool(status, name(5));
+    }
+
     /** Registers peers that became reachable so long ago that the warm-up time has passed. */
     private void fill(int peers) {
         List<InstanceRecord> records = new ArrayList<>();
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -479,6 +479,11 @@
             mLeaderScheduler.onPartitionHealed();
         }
 
+        @Override
+        public void onPeerFollowsOutsidePool() {
+            mLeaderScheduler.onPoolChanged();
+        }
+
         @Override
         public void onNewerConfiguration(byte[] document) {
             mListener.onNewerConfiguration(document);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -22,6 +22,7 @@
 import org.wagtailproxy.leadership.Majority;
 import org.wagtailproxy.leadership.Peer;
 import org.wagtailproxy.leadership.PeerProbe;
+import org.wagtailproxy.leadership.PeerStatus;
 import org.wagtailproxy.leadership.PeerTable;
 import org.wagtailproxy.observe.EventField;
 import org.wagtailproxy.observe.EventLog;
@@ -59,6 +60,9 @@
          */
         void onPartitionHealed();
 
+        /** A peer of the pool follows a leader outside it, since it does not know the division. */
+        void onPeerFollowsOutsidePool();
+
         /** A peer has sent a newer configuration than this instance has. */
         void onNewerConfiguration(byte[] document);
     }
@@ -347,7 +351,11 @@
 
     private void updatePeerStatus(Presence presence) {
         mTokens.observe(presence.getHighestToken());
-        if (PresenceMessages.status(presence).exists(mPeers::updateStatus)) {
+        Option<PeerStatus> status = PresenceMessages.status(presence);
+        if (status.exists(each -> mPeers.followsOutsidePool(each, mSettings.name()))) {
+            mListener.onPeerFollowsOutsidePool();
+        }
+        if (status.exists(mPeers::updateStatus)) {
             electLeader();
         }
     }
