Treat a job as inherited whenever another leader has started tasks of it

Seen: NodeTest#testResubmittedJobJoinsRunningJobOfAnotherInstance, red in one run of one on (expected 4 starts less stops, was 6). Log: n1 and n2 lead at the same time, both hold the servers in turn; n1 starts the four tasks as attempt 1 on i-0 and i-1; n2's own starts are fenced, so its task counts stand at attempt 2; n1 follows n2 and hands the job over with attempt 1; n2, which holds i-0 and i-3 again but not i-1, places two of the tasks at once while they run on i-1. Callers saw nothing; two runs of one task at one time.

Cause: ScheduledJob.updateInherited took a job that came from another leader for known if its highest attempt did not exceed the one here. Two leaders that have a job at the same time count independently, so the number shows nothing; the job was then not inherited and DuplicateRunGuard did not wait for the servers that run it.

Change: any progress with a started task is merged. The tasks that wait here wait for the servers that the progress names, for all of them if it names none, or for the lease.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
@@ -185,11 +185,11 @@
 
     /**
      * Merges the progress of a leader that had the job in the meantime. Returns false if no other
-     * leader has started tasks of it, that is, if its highest attempt does not exceed the one known
-     * here.
+     * leader has started tasks of it. The number of its attempts shows nothing else: two leaders
+     * that have a job at the same time count independently.
      */
     boolean updateInherited(WorkProgress progress, long nowNanos) {
-        if (progress.highestAttempt() <= progress().highestAttempt()) {
+        if (progress.highestAttempt() == 0) {
             return false;
         }
         mInheritedServers =
