Forward a job only once its home instances have confirmed that they know of it

Could be seen by callers of a divided fleet: a task of a forwarded job started a second time in the home's data centre while it ran in the other one, at the loss or planned stop of the leader that had forwarded the job.

Cause: the notice WorkForwarded was sent by the leader and handled by no instance: PeerRequestHandler answered it as an unknown request, so JobRelay.markForwarded ran only for jobs whose home was the leader itself. Any other home submitted the job to the next leader, as after the loss of a leader without forwarding. The job was inherited there, but DuplicateRunGuard asks the servers of the pool alone, so its tasks were placed after the polls. Besides, the notice was sent once and beside the submission to the other data centre, so it could come late or not at all.

Change: the home handles the notice and answers with the leader that it has submitted the job to. The job is submitted to the remote leader once all its homes have named this leader. If one does not within 200 ms, the job returns to its homes as not started. A home that joins a job that is already forwarded is notified until it confirms. A job that is submitted again is no longer marked as forwarded.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -16,6 +16,7 @@
 import java.util.function.Consumer;
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.leadership.Pool;
@@ -31,6 +32,7 @@
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.KeeperRecord;
+import org.wagtailproxy.wire.WorkAnswer;
 import org.wagtailproxy.wire.WorkForwarded;
 import org.wagtailproxy.workload.JobCondition;
 import org.wagtailproxy.workload.JobId;
@@ -64,7 +66,7 @@
         void onBecameLeader();
     }
 
-    /** Timeout of a notification; its answer carries no information. */
+    /** Timeout of a notification to another instance of this data centre. */
     private static final Duration NOTICE_TIMEOUT = Duration.ofMillis(200);
 
     /**
@@ -109,7 +111,7 @@
         mRemote = new RemoteLeaders(loop, client, spillOver);
         mForwarder =
                 new RemoteJobForwarder(
-                        settings, loop, client, mRemote, spillOver, decisions, this::notifyHomes);
+                        settings, loop, client, mRemote, spillOver, decisions, this::notifyHome);
         mLeaderScheduler =
                 new LeaderScheduler(
                         settings,
@@ -119,28 +121,36 @@
                         decisions,
                         mForwarder,
                         mElection,
-                        schedulers ->
-                                new StoredJobCoordinator(
-                                        loop,
-                                        context.store(),
-                                        log,
-                                        coordinatorRecord(settings),
-                                        schedulers));
+                        schedulers -> newCoordinator(context, log, schedulers));
         mClient = client;
         mStoredJobClient =
                 new StoredJobClient(loop, mElection, client, mLeaderScheduler.coordinator());
         mJobRelay = new JobRelay(settings, loop, mElection, client, mLeaderScheduler, decisions);
+        startPeerServer(context);
+    }
+
+    private StoredJobCoordinator newCoordinator(
+            DispatcherContext context, EventLog log, StoredJobCoordinator.Schedulers schedulers) {
+        return new StoredJobCoordinator(
+                mLoop, context.store(), log, coordinatorRecord(mSettings), schedulers);
+    }
+
+    private void startPeerServer(DispatcherContext context) {
         PeerRequestHandler handler =
                 new PeerRequestHandler(
-                        loop,
+                        mLoop,
                         mElection,
                         mRemote,
                         mLeaderScheduler,
+                        mJobRelay,
                         mStoredJobClient,
                         this::isInSamePool);
         mCloser.register(
                 PeerServer.start(
-                        settings.peerAddress(), context.group(), handler::handle, context.bytes()));
+                        mSettings.peerAddress(),
+                        context.group(),
+                        handler::handle,
+                        context.bytes()));
     }
 
     /**
@@ -412,23 +422,34 @@
         return home.equals(mSettings.name()) || isNeighbour || mRemote.hasProbedRecently(home);
     }
 
-    /** Notifies the home instances of a job that it runs in another data centre. */
-    private void notifyHomes(JobId job, Collection<InstanceName> homes) {
-        for (InstanceName home : homes) {
-            if (home.equals(mSettings.name())) {
-                mJobRelay.markForwarded(job);
-                continue;
-            }
-            WorkForwarded.Builder message = WorkForwarded.newBuilder().setJob(job.value());
-            mElection
-                    .address(home)
-                    .forEach(
-                            address ->
-                                    mClient.call(
-                                            address,
-                                            Envelope.newBuilder().setWorkForwarded(message),
-                                            NOTICE_TIMEOUT));
+    /**
+     * Informs the home instance of a job that the job runs in another data centre. The home answers
+     * with the leader that it waits for.
+     */
+    private void notifyHome(JobId job, InstanceName home, Consumer<Boolean> informed) {
+        if (home.equals(mSettings.name())) {
+            informed.accept(mJobRelay.markForwarded(job).contains(mSettings.name()));
+            return;
+        }
+        Option<HostAddress> address = mElection.address(home);
+        if (address.isEmpty()) {
+            mLoop.execute(() -> informed.accept(false));
+            return;
         }
+        WorkForwarded.Builder message = WorkForwarded.newBuilder().setJob(job.value());
+        mClient.call(address.get(), Envelope.newBuilder().setWorkForwarded(message), NOTICE_TIMEOUT)
+                .thenAccept(
+                        answer ->
+                                mLoop.execute(
+                                        () ->
+                                                informed.accept(
+                                                        answer.exists(this::namesThisLeader))));
+    }
+
+    private boolean namesThisLeader(Envelope answer) {
+        return answer.hasWorkAnswer()
+                && answer.getWorkAnswer().getKind() == WorkAnswer.Kind.ACCEPTED
+                && answer.getWorkAnswer().getReason().equals(mSettings.name().value());
     }
 
     /** Applies the results of the leader election to the other parts of the dispatcher. */
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -1,6 +1,7 @@
 package org.wagtailproxy.dispatcher;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.Peer;
 import org.wagtailproxy.peer.PeerClient;
 import org.wagtailproxy.serve.EventLoop;
@@ -206,6 +208,7 @@
             withdraw(job, job.mFormerLeader);
         }
         job.mFormerLeader = null;
+        job.mForwarded = false;
         job.mLeader = leader;
         int submissionCount = ++job.mSubmissionCount;
         Consumer<Either<WorkProgress, WorkOutcome>> answer =
@@ -282,12 +285,19 @@
                 });
     }
 
-    /** Records that a job runs in another data centre. */
-    void markForwarded(JobId id) {
+    /**
+     * Records that a job is forwarded to another data centre.
+     *
+     * @return the leader that the job is submitted to, which alone may forward it; none if there is
+     *     no such job or no leader
+     */
+    Option<InstanceName> markForwarded(JobId id) {
         HomeJob job = mJobs.get(id);
-        if (job != null) {
-            job.mForwarded = true;
+        if (job == null || job.mLeader == null) {
+            return Option.none();
         }
+        job.mForwarded = true;
+        return Option.some(job.mLeader.name());
     }
 
     private void onLeaderLost(HomeJob job, String reason) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -14,6 +14,8 @@
 import org.wagtailproxy.wire.Presence;
 import org.wagtailproxy.wire.SubmitWork;
 import org.wagtailproxy.wire.WithdrawWork;
+import org.wagtailproxy.wire.WorkAnswer;
+import org.wagtailproxy.wire.WorkForwarded;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.WorkOutcome;
 import org.wagtailproxy.workload.WorkProgress;
@@ -31,6 +33,7 @@
     private final LeaderElection mElection;
     private final RemoteLeaders mRemoteLeaders;
     private final LeaderScheduler mLeaderScheduler;
+    private final JobRelay mJobRelay;
     private final StoredJobClient mStoredJobClient;
     private final Predicate<DataCentre> mSamePool;
 
@@ -39,12 +42,14 @@
             LeaderElection election,
             RemoteLeaders remoteLeaders,
             LeaderScheduler leaderScheduler,
+            JobRelay jobRelay,
             StoredJobClient storedJobClient,
             Predicate<DataCentre> samePool) {
         mLoop = loop;
         mElection = election;
         mRemoteLeaders = remoteLeaders;
         mLeaderScheduler = leaderScheduler;
+        mJobRelay = jobRelay;
         mStoredJobClient = storedJobClient;
         mSamePool = samePool;
     }
@@ -63,6 +68,7 @@
                             request.getAskJob(),
                             answer -> reply.accept(Envelope.newBuilder().setJobTold(answer)));
             case WITHDRAW_WORK -> onWithdrawWork(request.getWithdrawWork(), reply);
+            case WORK_FORWARDED -> onWorkForwarded(request.getWorkForwarded(), reply);
             default -> reply.accept(Envelope.newBuilder());
         }
     }
@@ -133,4 +139,18 @@
         }
         reply.accept(Envelope.newBuilder());
     }
+
+    /** Confirms that a job is forwarded, with the name of the leader that this home waits for. */
+    private void onWorkForwarded(WorkForwarded message, Consumer<Envelope.Builder> reply) {
+        Option<InstanceName> leader =
+                JobId.parse(message.getJob()).flatMap(mJobRelay::markForwarded);
+        Envelope.Builder answer = Envelope.newBuilder();
+        leader.forEach(
+                name ->
+                        answer.setWorkAnswer(
+                                WorkAnswer.newBuilder()
+                                        .setKind(WorkAnswer.Kind.ACCEPTED)
+                                        .setReason(name.value())));
+        reply.accept(answer);
+    }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -3,12 +3,12 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.wagtailproxy.failure.Failure;
@@ -30,15 +30,19 @@
  * Forwards jobs to the leaders of other data centres and tracks them until they are answered.
  * Confined to the event loop.
  *
- * <p>A job whose remote leader is lost is abandoned: its tasks may still run in that data centre,
- * where no instance here can poll the backend servers. The remote leader withdraws such jobs once
- * it receives no more probes from this instance.
+ * <p>A job is submitted to the remote leader once its home instances have confirmed that they know
+ * of it. A job whose remote leader is lost is abandoned: its tasks may still run in that data
+ * centre, where no instance here can poll the backend servers. The remote leader withdraws such
+ * jobs once it receives no more probes from this instance.
  */
 final class RemoteJobForwarder implements JobForwarder {
 
     /** Time for which the remote answer is awaited after the caller timeout. */
     private static final long ANSWER_SLACK_MILLIS = 200;
 
+    /** Pause before a home instance that has joined a forwarded job is notified again. */
+    private static final long NOTICE_RETRY_MILLIS = 50;
+
     private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final DispatcherSettings mSettings;
@@ -47,16 +51,46 @@
     private final RemoteLeaders mRemoteLeaders;
     private final SpillOver mSpillOver;
     private final DecisionLog mLog;
-    private final BiConsumer<JobId, Collection<InstanceName>> mHomeNotifier;
+    private final HomeNotifier mHomeNotifier;
     private final Map<JobId, ForwardedJob> mForwardedJobs = new HashMap<>();
 
+    /** Informs home instances of jobs that are forwarded. */
+    interface HomeNotifier {
+
+        /**
+         * Informs the home instance of a job that the job runs in another data centre.
+         *
+         * @param informed receives whether the home has confirmed it and waits for this leader
+         */
+        void notifyHome(JobId job, InstanceName home, Consumer<Boolean> informed);
+    }
+
     /**
-     * A job that was forwarded to the leader of another data centre, with the home instances that
+     * A job that is forwarded to the leader of another data centre, with the home instances that
      * wait for its outcome.
      */
-    private record ForwardedJob(
-            HostAddress leader,
-            Map<InstanceName, Consumer<Either<WorkProgress, WorkOutcome>>> homes) {}
+    private static final class ForwardedJob {
+        private final WorkSpec mSpec;
+        private final long mArrivedNanos;
+        private final long mDeadlineNanos;
+        private final HostAddress mLeader;
+        private final Map<InstanceName, Consumer<Either<WorkProgress, WorkOutcome>>> mHomes;
+        private final Set<InstanceName> mUninformedHomes;
+        private boolean mSubmitted;
+
+        private ForwardedJob(WorkSpec spec, PendingJob pendingJob, HostAddress leader) {
+            mSpec = spec;
+            mArrivedNanos = pendingJob.arrivedNanos();
+            mDeadlineNanos = pendingJob.deadlineNanos();
+            mLeader = leader;
+            mHomes = new HashMap<>(pendingJob.homes());
+            mUninformedHomes = new HashSet<>(mHomes.keySet());
+        }
+
+        private JobId id() {
+            return mSpec.id();
+        }
+    }
 
     RemoteJobForwarder(
             DispatcherSettings settings,
@@ -65,7 +99,7 @@
             RemoteLeaders remoteLeaders,
             SpillOver spillOver,
             DecisionLog log,
-            BiConsumer<JobId, Collection<InstanceName>> homeNotifier) {
+            HomeNotifier homeNotifier) {
         mSettings = settings;
         mLoop = loop;
         mClient = client;
@@ -84,60 +118,103 @@
             return false;
         }
         mLog.jobForwarded(spec.id(), target.get());
-        ForwardedJob forwardedJob =
-                new ForwardedJob(leader.get(), new HashMap<>(pendingJob.homes()));
-        mForwardedJobs.put(spec.id(), forwardedJob);
-        mHomeNotifier.accept(spec.id(), pendingJob.homes().keySet());
-        long callerTimeoutMillis =
-                Math.max(0, (pendingJob.deadlineNanos() - nowNanos) / NANOS_PER_MILLI);
-        SubmitWork.Builder work =
-                WorkMessages.submit(spec, WorkProgress.NONE)
-                        .setAgeMillis((nowNanos - pendingJob.arrivedNanos()) / NANOS_PER_MILLI)
-                        .setPatienceMillis(callerTimeoutMillis)
-                        .setHome(mSettings.name().value())
-                        .setForwarded(true);
-        Duration timeout = Duration.ofMillis(callerTimeoutMillis + ANSWER_SLACK_MILLIS);
-        mClient.call(leader.get(), Envelope.newBuilder().setSubmitWork(work), timeout)
-                .thenAccept(
-                        answer -> mLoop.execute(() -> onAnswer(spec.id(), forwardedJob, answer)));
+        ForwardedJob job = new ForwardedJob(spec, pendingJob, leader.get());
+        mForwardedJobs.put(spec.id(), job);
+        List.copyOf(job.mHomes.keySet()).forEach(home -> notifyHome(job, home));
         return true;
     }
 
     @Override
     public boolean join(
-            JobId job, InstanceName home, Consumer<Either<WorkProgress, WorkOutcome>> answer) {
-        ForwardedJob forwardedJob = mForwardedJobs.get(job);
-        if (forwardedJob == null) {
+            JobId id, InstanceName home, Consumer<Either<WorkProgress, WorkOutcome>> answer) {
+        ForwardedJob job = mForwardedJobs.get(id);
+        if (job == null) {
             return false;
         }
-        forwardedJob.homes().put(home, answer);
-        mHomeNotifier.accept(job, List.of(home));
+        job.mHomes.put(home, answer);
+        job.mUninformedHomes.add(home);
+        notifyHome(job, home);
         return true;
     }
 
+    private void notifyHome(ForwardedJob job, InstanceName home) {
+        mHomeNotifier.notifyHome(job.id(), home, informed -> onHomeNotified(job, home, informed));
+    }
+
+    private void onHomeNotified(ForwardedJob job, InstanceName home, boolean informed) {
+        if (!isOpen(job) || !job.mUninformedHomes.contains(home)) {
+            return;
+        }
+        if (informed) {
+            job.mUninformedHomes.remove(home);
+            submitIfHomesInformed(job);
+        } else if (job.mSubmitted) {
+            mLoop.schedule(
+                    NOTICE_RETRY_MILLIS,
+                    () -> {
+                        if (isOpen(job) && job.mUninformedHomes.contains(home)) {
+                            notifyHome(job, home);
+                        }
+                    });
+        } else {
+            mForwardedJobs.remove(job.id());
+            job.mHomes.values().forEach(each -> each.accept(Either.left(WorkProgress.NONE)));
+        }
+    }
+
+    private boolean isOpen(ForwardedJob job) {
+        return mForwardedJobs.get(job.id()) == job;
+    }
+
+    /**
+     * Submits a job to the remote leader once all its home instances know of it. Otherwise a home
+     * could submit it to the next leader here, which cannot poll the servers that run it.
+     */
+    private void submitIfHomesInformed(ForwardedJob job) {
+        if (job.mSubmitted || !job.mUninformedHomes.isEmpty()) {
+            return;
+        }
+        job.mSubmitted = true;
+        long nowNanos = mLoop.nowNanos();
+        long callerTimeoutMillis = Math.max(0, (job.mDeadlineNanos - nowNanos) / NANOS_PER_MILLI);
+        SubmitWork.Builder work =
+                WorkMessages.submit(job.mSpec, WorkProgress.NONE)
+                        .setAgeMillis((nowNanos - job.mArrivedNanos) / NANOS_PER_MILLI)
+                        .setPatienceMillis(callerTimeoutMillis)
+                        .setHome(mSettings.name().value())
+                        .setForwarded(true);
+        Duration timeout = Duration.ofMillis(callerTimeoutMillis + ANSWER_SLACK_MILLIS);
+        mClient.call(job.mLeader, Envelope.newBuilder().setSubmitWork(work), timeout)
+                .thenAccept(answer -> mLoop.execute(() -> onAnswer(job, answer)));
+    }
+
     @Override
-    public void withdraw(JobId job, InstanceName home) {
-        ForwardedJob forwardedJob = mForwardedJobs.get(job);
-        if (forwardedJob == null) {
+    public void withdraw(JobId id, InstanceName home) {
+        ForwardedJob job = mForwardedJobs.get(id);
+        if (job == null) {
             return;
         }
-        forwardedJob.homes().remove(home);
-        if (!forwardedJob.homes().isEmpty()) {
+        job.mHomes.remove(home);
+        job.mUninformedHomes.remove(home);
+        if (!job.mHomes.isEmpty()) {
+            submitIfHomesInformed(job);
             return;
         }
-        mForwardedJobs.remove(job);
-        WithdrawWork.Builder withdraw =
-                WithdrawWork.newBuilder().setJob(job.value()).setHome(mSettings.name().value());
-        mClient.call(
-                forwardedJob.leader(),
-                Envelope.newBuilder().setWithdrawWork(withdraw),
-                Duration.ofMillis(ANSWER_SLACK_MILLIS));
+        mForwardedJobs.remove(id);
+        if (job.mSubmitted) {
+            WithdrawWork.Builder withdraw =
+                    WithdrawWork.newBuilder().setJob(id.value()).setHome(mSettings.name().value());
+            mClient.call(
+                    job.mLeader,
+                    Envelope.newBuilder().setWithdrawWork(withdraw),
+                    Duration.ofMillis(ANSWER_SLACK_MILLIS));
+        }
     }
 
     /** Withdraws the jobs of home instances that are no longer alive. */
     void withdrawJobsOfLostHomes(Predicate<InstanceName> isAlive) {
         for (Map.Entry<JobId, ForwardedJob> each : List.copyOf(mForwardedJobs.entrySet())) {
-            for (InstanceName home : List.copyOf(each.getValue().homes().keySet())) {
+            for (InstanceName home : List.copyOf(each.getValue().mHomes.keySet())) {
                 if (!isAlive.test(home)) {
                     withdraw(each.getKey(), home);
                 }
@@ -149,17 +226,17 @@
         return mForwardedJobs.size();
     }
 
-    private void onAnswer(JobId job, ForwardedJob forwardedJob, Either<Failure, Envelope> answer) {
-        if (mForwardedJobs.get(job) != forwardedJob) {
+    private void onAnswer(ForwardedJob job, Either<Failure, Envelope> answer) {
+        if (!isOpen(job)) {
             return;
         }
-        mForwardedJobs.remove(job);
+        mForwardedJobs.remove(job.id());
         boolean hasAnswer = answer.isRight() && answer.get().hasWorkAnswer();
         WorkOutcome outcome =
                 hasAnswer
                         ? WorkMessages.outcome(answer.get().getWorkAnswer())
                         : WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "remote leader lost");
-        mLog.jobEnded(job, outcome, false);
-        forwardedJob.homes().values().forEach(home -> home.accept(Either.right(outcome)));
+        mLog.jobEnded(job.id(), outcome, false);
+        job.mHomes.values().forEach(home -> home.accept(Either.right(outcome)));
     }
 }
