Keep relaying forwarded jobs after the end of leadership

Could be seen by callers of a divided fleet: at the planned stop of a leader, jobs that it had forwarded for other homes were stopped in the other data centre and answered with 504 when their time was over.

Cause: two checks counted on leadership. The former leader withdrew the forwarded jobs of homes that follow the next leader, although these homes wait for its answer (JobRelay.isStillRelaying). And it stopped probing the remote leaders with its leadership; a remote leader withdraws the jobs of an instance that has not probed it for 520 ms. Hidden so far, since homes never took note of a forwarding and submitted the job to the next leader instead.

Change: an instance probes remote leaders as long as it has forwarded jobs open, and an instance that does not lead withdraws a forwarded job only for homes that it cannot reach. A home whose forwarded job is withdrawn for this reason is answered, so that it does not wait in vain.

Evidence: testForwardedJobIsNotStartedAgainByNextLeaderWhenItsLeaderStopsAsPlanned. On: "Expected: is <200> but: was <504>".

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -401,12 +401,16 @@
         mElection.updateStoreUnreachable(isStoreUnreachable());
         mElection.tick();
         mLeaderScheduler.withdrawJobsOfLostHomes(this::isHomeAlive);
-        mForwarder.withdrawJobsOfLostHomes(this::isHomeAlive);
+        mForwarder.withdrawJobsOfLostHomes(this::isWaitingForForwardedJob);
         mLeaderScheduler.updateCoordination(
                 mPool.spansDataCentres() && mElection.isLeaderOfMajority(),
                 mStoredJobClient.hasSeenStoredJobs());
-        if (mElection.isLeader() && !mElection.hasUnconfirmedPeers()) {
+        boolean mayPlace = mElection.isLeader() && !mElection.hasUnconfirmedPeers();
+        if (mayPlace || mForwarder.openJobs() > 0) {
+            // A remote leader withdraws the jobs of an instance that no longer probes it.
             mRemote.tick(mElection.presence());
+        }
+        if (mayPlace) {
             mLeaderScheduler.tick();
         }
         mJobRelay.tick();
@@ -422,6 +426,15 @@
         return home.equals(mSettings.name()) || isNeighbour || mRemote.hasProbedRecently(home);
     }
 
+    /**
+     * Checks whether a home instance waits for the jobs that this instance has forwarded for it.
+     * After the end of its leadership it still relays their answers to homes that follow the next
+     * leader.
+     */
+    private boolean isWaitingForForwardedJob(InstanceName home) {
+        return isHomeAlive(home) || (!mElection.isLeader() && mElection.isReachable(home));
+    }
+
     /**
      * Informs the home instance of a job that the job runs in another data centre. The home answers
      * with the leader that it waits for.
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -211,12 +211,16 @@
         }
     }
 
-    /** Withdraws the jobs of home instances that are no longer alive. */
-    void withdrawJobsOfLostHomes(Predicate<InstanceName> isAlive) {
+    /** Withdraws and abandons the jobs of home instances that no longer wait for them. */
+    void withdrawJobsOfLostHomes(Predicate<InstanceName> isWaiting) {
         for (Map.Entry<JobId, ForwardedJob> each : List.copyOf(mForwardedJobs.entrySet())) {
             for (InstanceName home : List.copyOf(each.getValue().mHomes.keySet())) {
-                if (!isAlive.test(home)) {
+                if (!isWaiting.test(home)) {
+                    Consumer<Either<WorkProgress, WorkOutcome>> answer =
+                            each.getValue().mHomes.get(home);
                     withdraw(each.getKey(), home);
+                    answer.accept(
+                            Either.right(WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "home lost")));
                 }
             }
         }
