Withdraw a job from a remote leader that seems lost, and repeat lost withdrawals

Could be seen on a divided fleet: a job answered with 504 and sent again by its caller after 1,300 ms started anew while the first run of its tasks went on in another data centre until the caller's time was over.

Cause: one missed probe of a remote leader (220 ms; a busy machine, a lost packet, a short freeze) closes the connection to it. All jobs forwarded there are then answered as abandoned, but the remote leader was not told, and it keeps the jobs of an instance that goes on probing it. The same way remained open when the message WithdrawWork was lost: it was sent once, by homes to leaders and by leaders to remote leaders. A home that gave up a forwarded job did not withdraw it at all.

Change: a forwarded job without an answer is withdrawn from the remote leader, a home withdraws a forwarded job whose leader it has lost, and withdrawals are repeated until they are answered, the receiver refuses connections, the job is submitted there again, or the caller's time is over, when the receiver ends the job itself (JobWithdrawals).

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -109,9 +109,17 @@
         mElection = new LeaderElection(settings, loop, client, mTokens, log, new ElectionEvents());
         SpillOver spillOver = new SpillOver();
         mRemote = new RemoteLeaders(loop, client, spillOver);
+        JobWithdrawals withdrawals = new JobWithdrawals(settings, loop, client);
         mForwarder =
                 new RemoteJobForwarder(
-                        settings, loop, client, mRemote, spillOver, decisions, this::notifyHome);
+                        settings,
+                        loop,
+                        client,
+                        mRemote,
+                        spillOver,
+                        decisions,
+                        withdrawals,
+                        this::notifyHome);
         mLeaderScheduler =
                 new LeaderScheduler(
                         settings,
@@ -125,7 +133,15 @@
         mClient = client;
         mStoredJobClient =
                 new StoredJobClient(loop, mElection, client, mLeaderScheduler.coordinator());
-        mJobRelay = new JobRelay(settings, loop, mElection, client, mLeaderScheduler, decisions);
+        mJobRelay =
+                new JobRelay(
+                        settings,
+                        loop,
+                        mElection,
+                        client,
+                        mLeaderScheduler,
+                        withdrawals,
+                        decisions);
         startPeerServer(context);
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -16,7 +16,6 @@
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.SubmitWork;
-import org.wagtailproxy.wire.WithdrawWork;
 import org.wagtailproxy.wire.WorkAnswer;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.WorkOutcome;
@@ -52,6 +51,7 @@
     private final LeaderElection mElection;
     private final PeerClient mClient;
     private final LeaderScheduler mLeaderScheduler;
+    private final JobWithdrawals mWithdrawals;
     private final DecisionLog mLog;
     private final Map<JobId, HomeJob> mJobs = new HashMap<>();
 
@@ -81,12 +81,14 @@
             LeaderElection election,
             PeerClient client,
             LeaderScheduler leaderScheduler,
+            JobWithdrawals withdrawals,
             DecisionLog log) {
         mSettings = settings;
         mLoop = loop;
         mElection = election;
         mClient = client;
         mLeaderScheduler = leaderScheduler;
+        mWithdrawals = withdrawals;
         mLog = log;
     }
 
@@ -229,6 +231,7 @@
                     answer);
             return;
         }
+        mWithdrawals.onSubmitted(leader.address(), job.mSpec.id());
         mLog.jobSubmittedToLeader(job.mSpec.id(), leader.name(), submissionCount);
         long nowNanos = mLoop.nowNanos();
         long callerTimeoutMillis = Math.max(0, (job.mDeadlineNanos - nowNanos) / NANOS_PER_MILLI);
@@ -306,6 +309,7 @@
             // The next leader cannot poll the servers that run the job; the caller submits it again
             // after its end.
             job.mMayHaveStarted = true;
+            withdrawFromLeader(job);
             finish(job, WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "leader lost, ran elsewhere"));
             return;
         }
@@ -326,14 +330,7 @@
             mLeaderScheduler.withdraw(job.mSpec.id(), mSettings.name());
             return;
         }
-        WithdrawWork.Builder withdraw =
-                WithdrawWork.newBuilder()
-                        .setJob(job.mSpec.id().value())
-                        .setHome(mSettings.name().value());
-        mClient.call(
-                leader.address(),
-                Envelope.newBuilder().setWithdrawWork(withdraw),
-                Duration.ofMillis(ANSWER_SLACK_MILLIS));
+        mWithdrawals.withdraw(leader.address(), job.mSpec.id(), job.mDeadlineNanos);
     }
 
     private void finish(HomeJob job, WorkOutcome outcome) {
--- /dev/null
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobWithdrawals.java
@@ -0,0 +1,90 @@
+package org.wagtailproxy.dispatcher;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.peer.PeerClient;
+import org.wagtailproxy.serve.EventLoop;
+import org.wagtailproxy.wire.Envelope;
+import org.wagtailproxy.wire.WithdrawWork;
+import org.wagtailproxy.workload.JobId;
+
+/**
+ * Withdraws jobs from the leaders that they were submitted to. A withdrawal without an answer is
+ * repeated until the job has ended there, since the caller may submit the job again elsewhere.
+ * Confined to the event loop.
+ */
+final class JobWithdrawals {
+
+    private static final Duration TIMEOUT = Duration.ofMillis(200);
+
+    /** Pause before a withdrawal is repeated. */
+    private static final long RETRY_DELAY_MILLIS = 50;
+
+    private final DispatcherSettings mSettings;
+    private final EventLoop mLoop;
+    private final PeerClient mClient;
+    private final Map<Target, Withdrawal> mOpen = new HashMap<>();
+
+    /** A job at the leader that it is withdrawn from. */
+    private record Target(HostAddress leader, JobId job) {}
+
+    /** An unanswered withdrawal; the leader ends the job itself at the deadline. */
+    private static final class Withdrawal {
+        private final long mDeadlineNanos;
+
+        private Withdrawal(long deadlineNanos) {
+            mDeadlineNanos = deadlineNanos;
+        }
+    }
+
+    JobWithdrawals(DispatcherSettings settings, EventLoop loop, PeerClient client) {
+        mSettings = settings;
+        mLoop = loop;
+        mClient = client;
+    }
+
+    /** Withdraws a job whose caller waits until the deadline. */
+    void withdraw(HostAddress leader, JobId job, long deadlineNanos) {
+        Withdrawal withdrawal = new Withdrawal(deadlineNanos);
+        Target target = new Target(leader, job);
+        mOpen.put(target, withdrawal);
+        send(target, withdrawal);
+    }
+
+    /** Ends the repetition because the job is submitted to the leader again. */
+    void onSubmitted(HostAddress leader, JobId job) {
+        mOpen.remove(new Target(leader, job));
+    }
+
+    private void send(Target target, Withdrawal withdrawal) {
+        WithdrawWork.Builder message =
+                WithdrawWork.newBuilder()
+                        .setJob(target.job().value())
+                        .setHome(mSettings.name().value());
+        mClient.call(target.leader(), Envelope.newBuilder().setWithdrawWork(message), TIMEOUT)
+                .thenAccept(answer -> mLoop.execute(() -> onAnswer(target, withdrawal, answer)));
+    }
+
+    private void onAnswer(Target target, Withdrawal withdrawal, Either<Failure, Envelope> answer) {
+        if (mOpen.get(target) != withdrawal) {
+            return;
+        }
+        boolean refused = answer.isLeft() && answer.getLeft().kind() == FailureKind.PEER_REFUSED;
+        if (answer.isRight() || refused || mLoop.nowNanos() >= withdrawal.mDeadlineNanos) {
+            mOpen.remove(target);
+            return;
+        }
+        mLoop.schedule(
+                RETRY_DELAY_MILLIS,
+                () -> {
+                    if (mOpen.get(target) == withdrawal) {
+                        send(target, withdrawal);
+                    }
+                });
+    }
+}
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -20,7 +20,6 @@
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.SubmitWork;
-import org.wagtailproxy.wire.WithdrawWork;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.WorkOutcome;
 import org.wagtailproxy.workload.WorkProgress;
@@ -32,8 +31,8 @@
  *
  * <p>A job is submitted to the remote leader once its home instances have confirmed that they know
  * of it. A job whose remote leader is lost is abandoned: its tasks may still run in that data
- * centre, where no instance here can poll the backend servers. The remote leader withdraws such
- * jobs once it receives no more probes from this instance.
+ * centre, where no instance here can poll the backend servers. The job is withdrawn there, and the
+ * remote leader withdraws it by itself once it receives no more probes from this instance.
  */
 final class RemoteJobForwarder implements JobForwarder {
 
@@ -51,6 +50,7 @@
     private final RemoteLeaders mRemoteLeaders;
     private final SpillOver mSpillOver;
     private final DecisionLog mLog;
+    private final JobWithdrawals mWithdrawals;
     private final HomeNotifier mHomeNotifier;
     private final Map<JobId, ForwardedJob> mForwardedJobs = new HashMap<>();
 
@@ -99,6 +99,7 @@
             RemoteLeaders remoteLeaders,
             SpillOver spillOver,
             DecisionLog log,
+            JobWithdrawals withdrawals,
             HomeNotifier homeNotifier) {
         mSettings = settings;
         mLoop = loop;
@@ -106,6 +107,7 @@
         mRemoteLeaders = remoteLeaders;
         mSpillOver = spillOver;
         mLog = log;
+        mWithdrawals = withdrawals;
         mHomeNotifier = homeNotifier;
     }
 
@@ -175,6 +177,7 @@
             return;
         }
         job.mSubmitted = true;
+        mWithdrawals.onSubmitted(job.mLeader, job.id());
         long nowNanos = mLoop.nowNanos();
         long callerTimeoutMillis = Math.max(0, (job.mDeadlineNanos - nowNanos) / NANOS_PER_MILLI);
         SubmitWork.Builder work =
@@ -202,12 +205,7 @@
         }
         mForwardedJobs.remove(id);
         if (job.mSubmitted) {
-            WithdrawWork.Builder withdraw =
-                    WithdrawWork.newBuilder().setJob(id.value()).setHome(mSettings.name().value());
-            mClient.call(
-                    job.mLeader,
-                    Envelope.newBuilder().setWithdrawWork(withdraw),
-                    Duration.ofMillis(ANSWER_SLACK_MILLIS));
+            mWithdrawals.withdraw(job.mLeader, id, job.mDeadlineNanos);
         }
     }
 
@@ -236,6 +234,10 @@
         }
         mForwardedJobs.remove(job.id());
         boolean hasAnswer = answer.isRight() && answer.get().hasWorkAnswer();
+        if (!hasAnswer) {
+            // The remote leader may be alive and keeps the job as long as this instance probes it.
+            mWithdrawals.withdraw(job.mLeader, job.id(), job.mDeadlineNanos);
+        }
         WorkOutcome outcome =
                 hasAnswer
                         ? WorkMessages.outcome(answer.get().getWorkAnswer())
