Do not start a forwarded job that arrives after its withdrawal

Could be seen on a divided fleet: a remote leader that did not run for a moment finds the submission of a job on a connection that the forwarding leader has closed since, and its withdrawal on the next one. If it reads the withdrawal first, it starts a job that its caller has been told to send again, and keeps it as long as the forwarding leader probes it.

Change: a leader abandons a forwarded job whose withdrawal by the same instance came within the last second. A caller sends a job again after 1,300 ms only.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -2,6 +2,8 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -29,6 +31,12 @@
 
     private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
+    /**
+     * Time after a withdrawal in which the submission that it belongs to may arrive on an older
+     * connection; shorter than the time after which a caller submits the job again.
+     */
+    private static final long WITHDRAWAL_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final EventLoop mLoop;
     private final LeaderElection mElection;
     private final RemoteLeaders mRemoteLeaders;
@@ -36,6 +44,10 @@
     private final JobRelay mJobRelay;
     private final StoredJobClient mStoredJobClient;
     private final Predicate<DataCentre> mSamePool;
+    private final Map<Submission, Long> mWithdrawnNanos = new HashMap<>();
+
+    /** A job that a home instance has submitted. */
+    private record Submission(JobId job, InstanceName home) {}
 
     PeerRequestHandler(
             EventLoop loop,
@@ -114,6 +126,11 @@
             answer.accept(Either.left(progress));
             return;
         }
+        if (message.getForwarded() && wasJustWithdrawn(new Submission(spec.get().id(), home))) {
+            answer.accept(
+                    Either.right(WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "withdrawn before")));
+            return;
+        }
         if (!mElection.isReachable(home) && !mRemoteLeaders.hasProbedRecently(home)) {
             // After a network partition, requests of a peer can arrive before a probe finds it
             // reachable.
@@ -135,11 +152,22 @@
         Option<JobId> job = JobId.parse(message.getJob());
         if (job.isDefined() && Names.isName(message.getHome())) {
             InstanceName home = InstanceName.of(message.getHome());
+            mWithdrawnNanos.values().removeIf(this::isOldWithdrawal);
+            mWithdrawnNanos.put(new Submission(job.get(), home), mLoop.nowNanos());
             mLeaderScheduler.withdraw(job.get(), home);
         }
         reply.accept(Envelope.newBuilder());
     }
 
+    private boolean wasJustWithdrawn(Submission submission) {
+        Long withdrawnNanos = mWithdrawnNanos.get(submission);
+        return withdrawnNanos != null && !isOldWithdrawal(withdrawnNanos);
+    }
+
+    private boolean isOldWithdrawal(long withdrawnNanos) {
+        return mLoop.nowNanos() - withdrawnNanos > WITHDRAWAL_RETENTION_NANOS;
+    }
+
     /** Confirms that a job is forwarded, with the name of the leader that this home waits for. */
     private void onWorkForwarded(WorkForwarded message, Consumer<Envelope.Builder> reply) {
         Option<InstanceName> leader =
