--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -1,6 +1,7 @@
 package org.wagtailproxy.dispatcher;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,12 +10,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.Peer;
 import org.wagtailproxy.peer.PeerClient;
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.SubmitWork;
-import org.wagtailproxy.wire.WithdrawWork;
 import org.wagtailproxy.wire.WorkAnswer;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.WorkOutcome;
@@ -50,6 +51,7 @@
     private final LeaderElection mElection;
     private final PeerClient mClient;
     private final LeaderScheduler mLeaderScheduler;
+    private final JobWithdrawals mWithdrawals;
     private final DecisionLog mLog;
     private final Map<JobId, HomeJob> mJobs = new HashMap<>();
 
@@ -79,12 +81,14 @@
             LeaderElection election,
             PeerClient client,
             LeaderScheduler leaderScheduler,
+            JobWithdrawals withdrawals,
             DecisionLog log) {
         mSettings = settings;
         mLoop = loop;
         mElection = election;
         mClient = client;
         mLeaderScheduler = leaderScheduler;
+        mWithdrawals = withdrawals;
         mLog = log;
     }
 
@@ -206,6 +210,7 @@
             withdraw(job, job.mFormerLeader);
         }
         job.mFormerLeader = null;
+        job.mForwarded = false;
         job.mLeader = leader;
         int submissionCount = ++job.mSubmissionCount;
         Consumer<Either<WorkProgress, WorkOutcome>> answer =
@@ -226,6 +231,7 @@
                     answer);
             return;
         }
+        mWithdrawals.onSubmitted(leader.address(), job.mSpec.id());
         mLog.jobSubmittedToLeader(job.mSpec.id(), leader.name(), submissionCount);
         long nowNanos = mLoop.nowNanos();
         long callerTimeoutMillis = Math.max(0, (job.mDeadlineNanos - nowNanos) / NANOS_PER_MILLI);
@@ -282,12 +288,19 @@
                 });
     }
 
-    /** Records that a job runs in another data centre. */
-    void markForwarded(JobId id) {
+    /**
+     * Records that a job is forwarded to another data centre.
+     *
+     * @return the leader that the job is submitted to, which alone may forward it; none if there is
+     *     no such job or no leader
+     */
+    Option<InstanceName> markForwarded(JobId id) {
         HomeJob job = mJobs.get(id);
-        if (job != null) {
-            job.mForwarded = true;
+        if (job == null || job.mLeader == null) {
+            return Option.none();
         }
+        job.mForwarded = true;
+        return Option.some(job.mLeader.name());
     }
 
     private void onLeaderLost(HomeJob job, String reason) {
@@ -296,6 +309,7 @@
             // The next leader cannot poll the servers that run the job; the caller submits it again
             // after its end.
             job.mMayHaveStarted = true;
+            withdrawFromLeader(job);
             finish(job, WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "leader lost, ran elsewhere"));
             return;
         }
@@ -316,14 +330,7 @@
             mLeaderScheduler.withdraw(job.mSpec.id(), mSettings.name());
             return;
         }
-        WithdrawWork.Builder withdraw =
-                WithdrawWork.newBuilder()
-                        .setJob(job.mSpec.id().value())
-                        .setHome(mSettings.name().value());
-        mClient.call(
-                leader.address(),
-                Envelope.newBuilder().setWithdrawWork(withdraw),
-                Duration.ofMillis(ANSWER_SLACK_MILLIS));
+        mWithdrawals.withdraw(leader.address(), job.mSpec.id(), job.mDeadlineNanos);
     }
 
     private void finish(HomeJob job, WorkOutcome outcome) {
