Take polls for proof only while no other instance leads

Cause: a job whose leader was lost without a hand-over was placed as soon as every known server had answered a poll. A leader that is only silent for the job's home keeps the job, may raise its token on a polled server again and start the task there. That a server ran nothing at a poll does not show that nothing starts later.

Now polls count only if, after the job was accepted, each peer of the pool has answered a probe that it does not lead, or has refused the connection. Peers that lead or are silent leave the job to the end of lease and margin. The peers are probed at once when such a job is accepted. Stored jobs follow the same rule. A job that was handed over is not affected.

The simulation now also checks for double runs when another leader's runs are added.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -89,6 +89,10 @@
         private int mConsecutiveTimeouts;
         private long mProbedNanos = Long.MIN_VALUE / 2;
         private long mAnsweredNanos;
+
+        /** When the last probe was sent whose result shows that the peer does not lead. */
+        private long mNotLeadingNanos = Long.MIN_VALUE;
+
         private long mReachedNanos;
         private long mSeniorityWhenLost = -1;
         private Option<InstanceName> mFollows = Option.none();
@@ -221,6 +225,34 @@
         return state.mSeniorityWhenLost == seniority ? ContactChange.HEALED : ContactChange.REACHED;
     }
 
+    /**
+     * Records whom a peer follows according to its answer to a probe. Call after {@link #onAnswer}.
+     *
+     * @param probe the probe, not null
+     * @param follows the leader that the peer follows, none if it has none; not null
+     */
+    public void onFollowsAnswered(PeerProbe probe, Option<InstanceName> follows) {
+        PeerState state = mPeers.get(probe.peer());
+        if (state != null && !follows.contains(probe.peer())) {
+            state.mNotLeadingNanos = state.mProbedNanos;
+        }
+    }
+
+    /**
+     * Returns the latest time at which no peer led, as far as the results of probes prove it: each
+     * peer has answered a later probe that it does not lead, or has refused the connection.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the monotonic time in nanoseconds, {@link Long#MIN_VALUE} if there is no proof
+     */
+    public long noPeerLedNanos(long nowNanos) {
+        long nanos = nowNanos;
+        for (PeerState state : mPeers.values()) {
+            nanos = Math.min(nanos, state.mNotLeadingNanos);
+        }
+        return nanos;
+    }
+
     /**
      * Records that a probe was not answered in time.
      *
@@ -247,6 +279,9 @@
         if (state != null) {
             state.mProbeOutstanding = false;
             state.mRefusesConnections = !state.mPartitioned;
+            if (state.mRefusesConnections) {
+                state.mNotLeadingNanos = state.mProbedNanos;
+            }
         }
     }
 
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -6,9 +6,10 @@
  * Decides whether tasks of a job may still run on servers that this leader has not polled yet, so
  * that they are not started twice.
  *
- * <p>Designed for changes of leader. The runs of an earlier leader have been adopted from every
- * held server that was polled since the job was accepted; on other servers their leases expire. An
- * earlier leader that handed the job over has reported which servers run it.
+ * <p>Designed for changes of leader. An earlier leader that handed the job over has reported which
+ * servers run it, and polls of these show its runs. One that did not may still start tasks of the
+ * job, also on a server that was polled already. Polls are proof only once no other instance of the
+ * pool leads; until then its leases have to expire.
  */
 final class DuplicateRunGuard {
 
@@ -20,6 +21,7 @@
 
     private final long mLeaseWithMarginNanos;
     private long mListIncompleteUntilNanos = Long.MIN_VALUE;
+    private long mNoOtherLeaderNanos = Long.MIN_VALUE;
 
     DuplicateRunGuard(LeaseTiming timing) {
         mLeaseWithMarginNanos =
@@ -33,6 +35,11 @@
         mListIncompleteUntilNanos = Math.max(mListIncompleteUntilNanos, untilNanos);
     }
 
+    /** Records that no other instance of the pool led at a time. */
+    void recordNoOtherLeader(long nanos) {
+        mNoOtherLeaderNanos = Math.max(mNoOtherLeaderNanos, nanos);
+    }
+
     boolean mayStillRun(ScheduledJob job, ServerSet servers, long nowNanos) {
         if (!job.isInherited() || nowNanos - job.mAcceptedNanos > mLeaseWithMarginNanos) {
             return false;
@@ -40,7 +47,8 @@
         if (job.inheritedServers().isDefined()) {
             return !servers.polledSince(job.inheritedServers().get(), job.mAcceptedNanos);
         }
-        return job.mAcceptedNanos < mListIncompleteUntilNanos
+        return job.mAcceptedNanos >= mNoOtherLeaderNanos
+                || job.mAcceptedNanos < mListIncompleteUntilNanos
                 || !servers.allPolledSince(job.mAcceptedNanos);
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -361,6 +361,16 @@
         mDuplicateRunGuard.assumeIncompleteServerList(untilNanos);
     }
 
+    /**
+     * Records that no other instance of the pool led at a time, so that no earlier leader has
+     * started tasks of a job that was accepted before.
+     *
+     * @param nanos the monotonic time of the proof in nanoseconds
+     */
+    public synchronized void recordNoOtherLeader(long nanos) {
+        mDuplicateRunGuard.recordNoOtherLeader(nanos);
+    }
+
     /**
      * Removes and returns the commands that are to be sent now.
      *
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
@@ -36,6 +36,41 @@
         assertThat(mTable.dueProbes(true, Option.none(), mNowNanos), hasSize(1));
     }
 
+    @Test
+    void testSilentAndLeadingPeersAreNotTakenForFollowers() {
+        mTable.updateRegistered(
+                List.of(record(1, NEAR), record(2, NEAR), record(3, NEAR)), any -> true, false);
+        assertThat(mTable.noPeerLedNanos(mNowNanos), is(Long.MIN_VALUE));
+        long firstNanos = mNowNanos;
+        for (PeerProbe probe : mTable.dueProbes(true, Option.none(), mNowNanos)) {
+            mTable.onAnswer(probe, 1, mNowNanos);
+            mTable.onFollowsAnswered(probe, Option.some(name(9)));
+        }
+        assertThat(mTable.noPeerLedNanos(mNowNanos), is(firstNanos));
+        mNowNanos += TICK;
+        for (PeerProbe probe : mTable.dueProbes(true, Option.none(), mNowNanos)) {
+            if (probe.peer().equals(name(1))) {
+                mTable.onAnswer(probe, 1, mNowNanos);
+                mTable.onFollowsAnswered(probe, Option.some(name(1)));
+            } else if (probe.peer().equals(name(2))) {
+                mTable.onTimeout(probe);
+            } else {
+                mTable.onConnectionRefused(probe);
+            }
+        }
+        assertThat(mTable.noPeerLedNanos(mNowNanos), is(firstNanos));
+        mNowNanos += TICK;
+        for (PeerProbe probe : mTable.dueProbes(true, Option.none(), mNowNanos)) {
+            if (probe.peer().equals(name(1))) {
+                mTable.onAnswer(probe, 1, mNowNanos);
+                mTable.onFollowsAnswered(probe, Option.none());
+            } else {
+                mTable.onConnectionRefused(probe);
+            }
+        }
+        assertThat(mTable.noPeerLedNanos(mNowNanos), is(mNowNanos));
+    }
+
     @Test
     void testUnregisteredPeerStaysWhileReachable() {
         mTable.updateRegistered(List.of(record(1, NEAR)), dataCentre -> true, false);
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -52,6 +52,9 @@
     /** While true, the scheduler receives answers but no ticks, as in a pause of its process. */
     boolean mTicksPaused;
 
+    /** If true, another instance of the pool may be leading. */
+    boolean mOtherLeaderPossible;
+
     private final List<Event> mEvents = new ArrayList<>();
     private long mNowMillis = 1000;
 
@@ -110,6 +113,9 @@
             }
             mServers.values().forEach(SimulatedServer::step);
             if (mNowMillis % 20 == 0 && !mTicksPaused) {
+                if (!mOtherLeaderPossible) {
+                    mScheduler.recordNoOtherLeader(nowNanos());
+                }
                 mScheduler.tick(nowNanos());
                 mScheduler.refuseUnattainable(nowNanos());
             }
@@ -218,6 +224,7 @@
             mLeaseMillis = clock() + 900;
             mRunning.put(TaskId.of(job, 0, 0), new Run(attempt, mWorkMillis));
             mRunning.put(TaskId.of(job, 0, 1), new Run(attempt, mWorkMillis));
+            mRunning.keySet().forEach(ServerSimulation.this::checkNotDuplicated);
         }
 
         void terminate() {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -264,6 +264,17 @@
         sendProbes(true);
     }
 
+    /** Asks the peers for proof that none of them is the former leader and still leads. */
+    @Override
+    public void onJobOfLostLeader() {
+        sendProbes(true);
+    }
+
+    @Override
+    public long noOtherLeaderNanos() {
+        return mPeers.noPeerLedNanos(mLoop.nowNanos());
+    }
+
     /**
      * Checks whether some peers have not answered a probe since this machine may have been
      * suspended.
@@ -323,6 +334,8 @@
     private void onProbeAnswered(PeerProbe probe, Presence presence) {
         PeerTable.ContactChange contact =
                 mPeers.onAnswer(probe, presence.getSeniority(), mLoop.nowNanos());
+        PresenceMessages.status(presence)
+                .forEach(status -> mPeers.onFollowsAnswered(probe, status.follows()));
         if (contact == PeerTable.ContactChange.HEALED) {
             mListener.onPartitionHealed();
         }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -83,6 +83,14 @@
 
         /** A backend server is no longer held, since another instance may control it. */
         void onFenced(ServerEntry server);
+
+        /** A job was accepted from a leader that did not hand it over. */
+        void onJobOfLostLeader();
+
+        /**
+         * Returns the latest monotonic time at which provably no other instance of the pool led.
+         */
+        long noOtherLeaderNanos();
     }
 
     LeaderScheduler(
@@ -182,6 +190,9 @@
         pendingJob.updateSubmission(arrivedNanos, deadlineNanos, mayForward);
         ServiceScheduler scheduler = scheduler(spec.service());
         scheduler.submit(spec, progress, arrivedNanos, deadlineNanos, nowNanos);
+        if (progress.runsOn().isEmpty()) {
+            mListener.onJobOfLostLeader();
+        }
         if (scheduler.phase(spec.id()) == JobPhase.WAITING) {
             forwardIfPossible(scheduler, spec);
             scheduler.refuseIfUnattainable(spec.id(), nowNanos);
@@ -292,7 +303,9 @@
     void tick() {
         long nowNanos = now();
         mLastTickNanos = nowNanos;
+        long noOtherLeaderNanos = mListener.noOtherLeaderNanos();
         for (ServiceScheduler scheduler : mSchedulers.values()) {
+            scheduler.recordNoOtherLeader(noOtherLeaderNanos);
             scheduler.tick(nowNanos);
             forwardOrRefuse(scheduler, nowNanos);
         }
