Wait for the hand-over of a leader that is still reachable

When an instance turned to another leader, it gave its jobs up as lost at once, although the former leader answered and still ran them. The next leader then did not know which servers run them, and could start tasks again that the former leader had started a moment before. The former leader dropped the jobs without an answer as soon as it saw that their home follows another leader.

Now the home leaves a job to a reachable former leader for one probe timeout and one tick. The former leader hands the job over when it sees that the home follows another one: it stops the runs and answers with the progress and the servers that run it, on which the next leader waits. Without that answer the job counts as lost as before. If the leader is followed again by then, the job is submitted to it again.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -274,6 +274,25 @@
         }
     }
 
+    /**
+     * Stops a job so that another leader can continue it. No outcome is reported.
+     *
+     * @param id the job's id, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the progress of the job with the servers on which its runs are being stopped, never
+     *     null
+     */
+    public synchronized WorkProgress handOver(JobId id, long nowNanos) {
+        ScheduledJob job = mJobs.get(id);
+        if (job == null || job.isEnded()) {
+            return WorkProgress.NONE;
+        }
+        WorkProgress progress = job.progress();
+        endAndStopRuns(job, StoredJob.State.CANCELLED, nowNanos);
+        placeTasks(nowNanos);
+        return progress;
+    }
+
     /**
      * Updates the state of a run from the result of a start command.
      *
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -390,7 +390,7 @@
         mLeaderScheduler.detectSuspension();
         mElection.updateStoreUnreachable(isStoreUnreachable());
         mElection.tick();
-        mLeaderScheduler.withdrawJobsOfLostHomes(this::isHomeAlive);
+        mLeaderScheduler.handOverJobsOfLostHomes(this::isHomeAlive);
         mForwarder.withdrawJobsOfLostHomes(this::isHomeAlive);
         mLeaderScheduler.updateCoordination(
                 mPool.spansDataCentres() && mElection.isLeaderOfMajority(),
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -43,6 +43,13 @@
     /** Retry delay reported to a caller while there is no leader; a leader is elected by then. */
     private static final long NO_LEADER_RETRY_MILLIS = 1000;
 
+    /**
+     * Time for which a reachable former leader is awaited to hand over a job: it learns from a
+     * probe that this instance follows another leader, and hands over at its next tick.
+     */
+    private static final long HAND_OVER_MILLIS =
+            LeaderElection.PROBE_TIMEOUT.toMillis() + LeaderElection.TICK_MILLIS;
+
     private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final DispatcherSettings mSettings;
@@ -64,6 +71,7 @@
         private Peer mFormerLeader;
         private int mSubmissionCount;
         private boolean mMayHaveStarted;
+        private boolean mAwaitsHandOver;
         private boolean mForwarded;
 
         private HomeJob(WorkSpec spec, long arrivedNanos, long deadlineNanos) {
@@ -159,6 +167,10 @@
             boolean hasOtherLeader =
                     job.mLeader != null && !job.mLeader.name().equals(leader.name());
             if (hasOtherLeader && !isRelayed) {
+                if (canHandOver(job.mLeader)) {
+                    awaitHandOver(job);
+                    continue;
+                }
                 onLeaderLost(job, "another leader");
             }
             if (job.mLeader == null && mJobs.containsKey(job.mSpec.id())) {
@@ -175,6 +187,41 @@
         return leader != null && (mElection.isSelf(leader) || mElection.isReachable(leader.name()));
     }
 
+    /** Checks whether a former leader can still hand over the jobs that it has. */
+    private boolean canHandOver(Peer leader) {
+        return !mElection.isSelf(leader) && mElection.isReachable(leader.name());
+    }
+
+    /** Leaves a job to its former leader until that has handed it over or the time is up. */
+    private void awaitHandOver(HomeJob job) {
+        if (job.mAwaitsHandOver) {
+            return;
+        }
+        job.mAwaitsHandOver = true;
+        int submissionCount = job.mSubmissionCount;
+        mLoop.schedule(
+                HAND_OVER_MILLIS,
+                () -> {
+                    if (mJobs.get(job.mSpec.id()) == job
+                            && job.mSubmissionCount == submissionCount
+                            && job.mLeader != null) {
+                        onNotHandedOver(job);
+                    }
+                });
+    }
+
+    private void onNotHandedOver(HomeJob job) {
+        if (mElection.leader().exists(next -> next.name().equals(job.mLeader.name()))) {
+            // The leader is followed again; it joins the submission to the job if it still has it.
+            job.mLeader = null;
+        } else {
+            onLeaderLost(job, "not handed over");
+        }
+        if (mJobs.containsKey(job.mSpec.id())) {
+            submitToLeader(job);
+        }
+    }
+
     /** Ends jobs that no leader has answered in time, and submits those that have no leader. */
     void tick() {
         long nowNanos = mLoop.nowNanos();
@@ -206,6 +253,7 @@
             withdraw(job, job.mFormerLeader);
         }
         job.mFormerLeader = null;
+        job.mAwaitsHandOver = false;
         job.mLeader = leader;
         int submissionCount = ++job.mSubmissionCount;
         Consumer<Either<WorkProgress, WorkOutcome>> answer =
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -67,7 +67,7 @@
     static final long TICK_MILLIS = 100;
 
     /** Timeout of a probe; far above a round trip between data centres. */
-    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(220);
+    static final Duration PROBE_TIMEOUT = Duration.ofMillis(220);
 
     /** Time for which peers are probed before this instance may lead for the first time. */
     private static final long INITIAL_PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -289,17 +289,32 @@
         }
     }
 
-    /** Withdraws the jobs of home instances that are no longer alive. */
-    void withdrawJobsOfLostHomes(Predicate<InstanceName> isAlive) {
+    /**
+     * Hands over the jobs of home instances that are no longer alive or follow another leader, and
+     * stops their runs.
+     */
+    void handOverJobsOfLostHomes(Predicate<InstanceName> isAlive) {
         for (Map.Entry<JobId, PendingJob> each : List.copyOf(mPendingJobs.entrySet())) {
             for (InstanceName home : List.copyOf(each.getValue().homes().keySet())) {
                 if (!isAlive.test(home)) {
-                    withdraw(each.getKey(), home);
+                    handOver(each.getKey(), each.getValue(), home);
                 }
             }
         }
     }
 
+    private void handOver(JobId job, PendingJob pendingJob, InstanceName home) {
+        Consumer<Either<WorkProgress, WorkOutcome>> answer = pendingJob.homes().remove(home);
+        if (!pendingJob.homes().isEmpty()) {
+            // The job continues here for the others.
+            return;
+        }
+        mPendingJobs.remove(job);
+        mLog.jobHandedOver(job);
+        answer.accept(Either.left(scheduler(pendingJob.service()).handOver(job, now())));
+        sendCommands();
+    }
+
     void tick() {
         long nowNanos = now();
         mLastTickNanos = nowNanos;
