Keep in mind that an ended job may still run at a lost leader

A job that was inherited from a lost leader waits until its former runs cannot be active any more. If it ended meanwhile (its caller left, or its time was up) and its caller sent it again, it counted as new and was started at once, while the former leader's runs were active.

The guard now remembers such jobs until their runs have ended or are known, and a job that is sent again inherits from them: the attempts and the time from which lease and margin are counted.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -1,6 +1,9 @@
 package org.wagtailproxy.scheduling;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.wagtailproxy.workload.JobId;
 
 /**
  * Decides whether tasks of a job may still run on servers that this leader has not polled yet, so
@@ -23,6 +26,9 @@
     private long mListIncompleteUntilNanos = Long.MIN_VALUE;
     private long mNoOtherLeaderNanos = Long.MIN_VALUE;
 
+    /** Ended jobs whose tasks an earlier leader may still run. Callers may send them again. */
+    private final Map<JobId, ScheduledJob> mEndedJobs = new HashMap<>();
+
     DuplicateRunGuard(LeaseTiming timing) {
         mLeaseWithMarginNanos =
                 TimeUnit.MILLISECONDS.toNanos(timing.leaseMillis() + STEP_DOWN_MARGIN_MILLIS);
@@ -40,6 +46,26 @@
         mNoOtherLeaderNanos = Math.max(mNoOtherLeaderNanos, nanos);
     }
 
+    /** Remembers a job that ends while an earlier leader may still run its tasks. */
+    void onJobEnding(ScheduledJob job, ServerSet servers, long nowNanos) {
+        if (mayStillRun(job, servers, nowNanos)) {
+            mEndedJobs.put(job.mSpec.id(), job);
+        }
+    }
+
+    /** Marks a new job as inherited if it has ended here while its tasks may still run. */
+    void onJobAdded(ScheduledJob job, long nowNanos) {
+        ScheduledJob ended = mEndedJobs.remove(job.mSpec.id());
+        if (ended != null) {
+            job.updateInherited(
+                    ended.progress(), job.isInherited() ? nowNanos : ended.mAcceptedNanos);
+        }
+    }
+
+    void removeSettledJobs(ServerSet servers, long nowNanos) {
+        mEndedJobs.values().removeIf(job -> !mayStillRun(job, servers, nowNanos));
+    }
+
     boolean mayStillRun(ScheduledJob job, ServerSet servers, long nowNanos) {
         if (!job.isInherited() || nowNanos - job.mAcceptedNanos > mLeaseWithMarginNanos) {
             return false;
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -160,6 +160,7 @@
                         deadlineNanos,
                         nowNanos,
                         mTuning.responseDelayMillis());
+        mDuplicateRunGuard.onJobAdded(job, nowNanos);
         mJobs.add(job);
         if (job.isInherited()) {
             mServers.all().forEach(BackendServer::requestPoll);
@@ -360,6 +361,7 @@
             mStallDetector.stopStalled(server, nowNanos);
         }
         mJobs.removeOldCompletions(nowNanos);
+        mDuplicateRunGuard.removeSettledJobs(mServers, nowNanos);
         expireJobs(nowNanos);
         placeTasks(nowNanos);
     }
@@ -541,6 +543,7 @@
     }
 
     void endAndStopRuns(ScheduledJob job, StoredJob.State state, long nowNanos) {
+        mDuplicateRunGuard.onJobEnding(job, mServers, nowNanos);
         job.end(state);
         for (BackendServer server : mServers.all()) {
             for (ServerRun run : List.copyOf(server.runs())) {
