Take polls for proof only if every server of the former leader is listed

Polls of all listed servers let a job of a lost leader go, although the list could lack servers that run its tasks: servers added up to 4 s before, since an instance that does not lead reads the directory that rarely, and servers whose entries were removed or had run out while the former leader still used them. Their tasks were then run a second time at once.

Now the directory is read once more when such a job is accepted (StoreMirror.readChanges, also while a watch waits), and polls count only after that answer, and only if no server has left the list from 4 s before the job's arrival on. Otherwise lease and margin have to pass, also while the store does not answer. An answer to a watch that a later call has overtaken is ignored, since its items are older.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -11,8 +11,9 @@
  *
  * <p>Designed for changes of leader. An earlier leader that handed the job over has reported which
  * servers run it, and polls of these show its runs. One that did not may still start tasks of the
- * job, also on a server that was polled already. Polls are proof only once no other instance of the
- * pool leads; until then its leases have to expire.
+ * job, also on a server that was polled already, or run them on a server that is not listed here.
+ * Polls are proof only once no other instance of the pool leads and the list of servers is known to
+ * be complete; until then the leases have to expire.
  */
 final class DuplicateRunGuard {
 
@@ -22,9 +23,17 @@
      */
     private static final long STEP_DOWN_MARGIN_MILLIS = 300;
 
+    /**
+     * Time after which the lists of all instances lack a server that was removed from the directory
+     * while the store answers.
+     */
+    private static final long REMOVAL_KNOWN_NANOS = TimeUnit.SECONDS.toNanos(4);
+
     private final long mLeaseWithMarginNanos;
     private long mListIncompleteUntilNanos = Long.MIN_VALUE;
     private long mNoOtherLeaderNanos = Long.MIN_VALUE;
+    private long mListReadNanos = Long.MIN_VALUE;
+    private long mServerRemovedNanos = Long.MIN_VALUE / 2;
 
     /** Ended jobs whose tasks an earlier leader may still run. Callers may send them again. */
     private final Map<JobId, ScheduledJob> mEndedJobs = new HashMap<>();
@@ -46,6 +55,23 @@
         mNoOtherLeaderNanos = Math.max(mNoOtherLeaderNanos, nanos);
     }
 
+    /** Records that the list of servers is as complete as the directory was at a time. */
+    void recordListRead(long nanos) {
+        mListReadNanos = Math.max(mListReadNanos, nanos);
+    }
+
+    /** Records that a server is no longer listed, although an earlier leader may still use it. */
+    void onServerRemoved(long nowNanos) {
+        mServerRemovedNanos = nowNanos;
+    }
+
+    /** Checks whether every server on which an earlier leader may run the job is listed. */
+    private boolean isListComplete(ScheduledJob job) {
+        return job.mAcceptedNanos < mListReadNanos
+                && job.mAcceptedNanos >= mListIncompleteUntilNanos
+                && mServerRemovedNanos + REMOVAL_KNOWN_NANOS < job.mArrivedNanos;
+    }
+
     /** Remembers a job that ends while an earlier leader may still run its tasks. */
     void onJobEnding(ScheduledJob job, ServerSet servers, long nowNanos) {
         if (mayStillRun(job, servers, nowNanos)) {
@@ -74,7 +100,7 @@
             return !servers.polledSince(job.inheritedServers().get(), job.mAcceptedNanos);
         }
         return job.mAcceptedNanos >= mNoOtherLeaderNanos
-                || job.mAcceptedNanos < mListIncompleteUntilNanos
+                || !isListComplete(job)
                 || !servers.allPolledSince(job.mAcceptedNanos);
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerSet.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerSet.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
 import org.wagtailproxy.fleet.ServerCommand;
@@ -22,6 +23,7 @@
     private final RunListener mListener;
     private final int mMinHealthyOneIn;
     private final Map<ServerId, BackendServer> mServers = new TreeMap<>();
+    private Set<ServerId> mListed = Set.of();
 
     ServerSet(
             LeaseTiming timing,
@@ -34,7 +36,8 @@
         mMinHealthyOneIn = minHealthyOneIn;
     }
 
-    void updateServers(Collection<ServerEntry> entries) {
+    /** Updates the listed servers. Returns true if one is no longer listed. */
+    boolean updateServers(Collection<ServerEntry> entries) {
         Map<ServerId, ServerEntry> listed = new HashMap<>();
         for (ServerEntry entry : entries) {
             listed.put(entry.id(), entry);
@@ -45,6 +48,9 @@
             server.updateEntry(listed.get(server.entry().id()));
         }
         mServers.values().removeIf(BackendServer::isRemovable);
+        boolean removed = !listed.keySet().containsAll(mListed);
+        mListed = Set.copyOf(listed.keySet());
+        return removed;
     }
 
     void updateClaims(Function<ServerEntry, ClaimMode> claims) {
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -105,7 +105,9 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public synchronized void updateServers(Collection<ServerEntry> entries, long nowNanos) {
-        mServers.updateServers(entries);
+        if (mServers.updateServers(entries)) {
+            mDuplicateRunGuard.onServerRemoved(nowNanos);
+        }
     }
 
     /**
@@ -392,6 +394,15 @@
         mDuplicateRunGuard.recordNoOtherLeader(nanos);
     }
 
+    /**
+     * Records that the last update of the servers reflects the directory at a time or later.
+     *
+     * @param nanos the monotonic time in nanoseconds
+     */
+    public synchronized void recordServerListRead(long nanos) {
+        mDuplicateRunGuard.recordListRead(nanos);
+    }
+
     /**
      * Removes and returns the commands that are to be sent now.
      *
--- /dev/null
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -0,0 +1,134 @@
+package org.wagtailproxy.scheduling;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import io.vavr.control.Option;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wagtailproxy.workload.JobId;
+import org.wagtailproxy.workload.QueueTerms;
+import org.wagtailproxy.workload.ResourceAmount;
+import org.wagtailproxy.workload.StepSpec;
+import org.wagtailproxy.workload.WorkOutcome;
+import org.wagtailproxy.workload.WorkProgress;
+import org.wagtailproxy.workload.WorkSpec;
+
+/** Tests that jobs of a leader that was lost without a hand-over are not run twice at once. */
+class LostLeaderTest {
+
+    private static final ResourceAmount DEMAND = ResourceAmount.of(14_000, 64, 0);
+
+    private final ServerSimulation mSimulation = new ServerSimulation();
+
+    @Test
+    void testJobOfSilentLeaderIsNotRunTwiceWhenThatLeaderRegainsPolledServer() {
+        var servers = addServers();
+        mSimulation.mOtherLeaderPossible = true;
+        JobId job = new JobId("00000000000000aa");
+        long now = mSimulation.nowNanos();
+        mSimulation.mScheduler.submit(
+                spec(job),
+                WorkProgress.NONE.plusAttempts(64),
+                now,
+                now + 9000 * ServerSimulation.NANOS_PER_MILLI,
+                now);
+        mSimulation.run(60);
+        var regained = servers.stream().filter(each -> each.mRunning.isEmpty()).findFirst().get();
+        long token = mSimulation.mTokens.highest() + 50 * FencingTokenSource.STEP;
+        regained.addRunOfEarlierLeader(token, job, 1);
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
+    @Test
+    void testJobSentAgainIsNotRunTwiceWhileSilentLeaderMayRunIt() {
+        var servers = addServers();
+        mSimulation.mOtherLeaderPossible = true;
+        servers.get(0).mListed = false;
+        mSimulation.list();
+        JobId job = new JobId("00000000000000aa");
+        servers.get(0).addRunOfEarlierLeader(servers.get(0).mToken, job, 1);
+        long now = mSimulation.nowNanos();
+        long deadline = now + 9000 * ServerSimulation.NANOS_PER_MILLI;
+        WorkProgress lost = WorkProgress.NONE.plusAttempts(64);
+        mSimulation.mScheduler.submit(spec(job), lost, now, deadline, now);
+        mSimulation.run(50);
+        mSimulation.mScheduler.withdraw(job, mSimulation.nowNanos());
+        mSimulation.run(50);
+        long againNanos = mSimulation.nowNanos();
+        mSimulation.mScheduler.submit(
+                spec(job), WorkProgress.NONE, againNanos, deadline, againNanos);
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
+    @Test
+    void testJobOfDeadLeaderIsNotRunTwiceWhileServerThatWasAddedRunsIt() {
+        var servers = addServers();
+        servers.get(0).mListed = false;
+        mSimulation.list();
+        mSimulation.run(5000);
+        mSimulation.mListOutdated = true;
+        JobId job = submitJobOfEarlierLeader(servers.get(0));
+        mSimulation.run(200);
+        servers.get(0).mListed = true;
+        mSimulation.list();
+        mSimulation.mListOutdated = false;
+        mSimulation.run(1000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(mSimulation.mStarts, is(0));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
+    @Test
+    void testJobOfDeadLeaderIsNotRunTwiceWhileServerThatWasRemovedRunsIt() {
+        var servers = addServers();
+        mSimulation.run(5000);
+        servers.get(0).mListed = false;
+        mSimulation.list();
+        mSimulation.run(100);
+        JobId job = submitJobOfEarlierLeader(servers.get(0));
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
+    /** Submits a job of two tasks that an earlier leader lost while they run on a server. */
+    private JobId submitJobOfEarlierLeader(ServerSimulation.SimulatedServer server) {
+        JobId job = new JobId("00000000000000aa");
+        server.addRunOfEarlierLeader(server.mToken, job, 1);
+        long now = mSimulation.nowNanos();
+        mSimulation.mScheduler.submit(
+                spec(job),
+                WorkProgress.NONE.plusAttempts(64),
+                now,
+                now + 9000 * ServerSimulation.NANOS_PER_MILLI,
+                now);
+        return job;
+    }
+
+    private List<ServerSimulation.SimulatedServer> addServers() {
+        for (int number = 0; number < 3; number++) {
+            mSimulation.add("s" + number, 1, 32_000).mWorkMillis = 600;
+        }
+        mSimulation.run(100);
+        return List.copyOf(mSimulation.mServers.values());
+    }
+
+    private Option<WorkOutcome.Kind> outcome(JobId job) {
+        return mSimulation.outcome(job);
+    }
+
+    private static WorkSpec spec(JobId job) {
+        return WorkSpec.of(
+                job,
+                ServerSimulation.SERVICE,
+                "text",
+                List.of(StepSpec.of(2, DEMAND, 600)),
+                QueueTerms.of(2, 1.6, 60, 3));
+    }
+}
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -55,6 +55,9 @@
     /** If true, another instance of the pool may be leading. */
     boolean mOtherLeaderPossible;
 
+    /** If true, servers may have been added to the directory since the list was updated. */
+    boolean mListOutdated;
+
     private final List<Event> mEvents = new ArrayList<>();
     private long mNowMillis = 1000;
 
@@ -116,6 +119,9 @@
                 if (!mOtherLeaderPossible) {
                     mScheduler.recordNoOtherLeader(nowNanos());
                 }
+                if (!mListOutdated) {
+                    mScheduler.recordServerListRead(nowNanos());
+                }
                 mScheduler.tick(nowNanos());
                 mScheduler.refuseUnattainable(nowNanos());
             }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -62,6 +62,12 @@
          * changes while it leads.
          */
         void onBecameLeader();
+
+        /**
+         * This instance has taken over a job and has to know all backend servers on which it may
+         * run. The directory is to be read again, see {@link #onServersConfirmed}.
+         */
+        default void onServerListDoubted() {}
     }
 
     /** Timeout of a notification; its answer carries no information. */
@@ -204,6 +210,15 @@
         updateSchedulerServers();
     }
 
+    /**
+     * Records that the backend servers are those that the directory lists at a time or later.
+     *
+     * @param nanos the monotonic time at which the directory was asked, in nanoseconds
+     */
+    public void onServersConfirmed(long nanos) {
+        mLeaderScheduler.recordServerListRead(nanos);
+    }
+
     private boolean isInSamePool(DataCentre dataCentre) {
         return mPool.isSamePool(mSettings.dataCentre(), dataCentre);
     }
@@ -454,5 +469,10 @@
         public void onNewerConfiguration(byte[] document) {
             mListener.onNewerConfiguration(document);
         }
+
+        @Override
+        public void onServerListDoubted() {
+            mListener.onServerListDoubted();
+        }
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -61,6 +61,9 @@
 
         /** A peer has sent a newer configuration than this instance has. */
         void onNewerConfiguration(byte[] document);
+
+        /** The list of backend servers has to be confirmed, since a lost leader may know more. */
+        void onServerListDoubted();
     }
 
     /** Pause between ticks; a failed leader is detected within five ticks. */
@@ -268,6 +271,7 @@
     @Override
     public void onJobOfLostLeader() {
         sendProbes(true);
+        mListener.onServerListDoubted();
     }
 
     @Override
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -70,6 +70,7 @@
     /** Whether there may be stored jobs that have not been read; assumed until the first tick. */
     private boolean mUnreadJobsPossible = true;
 
+    private long mServerListReadNanos = Long.MIN_VALUE;
     private long mServersIncompleteUntilNanos = Long.MIN_VALUE;
     private long mLastTickNanos;
     private final SuspensionDetector mSuspensionDetector;
@@ -273,6 +274,11 @@
                                 scheduler.assumeIncompleteServerList(mServersIncompleteUntilNanos));
     }
 
+    /** Records that the backend servers are those of the directory at a time or later. */
+    void recordServerListRead(long nanos) {
+        mServerListReadNanos = nanos;
+    }
+
     /** Withdraws a job for one home instance; the job is stopped if no other one waits for it. */
     void withdraw(JobId job, InstanceName home) {
         PendingJob pendingJob = mPendingJobs.get(job);
@@ -321,6 +327,7 @@
         long noOtherLeaderNanos = mListener.noOtherLeaderNanos();
         for (ServiceScheduler scheduler : mSchedulers.values()) {
             scheduler.recordNoOtherLeader(noOtherLeaderNanos);
+            scheduler.recordServerListRead(mServerListReadNanos);
             scheduler.tick(nowNanos);
             forwardOrRefuse(scheduler, nowNanos);
         }
@@ -419,6 +426,7 @@
         @Override
         public void onStoredJobsRead() {
             mSchedulers.values().forEach(each -> each.storedJobs().onAllRead(now()));
+            mListener.onJobOfLostLeader();
         }
 
         @Override
--- a/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
+++ b/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.wagtailproxy.serve.EventLoop;
 
@@ -70,6 +71,10 @@
     private int mFailures;
     private int mPauseNumber;
     private boolean mPausing;
+    private boolean mReading;
+
+    /** Callbacks of changes that are read after all items have been read. */
+    private List<Consumer<Boolean>> mWaitingForRead = new ArrayList<>();
 
     private StoreMirror(
             EventLoop loop,
@@ -133,6 +138,7 @@
     }
 
     private void readFrom(String after) {
+        mReading = true;
         mStore.read(mPrefix, after, page -> page.peek(this::onPage).peekLeft(this::onReadFailed));
     }
 
@@ -152,12 +158,21 @@
         }
         mReadItems = new ArrayList<>();
         mItems = items;
+        mReading = false;
         mListener.onChanged(this);
+        takeWaitingForRead().forEach(this::readChanges);
         pauseThenWatch();
     }
 
+    private List<Consumer<Boolean>> takeWaitingForRead() {
+        List<Consumer<Boolean>> waiting = mWaitingForRead;
+        mWaitingForRead = new ArrayList<>();
+        return waiting;
+    }
+
     private void onReadFailed(StoreFailure failure) {
         updateReachable(false);
+        takeWaitingForRead().forEach(callback -> callback.accept(false));
         mReadItems = new ArrayList<>();
         mLoop.schedule(nextRetryDelayMillis(), () -> readFrom(""));
     }
@@ -171,6 +186,32 @@
         }
     }
 
+    /**
+     * Reads the changes until now, also while a watch waits for the next one.
+     *
+     * @param callback receives true once the copy contains all changes until this call, false if
+     *     they cannot be read now; not null
+     */
+    public void readChanges(Consumer<Boolean> callback) {
+        if (mReading) {
+            mWaitingForRead.add(callback);
+            return;
+        }
+        mStore.watch(
+                mPrefix,
+                mRevision,
+                PROBE_WAIT_MILLIS,
+                result -> {
+                    if (mReading) {
+                        // The items that are being read may be older.
+                        mWaitingForRead.add(callback);
+                        return;
+                    }
+                    result.forEach(this::applyChanges);
+                    callback.accept(result.exists(page -> !page.hasMore()));
+                });
+    }
+
     private void pauseThenWatch() {
         mPausing = true;
         int pauseNumber = ++mPauseNumber;
@@ -210,14 +251,21 @@
             return;
         }
         updateReachable(true);
-        StorePage page = result.get();
-        mRevision = Math.max(mRevision, page.revision());
+        applyChanges(result.get());
+        pauseThenWatch();
+    }
+
+    private void applyChanges(StorePage page) {
+        if (page.revision() < mRevision) {
+            // The answer to a later call has overtaken this one and contained its changes.
+            return;
+        }
+        mRevision = page.revision();
         page.items().forEach(item -> mItems.put(item.key(), item));
         page.removedKeys().forEach(mItems::remove);
         if (!page.items().isEmpty() || !page.removedKeys().isEmpty()) {
             mListener.onChanged(this);
         }
-        pauseThenWatch();
     }
 
     private long nextRetryDelayMillis() {
--- a/proxy/src/test/java/org/wagtailproxy/store/StoreMirrorTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/store/StoreMirrorTest.java
@@ -49,6 +49,31 @@
         assertThat(mStore.mCalls, contains("read", "watch", "read"));
     }
 
+    @Test
+    void testChangesAreReadWhileWatchWaitsAndItsLateAnswerIsIgnored() {
+        StoreMirror mirror = start();
+        mLoop.advance(100);
+        Consumer<Either<StoreFailure, StorePage>> waitingWatch = mStore.mCallback;
+        List<Boolean> confirmed = new ArrayList<>();
+        mirror.readChanges(confirmed::add);
+        mStore.mCallback.accept(Either.right(page(9, item("servers/a", 9))));
+        assertThat(confirmed, contains(true));
+        StoreItem removed = item("servers/b", 8);
+        waitingWatch.accept(Either.right(page(8, item("servers/a", 8), removed)));
+        assertThat(mirror.items().stream().map(StoreItem::revision).toList(), contains(9L));
+        mirror.readChanges(confirmed::add);
+        mStore.mCallback.accept(Either.left(StoreFailure.REFUSED));
+        assertThat(confirmed, contains(true, false));
+    }
+
+    private static StoreItem item(String key, long revision) {
+        return new StoreItem(key, new byte[0], revision);
+    }
+
+    private static StorePage page(long revision, StoreItem... items) {
+        return new StorePage(List.of(items), List.of(), revision, false);
+    }
+
     private StoreMirror start() {
         StoreMirror mirror =
                 StoreMirror.start(
