Wait for the latest time at which a lost leader may still start tasks

Jobs of a lost leader were placed after the lease and 300 ms, a figure of its own. The former leader may send commands for longer after a home has given it up: it counts a peer as reachable for 1,100 ms instead of 520 ms in the first 3 s after it reached it, 450 ms longer if it probed it rarely until it became the leader, its last answer may be one probe interval newer, and its next tick may come 350 ms late before the pause is noticed. The lease is measured by a server's clock that may be 2% slow.

The margin is now the sum of these times, 1,480 ms, and the lease counts as 919 ms instead of 900 ms.

Evidence: StepDownMarginTest lets two tables of peers lose contact at all phases of their probes. Before: "Expected: a value less than or equal to <300L> but: <1283L> was greater than <300L>". It does not cover probes that are lost in one direction only; the former leader then learns from the home's answer that the home follows another leader.

What it costs: a job whose leader is silent, not dead, waits up to 2.4 s instead of 1.2 s, so more of these jobs end as out of time.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -47,6 +47,16 @@
     /** Interval between probes to the other peers of a divided fleet; a few ticks. */
     private static final long RARE_PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
 
+    /**
+     * Longest time in milliseconds by which one of two peers that lose contact may find the other
+     * one unresponsive later, apart from the times of their probes and ticks.
+     */
+    public static final long MAX_DETECTION_SPREAD_MILLIS =
+            TimeUnit.NANOSECONDS.toMillis(
+                    WARM_UP_UNRESPONSIVE_AFTER_NANOS
+                            + RARE_PROBE_INTERVAL_NANOS
+                            - UNRESPONSIVE_AFTER_NANOS);
+
     private final Map<InstanceName, PeerState> mPeers = new TreeMap<>();
     private int mSuspensions;
     private boolean mDivided;
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.wagtailproxy.leadership.PeerTable;
 import org.wagtailproxy.workload.JobId;
 
 /**
@@ -17,11 +18,18 @@
  */
 final class DuplicateRunGuard {
 
+    /** Longest pause between two probes to a leader, whose last answer may be that old. */
+    private static final long PROBE_INTERVAL_MILLIS = 100;
+
     /**
      * Added to the lease of runs that an earlier leader may have started. It may still send
-     * commands for this time before it detects that its callers' instances no longer follow it.
+     * commands for this time after a home has given it up, before it gives up the home: it may find
+     * the home unresponsive later, and its process may be paused by then.
      */
-    private static final long STEP_DOWN_MARGIN_MILLIS = 300;
+    static final long STEP_DOWN_MARGIN_MILLIS =
+            PeerTable.MAX_DETECTION_SPREAD_MILLIS
+                    + PROBE_INTERVAL_MILLIS
+                    + ServiceScheduler.MAX_TICK_PAUSE_MILLIS;
 
     /**
      * Time after which the lists of all instances lack a server that was removed from the directory
@@ -40,7 +48,8 @@
 
     DuplicateRunGuard(LeaseTiming timing) {
         mLeaseWithMarginNanos =
-                TimeUnit.MILLISECONDS.toNanos(timing.leaseMillis() + STEP_DOWN_MARGIN_MILLIS);
+                TimeUnit.MILLISECONDS.toNanos(
+                        ServerClock.longestMillis(timing.leaseMillis()) + STEP_DOWN_MARGIN_MILLIS);
     }
 
     /**
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerClock.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerClock.java
@@ -17,6 +17,11 @@
     private long mSampleMillis;
     private long mSampleNanos;
 
+    /** Returns the longest local time that a duration by a server's clock may take. */
+    static long longestMillis(long millis) {
+        return (long) Math.ceil(millis / MIN_RATE);
+    }
+
     boolean isKnown() {
         return mKnown;
     }
