--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -1,29 +1,55 @@
 package org.wagtailproxy.scheduling;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.wagtailproxy.leadership.PeerTable;
+import org.wagtailproxy.workload.JobId;
 
 /**
  * Decides whether tasks of a job may still run on servers that this leader has not polled yet, so
  * that they are not started twice.
  *
- * <p>Designed for changes of leader. The runs of an earlier leader have been adopted from every
- * held server that was polled since the job was accepted; on other servers their leases expire. An
- * earlier leader that handed the job over has reported which servers run it.
+ * <p>Designed for changes of leader. An earlier leader that handed the job over has reported which
+ * servers run it, and polls of these show its runs. One that did not may still start tasks of the
+ * job, also on a server that was polled already, or run them on a server that is not listed here.
+ * Polls are proof only once no other instance of the pool leads and the list of servers is known to
+ * be complete; until then the leases have to expire.
  */
 final class DuplicateRunGuard {
 
+    /** Longest pause between two probes to a leader, whose last answer may be that old. */
+    private static final long PROBE_INTERVAL_MILLIS = 100;
+
     /**
      * Added to the lease of runs that an earlier leader may have started. It may still send
-     * commands for this time before it detects that its callers' instances no longer follow it.
+     * commands for this time after a home has given it up, before it gives up the home: it may find
+     * the home unresponsive later, and its process may be paused by then.
+     */
+    static final long STEP_DOWN_MARGIN_MILLIS =
+            PeerTable.MAX_DETECTION_SPREAD_MILLIS
+                    + PROBE_INTERVAL_MILLIS
+                    + ServiceScheduler.MAX_TICK_PAUSE_MILLIS;
+
+    /**
+     * Time after which the lists of all instances lack a server that was removed from the directory
+     * while the store answers.
      */
-    private static final long STEP_DOWN_MARGIN_MILLIS = 300;
+    private static final long REMOVAL_KNOWN_NANOS = TimeUnit.SECONDS.toNanos(4);
 
     private final long mLeaseWithMarginNanos;
     private long mListIncompleteUntilNanos = Long.MIN_VALUE;
+    private long mNoOtherLeaderNanos = Long.MIN_VALUE;
+    private long mListReadNanos = Long.MIN_VALUE;
+    private long mServerRemovedNanos = Long.MIN_VALUE / 2;
+
+    /** Ended jobs whose tasks an earlier leader may still run. Callers may send them again. */
+    private final Map<JobId, ScheduledJob> mEndedJobs = new HashMap<>();
 
     DuplicateRunGuard(LeaseTiming timing) {
         mLeaseWithMarginNanos =
-                TimeUnit.MILLISECONDS.toNanos(timing.leaseMillis() + STEP_DOWN_MARGIN_MILLIS);
+                TimeUnit.MILLISECONDS.toNanos(
+                        ServerClock.longestMillis(timing.leaseMillis()) + STEP_DOWN_MARGIN_MILLIS);
     }
 
     /**
@@ -33,6 +59,48 @@
         mListIncompleteUntilNanos = Math.max(mListIncompleteUntilNanos, untilNanos);
     }
 
+    /** Records that no other instance of the pool led at a time. */
+    void recordNoOtherLeader(long nanos) {
+        mNoOtherLeaderNanos = Math.max(mNoOtherLeaderNanos, nanos);
+    }
+
+    /** Records that the list of servers is as complete as the directory was at a time. */
+    void recordListRead(long nanos) {
+        mListReadNanos = Math.max(mListReadNanos, nanos);
+    }
+
+    /** Records that a server is no longer listed, although an earlier leader may still use it. */
+    void onServerRemoved(long nowNanos) {
+        mServerRemovedNanos = nowNanos;
+    }
+
+    /** Checks whether every server on which an earlier leader may run the job is listed. */
+    private boolean isListComplete(ScheduledJob job) {
+        return job.mAcceptedNanos < mListReadNanos
+                && job.mAcceptedNanos >= mListIncompleteUntilNanos
+                && mServerRemovedNanos + REMOVAL_KNOWN_NANOS < job.mArrivedNanos;
+    }
+
+    /** Remembers a job that ends while an earlier leader may still run its tasks. */
+    void onJobEnding(ScheduledJob job, ServerSet servers, long nowNanos) {
+        if (mayStillRun(job, servers, nowNanos)) {
+            mEndedJobs.put(job.mSpec.id(), job);
+        }
+    }
+
+    /** Marks a new job as inherited if it has ended here while its tasks may still run. */
+    void onJobAdded(ScheduledJob job, long nowNanos) {
+        ScheduledJob ended = mEndedJobs.remove(job.mSpec.id());
+        if (ended != null) {
+            job.updateInherited(
+                    ended.progress(), job.isInherited() ? nowNanos : ended.mAcceptedNanos);
+        }
+    }
+
+    void removeSettledJobs(ServerSet servers, long nowNanos) {
+        mEndedJobs.values().removeIf(job -> !mayStillRun(job, servers, nowNanos));
+    }
+
     boolean mayStillRun(ScheduledJob job, ServerSet servers, long nowNanos) {
         if (!job.isInherited() || nowNanos - job.mAcceptedNanos > mLeaseWithMarginNanos) {
             return false;
@@ -40,7 +108,8 @@
         if (job.inheritedServers().isDefined()) {
             return !servers.polledSince(job.inheritedServers().get(), job.mAcceptedNanos);
         }
-        return job.mAcceptedNanos < mListIncompleteUntilNanos
+        return job.mAcceptedNanos >= mNoOtherLeaderNanos
+                || !isListComplete(job)
                 || !servers.allPolledSince(job.mAcceptedNanos);
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -105,7 +105,9 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public synchronized void updateServers(Collection<ServerEntry> entries, long nowNanos) {
-        mServers.updateServers(entries);
+        if (mServers.updateServers(entries)) {
+            mDuplicateRunGuard.onServerRemoved(nowNanos);
+        }
     }
 
     /**
@@ -160,6 +162,7 @@
                         deadlineNanos,
                         nowNanos,
                         mTuning.responseDelayMillis());
+        mDuplicateRunGuard.onJobAdded(job, nowNanos);
         mJobs.add(job);
         if (job.isInherited()) {
             mServers.all().forEach(BackendServer::requestPoll);
@@ -274,6 +277,25 @@
         }
     }
 
+    /**
+     * Stops a job so that another leader can continue it. No outcome is reported.
+     *
+     * @param id the job's id, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the progress of the job with the servers on which its runs are being stopped, never
+     *     null
+     */
+    public synchronized WorkProgress handOver(JobId id, long nowNanos) {
+        ScheduledJob job = mJobs.get(id);
+        if (job == null || job.isEnded()) {
+            return WorkProgress.NONE;
+        }
+        WorkProgress progress = job.progress();
+        endAndStopRuns(job, StoredJob.State.CANCELLED, nowNanos);
+        placeTasks(nowNanos);
+        return progress;
+    }
+
     /**
      * Updates the state of a run from the result of a start command.
      *
@@ -341,6 +363,7 @@
             mStallDetector.stopStalled(server, nowNanos);
         }
         mJobs.removeOldCompletions(nowNanos);
+        mDuplicateRunGuard.removeSettledJobs(mServers, nowNanos);
         expireJobs(nowNanos);
         placeTasks(nowNanos);
     }
@@ -361,6 +384,25 @@
         mDuplicateRunGuard.assumeIncompleteServerList(untilNanos);
     }
 
+    /**
+     * Records that no other instance of the pool led at a time, so that no earlier leader has
+     * started tasks of a job that was accepted before.
+     *
+     * @param nanos the monotonic time of the proof in nanoseconds
+     */
+    public synchronized void recordNoOtherLeader(long nanos) {
+        mDuplicateRunGuard.recordNoOtherLeader(nanos);
+    }
+
+    /**
+     * Records that the last update of the servers reflects the directory at a time or later.
+     *
+     * @param nanos the monotonic time in nanoseconds
+     */
+    public synchronized void recordServerListRead(long nanos) {
+        mDuplicateRunGuard.recordListRead(nanos);
+    }
+
     /**
      * Removes and returns the commands that are to be sent now.
      *
@@ -514,6 +556,7 @@
     }
 
     void endAndStopRuns(ScheduledJob job, StoredJob.State state, long nowNanos) {
+        mDuplicateRunGuard.onJobEnding(job, mServers, nowNanos);
         job.end(state);
         for (BackendServer server : mServers.all()) {
             for (ServerRun run : List.copyOf(server.runs())) {
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -52,6 +52,12 @@
     /** While true, the scheduler receives answers but no ticks, as in a pause of its process. */
     boolean mTicksPaused;
 
+    /** If true, another instance of the pool may be leading. */
+    boolean mOtherLeaderPossible;
+
+    /** If true, servers may have been added to the directory since the list was updated. */
+    boolean mListOutdated;
+
     private final List<Event> mEvents = new ArrayList<>();
     private long mNowMillis = 1000;
 
@@ -110,6 +116,12 @@
             }
             mServers.values().forEach(SimulatedServer::step);
             if (mNowMillis % 20 == 0 && !mTicksPaused) {
+                if (!mOtherLeaderPossible) {
+                    mScheduler.recordNoOtherLeader(nowNanos());
+                }
+                if (!mListOutdated) {
+                    mScheduler.recordServerListRead(nowNanos());
+                }
                 mScheduler.tick(nowNanos());
                 mScheduler.refuseUnattainable(nowNanos());
             }
@@ -218,6 +230,7 @@
             mLeaseMillis = clock() + 900;
             mRunning.put(TaskId.of(job, 0, 0), new Run(attempt, mWorkMillis));
             mRunning.put(TaskId.of(job, 0, 1), new Run(attempt, mWorkMillis));
+            mRunning.keySet().forEach(ServerSimulation.this::checkNotDuplicated);
         }
 
         void terminate() {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -65,6 +65,12 @@
          * changes while it leads.
          */
         void onBecameLeader();
+
+        /**
+         * This instance has taken over a job and has to know all backend servers on which it may
+         * run. The directory is to be read again, see {@link #onServersConfirmed}.
+         */
+        default void onServerListDoubted() {}
     }
 
     /** Timeout of a notification to another instance of this data centre. */
@@ -256,6 +262,15 @@
         updateSchedulerServers();
     }
 
+    /**
+     * Records that the backend servers are those that the directory lists at a time or later.
+     *
+     * @param nanos the monotonic time at which the directory was asked, in nanoseconds
+     */
+    public void onServersConfirmed(long nanos) {
+        mLeaderScheduler.recordServerListRead(nanos);
+    }
+
     private boolean isInSamePool(DataCentre dataCentre) {
         return mPool.isSamePool(mSettings.dataCentre(), dataCentre);
     }
@@ -445,7 +460,7 @@
             applyInstances();
         }
         mElection.tick();
-        mLeaderScheduler.withdrawJobsOfLostHomes(this::isHomeAlive);
+        mLeaderScheduler.handOverJobsOfLostHomes(this::isHomeAlive);
         mForwarder.withdrawJobsOfLostHomes(this::isWaitingForForwardedJob);
         mLeaderScheduler.updateCoordination(
                 mPool.spansDataCentres() && mElection.isLeaderOfMajority(),
@@ -538,5 +553,10 @@
         public void onNewerConfiguration(byte[] document) {
             mListener.onNewerConfiguration(document);
         }
+
+        @Override
+        public void onServerListDoubted() {
+            mListener.onServerListDoubted();
+        }
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -65,13 +65,16 @@
 
         /** A peer has sent a newer configuration than this instance has. */
         void onNewerConfiguration(byte[] document);
+
+        /** The list of backend servers has to be confirmed, since a lost leader may know more. */
+        void onServerListDoubted();
     }
 
     /** Pause between ticks; a failed leader is detected within five ticks. */
     static final long TICK_MILLIS = 100;
 
     /** Timeout of a probe; far above a round trip between data centres. */
-    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(220);
+    static final Duration PROBE_TIMEOUT = Duration.ofMillis(220);
 
     /** Time for which peers are probed before this instance may lead for the first time. */
     private static final long INITIAL_PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
@@ -276,6 +279,18 @@
         sendProbes(true);
     }
 
+    /** Asks the peers for proof that none of them is the former leader and still leads. */
+    @Override
+    public void onJobOfLostLeader() {
+        sendProbes(true);
+        mListener.onServerListDoubted();
+    }
+
+    @Override
+    public long noOtherLeaderNanos() {
+        return mPeers.noPeerLedNanos(mLoop.nowNanos());
+    }
+
     /**
      * Checks whether some peers have not answered a probe since this machine may have been
      * suspended.
@@ -335,6 +350,8 @@
     private void onProbeAnswered(PeerProbe probe, Presence presence) {
         PeerTable.ContactChange contact =
                 mPeers.onAnswer(probe, presence.getSeniority(), mLoop.nowNanos());
+        PresenceMessages.status(presence)
+                .forEach(status -> mPeers.onFollowsAnswered(probe, status.follows()));
         if (contact == PeerTable.ContactChange.HEALED) {
             mListener.onPartitionHealed();
         }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -70,6 +70,7 @@
     /** Whether there may be stored jobs that have not been read; assumed until the first tick. */
     private boolean mUnreadJobsPossible = true;
 
+    private long mServerListReadNanos = Long.MIN_VALUE;
     private long mServersIncompleteUntilNanos = Long.MIN_VALUE;
     private long mLastTickNanos;
     private final SuspensionDetector mSuspensionDetector;
@@ -83,6 +84,14 @@
 
         /** A backend server is no longer held, since another instance may control it. */
         void onFenced(ServerEntry server);
+
+        /** A job was accepted from a leader that did not hand it over. */
+        void onJobOfLostLeader();
+
+        /**
+         * Returns the latest monotonic time at which provably no other instance of the pool led.
+         */
+        long noOtherLeaderNanos();
     }
 
     LeaderScheduler(
@@ -182,6 +191,9 @@
         pendingJob.updateSubmission(arrivedNanos, deadlineNanos, mayForward);
         ServiceScheduler scheduler = scheduler(spec.service());
         scheduler.submit(spec, progress, arrivedNanos, deadlineNanos, nowNanos);
+        if (progress.runsOn().isEmpty()) {
+            mListener.onJobOfLostLeader();
+        }
         if (scheduler.phase(spec.id()) == JobPhase.WAITING) {
             forwardIfPossible(scheduler, spec);
             scheduler.refuseIfUnattainable(spec.id(), nowNanos);
@@ -274,6 +286,11 @@
                                 scheduler.assumeIncompleteServerList(mServersIncompleteUntilNanos));
     }
 
+    /** Records that the backend servers are those of the directory at a time or later. */
+    void recordServerListRead(long nanos) {
+        mServerListReadNanos = nanos;
+    }
+
     /** Withdraws a job for one home instance; the job is stopped if no other one waits for it. */
     void withdraw(JobId job, InstanceName home) {
         PendingJob pendingJob = mPendingJobs.get(job);
@@ -290,21 +307,39 @@
         }
     }
 
-    /** Withdraws the jobs of home instances that are no longer alive. */
-    void withdrawJobsOfLostHomes(Predicate<InstanceName> isAlive) {
+    /**
+     * Hands over the jobs of home instances that are no longer alive or follow another leader, and
+     * stops their runs.
+     */
+    void handOverJobsOfLostHomes(Predicate<InstanceName> isAlive) {
         for (Map.Entry<JobId, PendingJob> each : List.copyOf(mPendingJobs.entrySet())) {
             for (InstanceName home : List.copyOf(each.getValue().homes().keySet())) {
                 if (!isAlive.test(home)) {
-                    withdraw(each.getKey(), home);
+                    handOver(each.getKey(), each.getValue(), home);
                 }
             }
         }
     }
 
+    private void handOver(JobId job, PendingJob pendingJob, InstanceName home) {
+        Consumer<Either<WorkProgress, WorkOutcome>> answer = pendingJob.homes().remove(home);
+        if (!pendingJob.homes().isEmpty()) {
+            // The job continues here for the others.
+            return;
+        }
+        mPendingJobs.remove(job);
+        mLog.jobHandedOver(job);
+        answer.accept(Either.left(scheduler(pendingJob.service()).handOver(job, now())));
+        sendCommands();
+    }
+
     void tick() {
         long nowNanos = now();
         mLastTickNanos = nowNanos;
+        long noOtherLeaderNanos = mListener.noOtherLeaderNanos();
         for (ServiceScheduler scheduler : mSchedulers.values()) {
+            scheduler.recordNoOtherLeader(noOtherLeaderNanos);
+            scheduler.recordServerListRead(mServerListReadNanos);
             scheduler.tick(nowNanos);
             forwardOrRefuse(scheduler, nowNanos);
         }
@@ -403,6 +438,7 @@
         @Override
         public void onStoredJobsRead() {
             mSchedulers.values().forEach(each -> each.storedJobs().onAllRead(now()));
+            mListener.onJobOfLostLeader();
         }
 
         @Override
