Accept a hand-over that arrives after its leader was given up

The progress and the servers were lost, and the job went to the next leader as one of a lost leader.

The hand-over is accepted now. A failed call to a leader that was given up no longer counts as a second loss, which dropped the leader to withdraw from.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -308,7 +308,9 @@
                             ? Either.left(
                                     WorkMessages.progress(job.mSpec.id(), message.getProgress()))
                             : Either.right(WorkMessages.outcome(message)));
-        } else if (mJobs.get(job.mSpec.id()) == job && job.mSubmissionCount == submissionCount) {
+        } else if (mJobs.get(job.mSpec.id()) == job
+                && job.mSubmissionCount == submissionCount
+                && job.mLeader != null) {
             onLeaderLost(
                     job, result.isLeft() ? result.getLeft().kind().slug() : "unreadable answer");
         }
@@ -320,9 +322,13 @@
             return;
         }
         mLog.jobMoved(job.mSpec.id(), "handed over");
+        // A leader that was given up may hand the job over before there is another one.
+        Peer former = job.mLeader != null ? job.mLeader : job.mFormerLeader;
         boolean isSameLeader =
-                mElection.leader().exists(next -> next.name().equals(job.mLeader.name()));
+                former != null
+                        && mElection.leader().exists(next -> next.name().equals(former.name()));
         job.mLeader = null;
+        job.mFormerLeader = null;
         job.mProgress = result.getLeft();
         job.mMayHaveStarted |= job.mProgress.highestAttempt() > 0;
         // Submitting the job again at once would only add load to an instance that does not lead
