Poll servers again once the former leader of a job has stepped down

A task could run twice at the same time after a change of leader. Cause: the proof that no other instance leads came after the polls.

The first time after the acceptance of a job at which no other instance led is kept with the job, and only polls sent later count. The servers are polled at once then, which costs one more round of polls at a change of leader.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -1,5 +1,6 @@
 package org.wagtailproxy.scheduling;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -13,8 +14,8 @@
  * <p>Designed for changes of leader. An earlier leader that handed the job over has reported which
  * servers run it, and polls of these show its runs. One that did not may still start tasks of the
  * job, also on a server that was polled already, or run them on a server that is not listed here.
- * Polls are proof only once no other instance of the pool leads and the list of servers is known to
- * be complete; until then the leases have to expire.
+ * Only polls sent after no other instance of the pool led are proof, and only if the list of
+ * servers is known to be complete; otherwise the leases have to expire.
  */
 final class DuplicateRunGuard {
 
@@ -39,7 +40,6 @@
 
     private final long mLeaseWithMarginNanos;
     private long mListIncompleteUntilNanos = Long.MIN_VALUE;
-    private long mNoOtherLeaderNanos = Long.MIN_VALUE;
     private long mListReadNanos = Long.MIN_VALUE;
     private long mServerRemovedNanos = Long.MIN_VALUE / 2;
 
@@ -59,9 +59,17 @@
         mListIncompleteUntilNanos = Math.max(mListIncompleteUntilNanos, untilNanos);
     }
 
-    /** Records that no other instance of the pool led at a time. */
-    void recordNoOtherLeader(long nanos) {
-        mNoOtherLeaderNanos = Math.max(mNoOtherLeaderNanos, nanos);
+    /**
+     * Records that no other instance of the pool led at a time. Returns true if servers have to be
+     * polled again: the former leader of a job may have started its tasks until then.
+     */
+    boolean recordNoOtherLeader(Collection<ScheduledJob> jobs, long nanos) {
+        boolean isFirstProof = false;
+        for (ScheduledJob job : jobs) {
+            isFirstProof |= job.recordNoOtherLeader(nanos);
+        }
+        mEndedJobs.values().forEach(job -> job.recordNoOtherLeader(nanos));
+        return isFirstProof;
     }
 
     /** Records that the list of servers is as complete as the directory was at a time. */
@@ -108,8 +116,6 @@
         if (job.inheritedServers().isDefined()) {
             return !servers.polledSince(job.inheritedServers().get(), job.mAcceptedNanos);
         }
-        return job.mAcceptedNanos >= mNoOtherLeaderNanos
-                || !isListComplete(job)
-                || !servers.allPolledSince(job.mAcceptedNanos);
+        return !isListComplete(job) || !servers.allPolledSince(job.noOtherLeaderSinceNanos());
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
@@ -61,6 +61,8 @@
      */
     private Option<Set<ServerId>> mInheritedServers;
 
+    private long mNoOtherLeaderSinceNanos = NEVER_NANOS;
+
     private boolean mStarted;
     private boolean mEnded;
     private StoredJob.State mState = StoredJob.State.OPEN;
@@ -197,6 +199,7 @@
         mInherited = true;
         mStarted = true;
         mAcceptedNanos = nowNanos;
+        mNoOtherLeaderSinceNanos = NEVER_NANOS;
         for (int[] attempts : mAttempts) {
             for (int index = 0; index < attempts.length; index++) {
                 attempts[index] = Math.max(attempts[index], progress.highestAttempt());
@@ -256,6 +259,27 @@
         return mInheritedServers;
     }
 
+    /**
+     * Records that no other instance led at a time. Returns true if this is the first proof since
+     * the job was accepted that no earlier leader starts its tasks any more.
+     */
+    boolean recordNoOtherLeader(long nanos) {
+        boolean isFirstProof =
+                mInherited
+                        && mInheritedServers.isEmpty()
+                        && nanos > mAcceptedNanos
+                        && mNoOtherLeaderSinceNanos == NEVER_NANOS;
+        if (isFirstProof) {
+            mNoOtherLeaderSinceNanos = nanos;
+        }
+        return isFirstProof;
+    }
+
+    /** Returns since when no earlier leader starts tasks of the job, far ahead if not known. */
+    long noOtherLeaderSinceNanos() {
+        return mNoOtherLeaderSinceNanos;
+    }
+
     boolean isEnded() {
         return mEnded;
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -391,7 +391,9 @@
      * @param nanos the monotonic time of the proof in nanoseconds
      */
     public synchronized void recordNoOtherLeader(long nanos) {
-        mDuplicateRunGuard.recordNoOtherLeader(nanos);
+        if (mDuplicateRunGuard.recordNoOtherLeader(mJobs.all(), nanos)) {
+            mServers.all().forEach(BackendServer::requestPoll);
+        }
     }
 
     /**
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -129,6 +129,24 @@
         assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
     }
 
+    @Test
+    void testJobOfLeaderThatStepsDownAfterRegainingPolledServerIsNotRunTwice() {
+        var servers = addServers();
+        mSimulation.mOtherLeaderPossible = true;
+        JobId job = new JobId("00000000000000aa");
+        long now = mSimulation.nowNanos();
+        long deadline = now + 9000 * ServerSimulation.NANOS_PER_MILLI;
+        WorkProgress lost = WorkProgress.NONE.plusAttempts(64);
+        mSimulation.mScheduler.submit(spec(job), lost, now, deadline, now);
+        mSimulation.run(60);
+        long token = mSimulation.mTokens.highest() + 50 * FencingTokenSource.STEP;
+        servers.get(2).addRunOfEarlierLeader(token, job, 1);
+        mSimulation.mOtherLeaderPossible = false;
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
     /** Submits a job of two tasks that an earlier leader lost while they run on a server. */
     private JobId submitJobOfEarlierLeader(ServerSimulation.SimulatedServer server) {
         JobId job = new JobId("00000000000000aa");
