--- a/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -6,6 +6,7 @@
 
 import io.vavr.control.Option;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
@@ -147,6 +148,22 @@
         assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
     }
 
+    @Test
+    @Tag("known-red")
+    void testJobOfDeadLeaderIsNotRunTwiceWhileServerThatWasNeverListedRunsIt() {
+        var servers = addServers();
+        mSimulation.add("unlisted", 1, 32_000).mWorkMillis = 600;
+        var unlisted = mSimulation.mServers.values().stream().filter(e -> !servers.contains(e));
+        var server = unlisted.findFirst().get();
+        server.mListed = false;
+        mSimulation.list();
+        mSimulation.run(5000);
+        JobId job = submitJobOfEarlierLeader(server);
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
     /** Submits a job of two tasks that an earlier leader lost while they run on a server. */
     private JobId submitJobOfEarlierLeader(ServerSimulation.SimulatedServer server) {
         JobId job = new JobId("00000000000000aa");
