Do not take polls for proof where an earlier leader may have started tasks outside the pool

Cause: the polls of a divided fleet's leader cover the backend servers of its own data centre. Whether a job had been with a leader outside the pool was inferred from what the home instance reports in probes, so it was missed if the leader learned of the home only after that had changed leaders. An instance that starts while few registrations are listed takes the fleet for undivided and follows such a leader; when it learns of the division it drops the peers outside its pool and submits the job to the next leader as one of a lost leader.

Change: the fact travels with the job. Leaders report in which data centres they start tasks (Presence.scope), the home collects the scopes of all leaders that had its job (WorkProgress.scope), and a leader whose pool does not contain them waits until the leases have expired. A message without a scope counts as any data centre.

LostLeaderTest shows that a job of a leader of the pool is still placed on the strength of polls.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerStatus.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerStatus.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.util.Objects;
+import org.wagtailproxy.workload.DataCentreScope;
 
 /**
  * Represents the status that an instance reports of itself.
@@ -12,6 +13,7 @@
  * @param draining true if it is about to stop
  * @param storeUnreachable true if stored jobs are in use and it cannot reach the store
  * @param coordinatesStoredJobs true if it coordinates the stored jobs
+ * @param scope the data centres on whose backend servers it starts tasks while it leads, not null
  */
 public record PeerStatus(
         InstanceName name,
@@ -19,11 +21,13 @@
         Option<InstanceName> follows,
         boolean draining,
         boolean storeUnreachable,
-        boolean coordinatesStoredJobs) {
+        boolean coordinatesStoredJobs,
+        DataCentreScope scope) {
 
     /** Validates the components. */
     public PeerStatus {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(follows, "follows");
+        Objects.requireNonNull(scope, "scope");
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -13,6 +13,7 @@
 import java.util.function.Predicate;
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.workload.DataCentreScope;
 
 /**
  * Tracks the state of the other instances of the pool and schedules the liveness probes to them.
@@ -107,6 +108,8 @@
         private long mSeniorityWhenLost = -1;
         private Option<InstanceName> mFollows = Option.none();
 
+        private DataCentreScope mScope = DataCentreScope.ALL;
+
         private PeerState(InstanceRecord record) {
             mFirstRecord = record;
             mSeniority = record.seniority();
@@ -351,6 +354,7 @@
         state.mFollows = status.follows();
         state.mCoordinatesStoredJobs = status.coordinatesStoredJobs();
         state.mStoreUnreachable = status.storeUnreachable();
+        state.mScope = status.scope();
         return changed;
     }
 
@@ -453,6 +457,17 @@
         return Option.of(mPeers.get(name)).map(PeerState::toPeer);
     }
 
+    /**
+     * Returns the data centres on whose backend servers a peer starts tasks while it leads.
+     *
+     * @param name the name of the peer, not null
+     * @return the data centres that it has reported last, all if it has reported none; never null
+     */
+    public DataCentreScope scope(InstanceName name) {
+        PeerState state = mPeers.get(name);
+        return state == null ? DataCentreScope.ALL : state.mScope;
+    }
+
     /**
      * Checks whether a peer reports that it coordinates the stored jobs.
      *
--- a/decisions/src/main/java/org/wagtailproxy/leadership/Pool.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/Pool.java
@@ -1,7 +1,9 @@
 package org.wagtailproxy.leadership;
 
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.workload.DataCentreScope;
 
 /**
  * Decides from the number of instances whether one leader serves all data centres or each data
@@ -94,4 +96,14 @@
     public boolean isSamePool(DataCentre one, DataCentre other) {
         return mSpansDataCentres || one.equals(other);
     }
+
+    /**
+     * Returns the data centres whose backend servers the leader of a data centre may use.
+     *
+     * @param dataCentre the data centre of the leader, not null
+     * @return all data centres if one leader serves them, otherwise only the given one; never null
+     */
+    public DataCentreScope scope(DataCentre dataCentre) {
+        return mSpansDataCentres ? DataCentreScope.ALL : DataCentreScope.of(Set.of(dataCentre));
+    }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.wagtailproxy.leadership.PeerTable;
+import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobId;
 
 /**
@@ -43,6 +44,9 @@
     private long mListReadNanos = Long.MIN_VALUE;
     private long mServerRemovedNanos = Long.MIN_VALUE / 2;
 
+    /** Data centres whose servers are listed here. */
+    private DataCentreScope mScope = DataCentreScope.ALL;
+
     /** Ended jobs whose tasks an earlier leader may still run. Callers may send them again. */
     private final Map<JobId, ScheduledJob> mEndedJobs = new HashMap<>();
 
@@ -77,6 +81,11 @@
         mListReadNanos = Math.max(mListReadNanos, nanos);
     }
 
+    /** Updates the data centres whose servers are listed here. */
+    void updateScope(DataCentreScope scope) {
+        mScope = scope;
+    }
+
     /** Records that a server is no longer listed, although an earlier leader may still use it. */
     void onServerRemoved(long nowNanos) {
         mServerRemovedNanos = nowNanos;
@@ -84,7 +93,8 @@
 
     /** Checks whether every server on which an earlier leader may run the job is listed. */
     private boolean isListComplete(ScheduledJob job) {
-        return job.mAcceptedNanos < mListReadNanos
+        return mScope.containsAll(job.inheritedScope())
+                && job.mAcceptedNanos < mListReadNanos
                 && job.mAcceptedNanos >= mListIncompleteUntilNanos
                 && mServerRemovedNanos + REMOVAL_KNOWN_NANOS < job.mArrivedNanos;
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.wagtailproxy.fleet.ServerId;
+import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.StepSpec;
 import org.wagtailproxy.workload.StoredJob;
 import org.wagtailproxy.workload.TaskId;
@@ -61,6 +62,9 @@
      */
     private Option<Set<ServerId>> mInheritedServers;
 
+    /** Data centres in which earlier leaders may have started tasks. */
+    private DataCentreScope mInheritedScope;
+
     private long mNoOtherLeaderSinceNanos = NEVER_NANOS;
 
     private boolean mStarted;
@@ -117,6 +121,7 @@
         mWaitingTasks = mTotalTasks;
         mInherited = progress.highestAttempt() > 0;
         mInheritedServers = progress.runsOn();
+        mInheritedScope = progress.scope();
         mStarted = mInherited;
         for (TaskId task : progress.done()) {
             if (contains(task) && mTaskStates[task.step()][task.index()] == TaskState.WAITING) {
@@ -196,6 +201,7 @@
         }
         mInheritedServers =
                 mInherited ? union(mInheritedServers, progress.runsOn()) : progress.runsOn();
+        mInheritedScope = mInheritedScope.union(progress.scope());
         mInherited = true;
         mStarted = true;
         mAcceptedNanos = nowNanos;
@@ -225,7 +231,7 @@
                 }
             }
         }
-        WorkProgress progress = WorkProgress.of(done, highestAttempt);
+        WorkProgress progress = WorkProgress.of(done, highestAttempt).startedIn(mInheritedScope);
         return mInherited ? progress : progress.runningOnlyOn(serversWithRuns());
     }
 
@@ -259,6 +265,11 @@
         return mInheritedServers;
     }
 
+    /** Returns the only data centres in which earlier leaders may have started tasks. */
+    DataCentreScope inheritedScope() {
+        return mInheritedScope;
+    }
+
     /**
      * Records that no other instance led at a time. Returns true if this is the first proof since
      * the job was accepted that no earlier leader starts its tasks any more.
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -14,6 +14,7 @@
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.fleet.StartResult;
 import org.wagtailproxy.fleet.StopResult;
+import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.StoredJob;
 import org.wagtailproxy.workload.WorkOutcome;
@@ -110,6 +111,16 @@
         }
     }
 
+    /**
+     * Updates the data centres whose backend servers this instance may use. A job that an earlier
+     * leader may have started in another one has to wait until leases there have expired.
+     *
+     * @param scope the data centres, not null; all of them at first
+     */
+    public synchronized void updateScope(DataCentreScope scope) {
+        mDuplicateRunGuard.updateScope(scope);
+    }
+
     /**
      * Updates the claim mode of each backend server.
      *
--- a/decisions/src/main/java/org/wagtailproxy/workload/WorkProgress.java
+++ b/decisions/src/main/java/org/wagtailproxy/workload/WorkProgress.java
@@ -15,11 +15,17 @@
  *     started
  * @param runsOn the only backend servers on which a task may still be running, none if they are not
  *     known
+ * @param scope the data centres in which earlier leaders may have started tasks, not null
  */
-public record WorkProgress(List<TaskId> done, int highestAttempt, Option<Set<ServerId>> runsOn) {
+public record WorkProgress(
+        List<TaskId> done,
+        int highestAttempt,
+        Option<Set<ServerId>> runsOn,
+        DataCentreScope scope) {
 
     /** The progress of a job of which no task has been started. */
-    public static final WorkProgress NONE = new WorkProgress(List.of(), 0, Option.some(Set.of()));
+    public static final WorkProgress NONE =
+            new WorkProgress(List.of(), 0, Option.some(Set.of()), DataCentreScope.EMPTY);
 
     /** Makes an immutable copy of the list. */
     public WorkProgress {
@@ -27,14 +33,15 @@
     }
 
     /**
-     * Creates a progress for which it is not known on which servers tasks may still be running.
+     * Creates a progress for which it is not known on which servers and in which data centres tasks
+     * may still be running.
      *
      * @param done the tasks that are done, not null
      * @param highestAttempt the highest number that an attempt of any task may have
      * @return the progress, never null
      */
     public static WorkProgress of(List<TaskId> done, int highestAttempt) {
-        return new WorkProgress(done, highestAttempt, Option.none());
+        return new WorkProgress(done, highestAttempt, Option.none(), DataCentreScope.ALL);
     }
 
     /**
@@ -44,7 +51,7 @@
      * @return the changed progress, never null
      */
     public WorkProgress runningOnlyOn(Collection<ServerId> servers) {
-        return new WorkProgress(done, highestAttempt, Option.some(Set.copyOf(servers)));
+        return new WorkProgress(done, highestAttempt, Option.some(Set.copyOf(servers)), scope);
     }
 
     /**
@@ -54,6 +61,29 @@
      * @return the raised progress, never null
      */
     public WorkProgress plusAttempts(int attempts) {
-        return new WorkProgress(done, highestAttempt + attempts, Option.none());
+        return plusAttempts(attempts, DataCentreScope.ALL);
+    }
+
+    /**
+     * Returns a copy that accounts for attempts that a lost leader may have started on the servers
+     * of some data centres.
+     *
+     * @param attempts the number by which these may exceed the highest attempt, 0 or more
+     * @param leaderScope the data centres, not null
+     * @return the raised progress, never null
+     */
+    public WorkProgress plusAttempts(int attempts, DataCentreScope leaderScope) {
+        return new WorkProgress(
+                done, highestAttempt + attempts, Option.none(), scope.union(leaderScope));
+    }
+
+    /**
+     * Returns a copy with the data centres in which earlier leaders may have started tasks.
+     *
+     * @param dataCentres the only data centres, not null
+     * @return the changed progress, never null
+     */
+    public WorkProgress startedIn(DataCentreScope dataCentres) {
+        return new WorkProgress(done, highestAttempt, runsOn, dataCentres);
     }
 }
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.workload.DataCentreScope;
 
 class PeerTableTest {
 
@@ -141,7 +142,9 @@
     @Test
     void testPeerThatIsReachableAgainInTheSameIncarnationHasHealed() {
         fill(1);
-        mTable.updateStatus(new PeerStatus(name(1), 1, Option.none(), false, false, false));
+        mTable.updateStatus(
+                new PeerStatus(
+                        name(1), 1, Option.none(), false, false, false, DataCentreScope.ALL));
         mTable.markUnreachable(name(1));
         PeerProbe probe = mTable.dueProbes(true, Option.none(), mNowNanos).get(0);
         assertThat(mTable.onAnswer(probe, 1, mNowNanos), is(PeerTable.ContactChange.HEALED));
@@ -164,7 +167,14 @@
     /** Checks a reported leader in the table of instance 5. */
     private boolean followsOutsidePool(int peer, int leader) {
         PeerStatus status =
-                new PeerStatus(name(peer), 1, Option.some(name(leader)), false, false, false);
+                new PeerStatus(
+                        name(peer),
+                        1,
+                        Option.some(name(leader)),
+                        false,
+                        false,
+                        false,
+                        DataCentreScope.ALL);
         return mTable.followsOutsidePool(status, name(5));
     }
 
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PoolTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PoolTest.java
@@ -3,9 +3,11 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.workload.DataCentreScope;
 
 class PoolTest {
 
@@ -19,6 +21,7 @@
         Pool pool = new Pool();
         assertThat(pool.update(9, mNowNanos), is(false));
         assertThat(pool.isSamePool(HERE, THERE), is(true));
+        assertThat(pool.scope(HERE), is(DataCentreScope.ALL));
     }
 
     @Test
@@ -27,6 +30,7 @@
         assertThat(pool.update(40, mNowNanos), is(true));
         assertThat(pool.isSamePool(HERE, THERE), is(false));
         assertThat(pool.isSamePool(HERE, HERE), is(true));
+        assertThat(pool.scope(HERE), is(DataCentreScope.of(Set.of(HERE))));
     }
 
     @Test
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -6,8 +6,11 @@
 
 import io.vavr.control.Option;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
 import org.wagtailproxy.workload.ResourceAmount;
@@ -164,6 +167,40 @@
         assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
     }
 
+    @Test
+    void testJobOfLeaderOutsideThePoolIsNotStartedOnTheStrengthOfPolls() {
+        mSimulation.mScheduler.updateScope(DataCentreScope.of(Set.of(DataCentre.of("a"))));
+        addServers();
+        DataCentreScope otherPool = DataCentreScope.of(Set.of(DataCentre.of("b")));
+        mSimulation.mScheduler.submit(
+                spec(new JobId("00000000000000aa")),
+                WorkProgress.NONE
+                        .plusAttempts(64, otherPool)
+                        .plusAttempts(64, DataCentreScope.EMPTY),
+                mSimulation.nowNanos(),
+                mSimulation.nowNanos() + 9000 * ServerSimulation.NANOS_PER_MILLI,
+                mSimulation.nowNanos());
+        mSimulation.run(2000);
+        assertThat(mSimulation.mStarts, is(0));
+        mSimulation.run(1000);
+        assertThat(mSimulation.mStarts, is(2));
+    }
+
+    @Test
+    void testJobOfLeaderOfThePoolIsStartedOnTheStrengthOfPolls() {
+        DataCentreScope pool = DataCentreScope.of(Set.of(DataCentre.of("a")));
+        mSimulation.mScheduler.updateScope(pool);
+        addServers();
+        mSimulation.mScheduler.submit(
+                spec(new JobId("00000000000000aa")),
+                WorkProgress.NONE.plusAttempts(64, pool),
+                mSimulation.nowNanos(),
+                mSimulation.nowNanos() + 9000 * ServerSimulation.NANOS_PER_MILLI,
+                mSimulation.nowNanos());
+        mSimulation.run(300);
+        assertThat(mSimulation.mStarts, is(2));
+    }
+
     /** Submits a job of two tasks that an earlier leader lost while they run on a server. */
     private JobId submitJobOfEarlierLeader(ServerSimulation.SimulatedServer server) {
         JobId job = new JobId("00000000000000aa");
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -35,6 +35,7 @@
 import org.wagtailproxy.wire.KeeperRecord;
 import org.wagtailproxy.wire.WorkAnswer;
 import org.wagtailproxy.wire.WorkForwarded;
+import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobCondition;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.WorkOutcome;
@@ -227,7 +228,9 @@
         for (InstanceRecord record : mInstances) {
             (isInSamePool(record.dataCentre()) ? pool : others).add(record);
         }
-        mElection.updateInstances(pool, this::isInSamePool, !mPool.spansDataCentres());
+        DataCentreScope scope = mPool.scope(mSettings.dataCentre());
+        mElection.updateInstances(pool, this::isInSamePool, scope);
+        mLeaderScheduler.updateScope(scope);
         mRemote.updateInstances(others);
         updateSchedulerServers();
         if (mElection.isLeader()) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -17,6 +17,7 @@
 import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.SubmitWork;
 import org.wagtailproxy.wire.WorkAnswer;
+import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.WorkOutcome;
 import org.wagtailproxy.workload.WorkProgress;
@@ -71,6 +72,10 @@
         private WorkProgress mProgress = WorkProgress.NONE;
         private Peer mLeader;
         private Peer mFormerLeader;
+
+        /** Data centres in which the leader may have started tasks since it has the job. */
+        private DataCentreScope mLeaderScope = DataCentreScope.EMPTY;
+
         private int mSubmissionCount;
         private boolean mMayHaveStarted;
         private boolean mAwaitsHandOver;
@@ -260,6 +265,7 @@
         job.mForwarded = false;
         job.mAwaitsHandOver = false;
         job.mLeader = leader;
+        job.mLeaderScope = mElection.scope(leader);
         int submissionCount = ++job.mSubmissionCount;
         Consumer<Either<WorkProgress, WorkOutcome>> answer =
                 result -> {
@@ -329,7 +335,12 @@
                         && mElection.leader().exists(next -> next.name().equals(former.name()));
         job.mLeader = null;
         job.mFormerLeader = null;
+        DataCentreScope earlierScope = job.mProgress.scope();
         job.mProgress = result.getLeft();
+        if (job.mProgress.highestAttempt() > 0) {
+            DataCentreScope scope = job.mProgress.scope().union(job.mLeaderScope);
+            job.mProgress = job.mProgress.startedIn(scope.union(earlierScope));
+        }
         job.mMayHaveStarted |= job.mProgress.highestAttempt() > 0;
         // Submitting the job again at once would only add load to an instance that does not lead
         // yet.
@@ -370,7 +381,8 @@
         job.mFormerLeader = job.mLeader;
         job.mLeader = null;
         job.mMayHaveStarted = true;
-        job.mProgress = job.mProgress.plusAttempts(MAX_ATTEMPTS_PER_LEADER);
+        DataCentreScope scope = job.mLeaderScope.union(mElection.scope(job.mFormerLeader));
+        job.mProgress = job.mProgress.plusAttempts(MAX_ATTEMPTS_PER_LEADER, scope);
     }
 
     private void withdrawFromLeader(HomeJob job) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -33,6 +33,7 @@
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.Presence;
+import org.wagtailproxy.workload.DataCentreScope;
 
 /**
  * Chooses the leader that this instance follows, from the status that the other instances of the
@@ -92,7 +93,7 @@
     private long mSeniority = UNREGISTERED;
     private long mInstancesKnownNanos;
     private boolean mInstancesKnown;
-    private boolean mMultiplePools;
+    private DataCentreScope mScope = DataCentreScope.ALL;
     private boolean mDraining;
     private boolean mStoreUnreachable;
 
@@ -124,20 +125,21 @@
      * Updates the registered instances that may follow the same leader.
      *
      * @param samePool tests whether a data centre belongs to the pool
-     * @param multiplePools true if the fleet is divided into several pools because of its size
+     * @param scope the data centres of the pool; not all of them if the fleet is divided into
+     *     several pools because of its size
      */
     void updateInstances(
             Collection<InstanceRecord> records,
             Predicate<DataCentre> samePool,
-            boolean multiplePools) {
+            DataCentreScope scope) {
         if (!mInstancesKnown) {
             mInstancesKnown = true;
             mInstancesKnownNanos = mLoop.nowNanos();
         }
         List<InstanceRecord> others = new ArrayList<>(records);
         others.removeIf(record -> record.name().equals(mSettings.name()));
-        mPeers.updateRegistered(others, samePool, multiplePools);
-        mMultiplePools = multiplePools;
+        mScope = scope;
+        mPeers.updateRegistered(others, samePool, hasMultiplePools());
         if (mLeader.exists(leader -> !isSelf(leader) && mPeers.find(leader.name()).isEmpty())) {
             electLeader();
         }
@@ -235,6 +237,15 @@
         mPeers.recordFollowing(name, mSettings.name());
     }
 
+    private boolean hasMultiplePools() {
+        return !mScope.equals(DataCentreScope.ALL);
+    }
+
+    /** Returns the data centres on whose backend servers a leader may start tasks. */
+    DataCentreScope scope(Peer leader) {
+        return isSelf(leader) ? mScope : mPeers.scope(leader.name());
+    }
+
     /** Returns the address that a peer listens on, none if it is not known. */
     Option<HostAddress> address(InstanceName name) {
         return mPeers.find(name).map(Peer::address);
@@ -391,7 +402,7 @@
         boolean probesCompleted = hasCompletedInitialProbes();
         List<Peer> peers = mPeers.peers();
         Leadership leadership = Leadership.of(self());
-        if (mMultiplePools) {
+        if (hasMultiplePools()) {
             leadership = leadership.preferringLargeInstances(peers);
         }
         Peer leader = leadership.chooseLeader(peers);
@@ -464,6 +475,7 @@
                 .setFollows(mLeader.map(leader -> leader.name().value()).getOrElse(""))
                 .setDraining(mDraining)
                 .setStoreless(mStoreUnreachable)
+                .setScope(WorkMessages.scope(mScope))
                 .setHighestToken(mTokens.highest())
                 .setConfigurationVersion(mConfigurationVersion);
     }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -25,6 +25,7 @@
 import org.wagtailproxy.scheduling.SchedulerState;
 import org.wagtailproxy.scheduling.ServiceScheduler;
 import org.wagtailproxy.serve.EventLoop;
+import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.StoredJob;
 import org.wagtailproxy.workload.TaskId;
@@ -65,6 +66,7 @@
     private final Map<ServiceName, ServiceScheduler> mSchedulers = new TreeMap<>();
     private final Map<JobId, PendingJob> mPendingJobs = new HashMap<>();
     private Collection<ServerEntry> mServers = List.of();
+    private DataCentreScope mScope = DataCentreScope.ALL;
     private boolean mTickScheduled;
 
     /** Whether there may be stored jobs that have not been read; assumed until the first tick. */
@@ -147,6 +149,12 @@
         sendCommands();
     }
 
+    /** Updates the data centres whose backend servers this instance may use. */
+    void updateScope(DataCentreScope scope) {
+        mScope = scope;
+        mSchedulers.values().forEach(scheduler -> scheduler.updateScope(scope));
+    }
+
     /**
      * Updates the claim modes for the backend servers; steps down if this instance does not lead.
      */
@@ -398,6 +406,7 @@
                                     mTokens,
                                     mSettings.tuning(),
                                     new SchedulerEvents());
+                    scheduler.updateScope(mScope);
                     updateServersOf(name, scheduler);
                     scheduler.assumeIncompleteServerList(mServersIncompleteUntilNanos);
                     scheduler.storedJobs().setUnreadJobsPossible(mUnreadJobsPossible, now());
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
@@ -22,7 +22,8 @@
                                         name(presence.getFollows()),
                                         presence.getDraining(),
                                         presence.getStoreless(),
-                                        presence.getKeepsJobs()));
+                                        presence.getKeepsJobs(),
+                                        WorkMessages.scope(presence.getScope())));
     }
 
     private static Option<InstanceName> name(String text) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/WorkMessages.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/WorkMessages.java
@@ -3,13 +3,17 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.failure.FailureKind;
 import org.wagtailproxy.fleet.ServerId;
+import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.identity.Names;
 import org.wagtailproxy.identity.ServiceName;
 import org.wagtailproxy.wire.SubmitWork;
 import org.wagtailproxy.wire.WorkAnswer;
 import org.wagtailproxy.wire.WorkStep;
+import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
 import org.wagtailproxy.workload.ResourceAmount;
@@ -96,7 +100,8 @@
     static org.wagtailproxy.wire.WorkProgress progress(WorkProgress progress) {
         org.wagtailproxy.wire.WorkProgress.Builder message =
                 org.wagtailproxy.wire.WorkProgress.newBuilder()
-                        .setHighestAttempt(progress.highestAttempt());
+                        .setHighestAttempt(progress.highestAttempt())
+                        .setScope(scope(progress.scope()));
         for (TaskId task : progress.done()) {
             message.addDone(task.step()).addDone(task.index());
         }
@@ -114,13 +119,36 @@
         for (int position = 0; position + 1 < message.getDoneCount(); position += 2) {
             done.add(TaskId.of(job, message.getDone(position), message.getDone(position + 1)));
         }
-        WorkProgress progress = WorkProgress.of(done, message.getHighestAttempt());
+        WorkProgress progress =
+                WorkProgress.of(done, message.getHighestAttempt())
+                        .startedIn(scope(message.getScope()));
         return message.getRunsOnKnown()
                 ? progress.runningOnlyOn(
                         message.getRunsOnList().stream().map(ServerId::of).toList())
                 : progress;
     }
 
+    static org.wagtailproxy.wire.DataCentreScope scope(DataCentreScope scope) {
+        org.wagtailproxy.wire.DataCentreScope.Builder message =
+                org.wagtailproxy.wire.DataCentreScope.newBuilder();
+        scope.dataCentres()
+                .forEach(
+                        names -> {
+                            message.setLimited(true);
+                            names.forEach(name -> message.addDataCentres(name.value()));
+                        });
+        return message.build();
+    }
+
+    /** Converts a message to a scope; one that cannot be read may contain any data centre. */
+    static DataCentreScope scope(org.wagtailproxy.wire.DataCentreScope message) {
+        List<String> names = message.getDataCentresList();
+        if (!message.getLimited() || !names.stream().allMatch(Names::isName)) {
+            return DataCentreScope.ALL;
+        }
+        return DataCentreScope.of(names.stream().map(DataCentre::of).collect(Collectors.toSet()));
+    }
+
     static WorkAnswer answer(WorkOutcome outcome) {
         WorkAnswer.Kind kind =
                 switch (outcome.kind()) {
