Log what shows that a job of an earlier leader may be placed

Each inherited job now has a line inherited-job-released with the evidence and the time it waited. The tests of lost leaders check it.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -119,6 +119,16 @@
         mEndedJobs.values().removeIf(job -> !mayStillRun(job, servers, nowNanos));
     }
 
+    /** Returns why {@link #mayStillRun} is false for an inherited job. */
+    InheritedJobEvidence evidence(ScheduledJob job, long nowNanos) {
+        if (nowNanos - job.mAcceptedNanos > mLeaseWithMarginNanos) {
+            return InheritedJobEvidence.LEASES_EXPIRED;
+        }
+        return job.inheritedServers().isDefined()
+                ? InheritedJobEvidence.FORMER_SERVERS_POLLED
+                : InheritedJobEvidence.ALL_SERVERS_POLLED;
+    }
+
     boolean mayStillRun(ScheduledJob job, ServerSet servers, long nowNanos) {
         if (!job.isInherited() || nowNanos - job.mAcceptedNanos > mLeaseWithMarginNanos) {
             return false;
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
@@ -67,6 +67,9 @@
 
     private long mNoOtherLeaderSinceNanos = NEVER_NANOS;
 
+    /** True once tasks may be placed although an earlier leader may have started some. */
+    private boolean mReleased;
+
     private boolean mStarted;
     private boolean mEnded;
     private StoredJob.State mState = StoredJob.State.OPEN;
@@ -203,6 +206,7 @@
                 mInherited ? union(mInheritedServers, progress.runsOn()) : progress.runsOn();
         mInheritedScope = mInheritedScope.union(progress.scope());
         mInherited = true;
+        mReleased = false;
         mStarted = true;
         mAcceptedNanos = nowNanos;
         mNoOtherLeaderSinceNanos = NEVER_NANOS;
@@ -286,6 +290,13 @@
         return isFirstProof;
     }
 
+    /** Records that tasks may be placed. Returns true the first time for an inherited job. */
+    boolean markReleased() {
+        boolean isFirst = mInherited && !mReleased;
+        mReleased = true;
+        return isFirst;
+    }
+
     /** Returns since when no earlier leader starts tasks of the job, far ahead if not known. */
     long noOtherLeaderSinceNanos() {
         return mNoOtherLeaderSinceNanos;
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/SchedulerListener.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/SchedulerListener.java
@@ -29,6 +29,16 @@
      */
     void storedJobChanged(StoredJob job, long changeNumber);
 
+    /**
+     * Called when tasks of a job that an earlier leader may have started may be placed from now on.
+     *
+     * @param job the id of the job, not null
+     * @param evidence what shows that no run of the earlier leader is active unnoticed, not null
+     * @param waitedMillis the time since the job was accepted, in milliseconds
+     */
+    default void inheritedJobReleased(
+            JobId job, InheritedJobEvidence evidence, long waitedMillis) {}
+
     /**
      * Called when a task has been placed on a backend server.
      *
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -478,12 +478,22 @@
             if (!job.isEnded()
                     && job.waitingTasks() > 0
                     && !mDuplicateRunGuard.mayStillRun(job, mServers, nowNanos)) {
+                release(job, nowNanos);
                 queue.add(job);
             }
         }
         return queue;
     }
 
+    private void release(ScheduledJob job, long nowNanos) {
+        if (job.markReleased()) {
+            mListener.inheritedJobReleased(
+                    job.mSpec.id(),
+                    mDuplicateRunGuard.evidence(job, nowNanos),
+                    (nowNanos - job.mAcceptedNanos) / NANOS_PER_MILLI);
+        }
+    }
+
     /**
      * Places waiting tasks on servers. After a process pause nothing is placed before the next
      * tick, which first detects whether another leader has taken over.
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasValue;
 import static org.hamcrest.Matchers.is;
 
 import io.vavr.control.Option;
@@ -22,6 +23,9 @@
 /** Tests that jobs of a leader that was lost without a hand-over are not run twice at once. */
 class LostLeaderTest {
 
+    private static final DataCentreScope POOL = DataCentreScope.of(Set.of(DataCentre.of("a")));
+    private static final DataCentreScope OTHER_POOL =
+            DataCentreScope.of(Set.of(DataCentre.of("b")));
     private static final ResourceAmount DEMAND = ResourceAmount.of(14_000, 64, 0);
 
     private final ServerSimulation mSimulation = new ServerSimulation();
@@ -169,36 +173,34 @@
 
     @Test
     void testJobOfLeaderOutsideThePoolIsNotStartedOnTheStrengthOfPolls() {
-        mSimulation.mScheduler.updateScope(DataCentreScope.of(Set.of(DataCentre.of("a"))));
+        mSimulation.mScheduler.updateScope(POOL);
         addServers();
-        DataCentreScope otherPool = DataCentreScope.of(Set.of(DataCentre.of("b")));
-        mSimulation.mScheduler.submit(
-                spec(new JobId("00000000000000aa")),
-                WorkProgress.NONE
-                        .plusAttempts(64, otherPool)
-                        .plusAttempts(64, DataCentreScope.EMPTY),
-                mSimulation.nowNanos(),
-                mSimulation.nowNanos() + 9000 * ServerSimulation.NANOS_PER_MILLI,
-                mSimulation.nowNanos());
+        submitLost(WorkProgress.NONE.plusAttempts(64, OTHER_POOL).plusAttempts(64, POOL));
         mSimulation.run(2000);
         assertThat(mSimulation.mStarts, is(0));
         mSimulation.run(1000);
         assertThat(mSimulation.mStarts, is(2));
+        assertThat(mSimulation.mEvidence, hasValue(InheritedJobEvidence.LEASES_EXPIRED));
     }
 
     @Test
     void testJobOfLeaderOfThePoolIsStartedOnTheStrengthOfPolls() {
-        DataCentreScope pool = DataCentreScope.of(Set.of(DataCentre.of("a")));
-        mSimulation.mScheduler.updateScope(pool);
+        mSimulation.mScheduler.updateScope(POOL);
         addServers();
-        mSimulation.mScheduler.submit(
-                spec(new JobId("00000000000000aa")),
-                WorkProgress.NONE.plusAttempts(64, pool),
-                mSimulation.nowNanos(),
-                mSimulation.nowNanos() + 9000 * ServerSimulation.NANOS_PER_MILLI,
-                mSimulation.nowNanos());
+        submitLost(WorkProgress.NONE.plusAttempts(64, POOL));
         mSimulation.run(300);
         assertThat(mSimulation.mStarts, is(2));
+        assertThat(mSimulation.mEvidence, hasValue(InheritedJobEvidence.ALL_SERVERS_POLLED));
+    }
+
+    private void submitLost(WorkProgress progress) {
+        long now = mSimulation.nowNanos();
+        mSimulation.mScheduler.submit(
+                spec(new JobId("00000000000000aa")),
+                progress,
+                now,
+                now + 9000 * ServerSimulation.NANOS_PER_MILLI,
+                now);
     }
 
     /** Submits a job of two tasks that an earlier leader lost while they run on a server. */
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -38,6 +38,7 @@
 
     final Map<ServerId, SimulatedServer> mServers = new TreeMap<>();
     final Map<JobId, WorkOutcome> mOutcomes = new LinkedHashMap<>();
+    final Map<JobId, InheritedJobEvidence> mEvidence = new HashMap<>();
     final Map<JobId, Long> mEndedMillis = new HashMap<>();
     final List<String> mViolations = new ArrayList<>();
     final Map<TaskId, Integer> mDone = new HashMap<>();
@@ -427,6 +428,12 @@
             }
         }
 
+        @Override
+        public void inheritedJobReleased(
+                JobId job, InheritedJobEvidence evidence, long waitedMillis) {
+            mEvidence.put(job, evidence);
+        }
+
         @Override
         public void taskPlaced(TaskId task, int attempt, ServerId server, long expectedMillis) {}
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
@@ -11,6 +11,7 @@
 import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.EventName;
 import org.wagtailproxy.observe.MetricsRecorder;
+import org.wagtailproxy.scheduling.InheritedJobEvidence;
 import org.wagtailproxy.scheduling.RunEnd;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.TaskId;
@@ -66,6 +67,15 @@
                 .info();
     }
 
+    /** Logs what shows that tasks of a job of an earlier leader may be placed. */
+    void inheritedJobReleased(JobId job, InheritedJobEvidence evidence, long waitedMillis) {
+        mLog.event(EventName.INHERITED_JOB_RELEASED)
+                .with(EventField.JOB, job)
+                .with(EventField.REASON, toSlug(evidence))
+                .with(EventField.MILLISECONDS, waitedMillis)
+                .info();
+    }
+
     void jobWithdrawn(JobId job, InstanceName home) {
         writeRunLines(job);
         mLog.event(EventName.JOB_WITHDRAWN)
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -19,6 +19,7 @@
 import org.wagtailproxy.leadership.SuspensionDetector;
 import org.wagtailproxy.scheduling.ClaimMode;
 import org.wagtailproxy.scheduling.FencingTokenSource;
+import org.wagtailproxy.scheduling.InheritedJobEvidence;
 import org.wagtailproxy.scheduling.JobPhase;
 import org.wagtailproxy.scheduling.RunEnd;
 import org.wagtailproxy.scheduling.SchedulerListener;
@@ -484,6 +485,12 @@
             mCoordinator.onJobChanged(job, changeNumber);
         }
 
+        @Override
+        public void inheritedJobReleased(
+                JobId job, InheritedJobEvidence evidence, long waitedMillis) {
+            mLog.inheritedJobReleased(job, evidence, waitedMillis);
+        }
+
         @Override
         public void taskPlaced(TaskId task, int attempt, ServerId server, long expectedMillis) {
             PendingJob pendingJob = mPendingJobs.get(task.job());
