Do not take a list of servers for complete that may have missed one

Callers would see a task run twice at once: an instance starts while the entry of a server has run out, soon leads, and gets a job of a lost leader that still runs on that server. It had never listed the server, so no removal was recorded, and a read of the directory after the job had been accepted counted as proof that every server is listed.

What has to be known is that no leader can have started the job on a server that is missing here. A leader gives a job to servers of its list only, and its list lacks a removed server after 7 s at most: a watch that was lost in an outage is noticed after 2.5 s + 0.8 s, repeated after 0.25 s, missing entries are kept for 2.5 s, and the list is published. So the list is complete for a job that arrived more than 7 s after the last time at which an entry can have been missed here. Removed servers count for 7 s instead of 4 s, which left out the outage. A removal because of an entry that cannot be decoded counted already, since the server leaves the list.

The alternative was to ask the peers which servers they listed. It needs a message, says nothing where the former leader was the only one that knew, and its answers would have to be polled too. The price of the chosen way: jobs of a leader lost without a hand-over wait for the lease, 2.4 s at most, if they arrived in the first 7 s after a start or an outage. Runs that polls show are adopted at once as before.

What it does not cover: a leader that the store refuses for longer, while it serves this instance, and that still reaches a server whose entry ran out meanwhile. No instance but that leader knows of it.

The test of the server that was never listed now adds it without listing it for a moment, which a removal would show, and states when tracking began; it fails as above without the check. The test of the added server waits 8 s instead of 5 s so that the removal before it does not explain its result.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -33,14 +33,17 @@
                     + ServiceScheduler.MAX_TICK_PAUSE_MILLIS;
 
     /**
-     * Time after which the lists of all instances lack a server that was removed from the directory
-     * while the store answers.
+     * Time after which the lists of all instances lack a server that the directory does not list. A
+     * leader that loses its watch in an outage of the store notices it 3.3 s later, reaches the
+     * store again 0.3 s later, keeps missing servers for 2.5 s and publishes its list at its next
+     * tick.
      */
-    private static final long REMOVAL_KNOWN_NANOS = TimeUnit.SECONDS.toNanos(4);
+    private static final long REMOVAL_KNOWN_NANOS = TimeUnit.SECONDS.toNanos(7);
 
     private final long mLeaseWithMarginNanos;
     private long mListIncompleteUntilNanos = Long.MIN_VALUE;
     private long mListReadNanos = Long.MIN_VALUE;
+    private long mTrackedSinceNanos = ScheduledJob.NEVER_NANOS;
     private long mServerRemovedNanos = Long.MIN_VALUE / 2;
 
     /** Ended jobs whose tasks an earlier leader may still run. Callers may send them again. */
@@ -72,9 +75,13 @@
         return isFirstProof;
     }
 
-    /** Records that the list of servers is as complete as the directory was at a time. */
-    void recordListRead(long nanos) {
+    /**
+     * Records that the list of servers is as complete as the directory was at a time, and since
+     * when no server can have been listed and removed again without being known here.
+     */
+    void recordListRead(long nanos, long trackedSinceNanos) {
         mListReadNanos = Math.max(mListReadNanos, nanos);
+        mTrackedSinceNanos = trackedSinceNanos;
     }
 
     /** Records that a server is no longer listed, although an earlier leader may still use it. */
@@ -82,11 +89,16 @@
         mServerRemovedNanos = nowNanos;
     }
 
-    /** Checks whether every server on which an earlier leader may run the job is listed. */
+    /**
+     * Checks whether every server on which an earlier leader may run the job is listed. A server
+     * that is missing may be alive, but no leader has started the job there if the lists of all
+     * lacked it before the job arrived.
+     */
     private boolean isListComplete(ScheduledJob job) {
+        long lastMissedNanos = Math.max(mServerRemovedNanos, mTrackedSinceNanos);
         return job.mAcceptedNanos < mListReadNanos
                 && job.mAcceptedNanos >= mListIncompleteUntilNanos
-                && mServerRemovedNanos + REMOVAL_KNOWN_NANOS < job.mArrivedNanos;
+                && lastMissedNanos + REMOVAL_KNOWN_NANOS < job.mArrivedNanos;
     }
 
     /** Remembers a job that ends while an earlier leader may still run its tasks. */
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -400,9 +400,11 @@
      * Records that the last update of the servers reflects the directory at a time or later.
      *
      * @param nanos the monotonic time in nanoseconds
+     * @param trackedSinceNanos the monotonic time since which no server can have been listed and
+     *     removed again without being passed to {@link #updateServers}
      */
-    public synchronized void recordServerListRead(long nanos) {
-        mDuplicateRunGuard.recordListRead(nanos);
+    public synchronized void recordServerListRead(long nanos, long trackedSinceNanos) {
+        mDuplicateRunGuard.recordListRead(nanos, trackedSinceNanos);
     }
 
     /**
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -6,7 +6,6 @@
 
 import io.vavr.control.Option;
 import java.util.List;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
@@ -72,7 +71,7 @@
         var servers = addServers();
         servers.get(0).mListed = false;
         mSimulation.list();
-        mSimulation.run(5000);
+        mSimulation.run(8000);
         mSimulation.mListOutdated = true;
         JobId job = submitJobOfEarlierLeader(servers.get(0));
         mSimulation.run(200);
@@ -149,16 +148,40 @@
     }
 
     @Test
-    @Tag("known-red")
     void testJobOfDeadLeaderIsNotRunTwiceWhileServerThatWasNeverListedRunsIt() {
-        var servers = addServers();
-        mSimulation.add("unlisted", 1, 32_000).mWorkMillis = 600;
-        var unlisted = mSimulation.mServers.values().stream().filter(e -> !servers.contains(e));
-        var server = unlisted.findFirst().get();
-        server.mListed = false;
-        mSimulation.list();
+        addServers();
+        mSimulation.mTrackedSinceNanos = mSimulation.nowNanos();
+        var unlisted = mSimulation.addUnlisted("unlisted", 1, 32_000);
+        unlisted.mWorkMillis = 600;
         mSimulation.run(5000);
-        JobId job = submitJobOfEarlierLeader(server);
+        JobId job = submitJobOfEarlierLeader(unlisted);
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
+    @Test
+    void testJobOfDeadLeaderDoesNotWaitOnceNoServerWasMissedForLongEnough() {
+        var servers = addServers();
+        mSimulation.mTrackedSinceNanos = mSimulation.nowNanos();
+        mSimulation.run(8000);
+        JobId job = new JobId("00000000000000aa");
+        long now = mSimulation.nowNanos();
+        long deadline = now + 9000 * ServerSimulation.NANOS_PER_MILLI;
+        WorkProgress lost = WorkProgress.NONE.plusAttempts(64);
+        mSimulation.mScheduler.submit(spec(job), lost, now, deadline, now);
+        mSimulation.run(100);
+        assertThat(servers.stream().anyMatch(each -> !each.mRunning.isEmpty()), is(true));
+    }
+
+    @Test
+    void testJobOfDeadLeaderIsNotRunTwiceBeforeDirectoryIsKnownToBeTracked() {
+        addServers();
+        mSimulation.mTrackedSinceNanos = ScheduledJob.NEVER_NANOS;
+        var unlisted = mSimulation.addUnlisted("unlisted", 1, 32_000);
+        unlisted.mWorkMillis = 600;
+        mSimulation.run(20_000);
+        JobId job = submitJobOfEarlierLeader(unlisted);
         mSimulation.run(5000);
         assertThat(mSimulation.mViolations, is(empty()));
         assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -58,6 +58,9 @@
     /** If true, servers may have been added to the directory since the list was updated. */
     boolean mListOutdated;
 
+    /** Since when no server has been listed and removed unnoticed. */
+    long mTrackedSinceNanos = Long.MIN_VALUE / 2;
+
     private final List<Event> mEvents = new ArrayList<>();
     private long mNowMillis = 1000;
 
@@ -73,9 +76,17 @@
     }
 
     SimulatedServer add(String id, double speed, long cpu) {
+        SimulatedServer server = addUnlisted(id, speed, cpu);
+        server.mListed = true;
+        list();
+        return server;
+    }
+
+    /** Adds a server whose entry in the directory has run out. */
+    SimulatedServer addUnlisted(String id, double speed, long cpu) {
         SimulatedServer server = new SimulatedServer(ServerId.of(id), speed, cpu);
+        server.mListed = false;
         mServers.put(server.mId, server);
-        list();
         return server;
     }
 
@@ -120,7 +131,7 @@
                     mScheduler.recordNoOtherLeader(nowNanos());
                 }
                 if (!mListOutdated) {
-                    mScheduler.recordServerListRead(nowNanos());
+                    mScheduler.recordServerListRead(nowNanos(), mTrackedSinceNanos);
                 }
                 mScheduler.tick(nowNanos());
                 mScheduler.refuseUnattainable(nowNanos());
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -271,6 +271,16 @@
         mLeaderScheduler.recordServerListRead(nanos);
     }
 
+    /**
+     * Records that backend servers may have been listed and removed again without being passed to
+     * {@link #updateServers}, but not after a time. Unknown until the first call.
+     *
+     * @param nanos the monotonic time in nanoseconds
+     */
+    public void onServersTrackedSince(long nanos) {
+        mLeaderScheduler.recordServersTrackedSince(nanos);
+    }
+
     private boolean isInSamePool(DataCentre dataCentre) {
         return mPool.isSamePool(mSettings.dataCentre(), dataCentre);
     }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -71,6 +71,7 @@
     private boolean mUnreadJobsPossible = true;
 
     private long mServerListReadNanos = Long.MIN_VALUE;
+    private long mServersTrackedSinceNanos = Long.MAX_VALUE / 2;
     private long mServersIncompleteUntilNanos = Long.MIN_VALUE;
     private long mLastTickNanos;
     private final SuspensionDetector mSuspensionDetector;
@@ -291,6 +292,11 @@
         mServerListReadNanos = nanos;
     }
 
+    /** Records that servers may have been listed and removed again unnoticed until a time. */
+    void recordServersTrackedSince(long nanos) {
+        mServersTrackedSinceNanos = nanos;
+    }
+
     /** Withdraws a job for one home instance; the job is stopped if no other one waits for it. */
     void withdraw(JobId job, InstanceName home) {
         PendingJob pendingJob = mPendingJobs.get(job);
@@ -339,7 +345,7 @@
         long noOtherLeaderNanos = mListener.noOtherLeaderNanos();
         for (ServiceScheduler scheduler : mSchedulers.values()) {
             scheduler.recordNoOtherLeader(noOtherLeaderNanos);
-            scheduler.recordServerListRead(mServerListReadNanos);
+            scheduler.recordServerListRead(mServerListReadNanos, mServersTrackedSinceNanos);
             scheduler.tick(nowNanos);
             forwardOrRefuse(scheduler, nowNanos);
         }
--- a/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
+++ b/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
@@ -40,6 +40,14 @@
          * @param reachable whether the store responds
          */
         void onReachabilityChanged(StoreMirror mirror, boolean reachable);
+
+        /**
+         * Called before {@link #onChanged} if items may have been written and removed again without
+         * having been in the copy.
+         *
+         * @param mirror the mirror, not null
+         */
+        default void onItemsMissed(StoreMirror mirror) {}
     }
 
     /** Delay after the first failure, so that an outage causes few calls. */
@@ -54,6 +62,12 @@
      */
     private static final long MAX_WATCH_AGE_MILLIS = 3000;
 
+    /**
+     * Time between two reads of all items within which no item can be written and removed unseen.
+     * Items whose writers fall silent stay for 4.5 s.
+     */
+    private static final long MIN_ITEM_LIFE_NANOS = TimeUnit.MILLISECONDS.toNanos(4400);
+
     /** Wait of a watch while the store is unreachable. */
     private static final long PROBE_WAIT_MILLIS = 1;
 
@@ -67,6 +81,11 @@
     private List<StoreItem> mReadItems = new ArrayList<>();
     private long mRevision;
     private long mAnsweredNanos;
+
+    /** A time at which the copy contained all items. */
+    private long mCompleteNanos = Long.MIN_VALUE / 2;
+
+    private long mReadAskedNanos;
     private boolean mReachable;
     private int mFailures;
     private int mPauseNumber;
@@ -138,6 +157,9 @@
     }
 
     private void readFrom(String after) {
+        if (after.isEmpty()) {
+            mReadAskedNanos = mLoop.nowNanos();
+        }
         mReading = true;
         mStore.read(mPrefix, after, page -> page.peek(this::onPage).peekLeft(this::onReadFailed));
     }
@@ -159,6 +181,10 @@
         mReadItems = new ArrayList<>();
         mItems = items;
         mReading = false;
+        if (mLoop.nowNanos() - mCompleteNanos > MIN_ITEM_LIFE_NANOS) {
+            mListener.onItemsMissed(this);
+        }
+        mCompleteNanos = mReadAskedNanos;
         mListener.onChanged(this);
         takeWaitingForRead().forEach(this::readChanges);
         pauseThenWatch();
@@ -197,6 +223,7 @@
             mWaitingForRead.add(callback);
             return;
         }
+        long askedNanos = mLoop.nowNanos();
         mStore.watch(
                 mPrefix,
                 mRevision,
@@ -207,7 +234,7 @@
                         mWaitingForRead.add(callback);
                         return;
                     }
-                    result.forEach(this::applyChanges);
+                    result.forEach(page -> applyChanges(page, askedNanos));
                     callback.accept(result.exists(page -> !page.hasMore()));
                 });
     }
@@ -237,10 +264,11 @@
         // While the store is unreachable, a lost call must not delay the detection of its
         // recovery by a full wait.
         long waitMillis = mReachable ? mWaitMillis : PROBE_WAIT_MILLIS;
-        mStore.watch(mPrefix, mRevision, waitMillis, this::onWatchResult);
+        long askedNanos = mLoop.nowNanos();
+        mStore.watch(mPrefix, mRevision, waitMillis, result -> onWatchResult(result, askedNanos));
     }
 
-    private void onWatchResult(Either<StoreFailure, StorePage> result) {
+    private void onWatchResult(Either<StoreFailure, StorePage> result, long askedNanos) {
         if (result.isLeft()) {
             if (result.getLeft() == StoreFailure.HISTORY_GONE) {
                 readFrom("");
@@ -251,16 +279,22 @@
             return;
         }
         updateReachable(true);
-        applyChanges(result.get());
+        applyChanges(result.get(), askedNanos);
         pauseThenWatch();
     }
 
-    private void applyChanges(StorePage page) {
+    private void applyChanges(StorePage page, long askedNanos) {
         if (page.revision() < mRevision) {
             // The answer to a later call has overtaken this one and contained its changes.
             return;
         }
         mRevision = page.revision();
+        if (!page.hasMore()) {
+            mCompleteNanos = Math.max(mCompleteNanos, askedNanos);
+        }
+        if (!mItems.keySet().containsAll(page.removedKeys())) {
+            mListener.onItemsMissed(this);
+        }
         page.items().forEach(item -> mItems.put(item.key(), item));
         page.removedKeys().forEach(mItems::remove);
         if (!page.items().isEmpty() || !page.removedKeys().isEmpty()) {
--- a/proxy/src/test/java/org/wagtailproxy/store/StoreMirrorTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/store/StoreMirrorTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
 import io.vavr.control.Either;
@@ -20,6 +21,7 @@
     private final ManualEventLoop mLoop = new ManualEventLoop();
     private final RecordingStore mStore = new RecordingStore();
     private long mBatchDelayMillis = 100;
+    private int mMissed;
 
     @Test
     void testWatchesAfterShortPause() {
@@ -66,6 +68,40 @@
         assertThat(confirmed, contains(true, false));
     }
 
+    @Test
+    void testItemsAreMissedOnlyBeforeFirstReadAndBetweenDistantReads() {
+        mBatchDelayMillis = 4000;
+        start();
+        assertThat(mMissed, is(1));
+        mLoop.advance(4000);
+        mStore.completeCall();
+        assertThat(mMissed, is(1));
+        mBatchDelayMillis = 100;
+        mLoop.advance(4000);
+        mLoop.advance(500);
+        mStore.completeCall();
+        assertThat(mStore.mCalls, contains("read", "read", "read"));
+        assertThat(mMissed, is(2));
+    }
+
+    @Test
+    void testItemWrittenAndRemovedWithinOneWatchIsMissed() {
+        StoreMirror mirror = start();
+        mLoop.advance(100);
+        mStore.mCallback.accept(Either.right(page(8, item("servers/a", 8))));
+        mLoop.advance(100);
+        mStore.mCallback.accept(Either.right(removal(9, "servers/a")));
+        assertThat(mMissed, is(1));
+        mLoop.advance(100);
+        mStore.mCallback.accept(Either.right(removal(11, "servers/b")));
+        assertThat(mMissed, is(2));
+        assertThat(mirror.items(), is(empty()));
+    }
+
+    private static StorePage removal(long revision, String key) {
+        return new StorePage(List.of(), List.of(key), revision, false);
+    }
+
     private static StoreItem item(String key, long revision) {
         return new StoreItem(key, new byte[0], revision);
     }
@@ -82,7 +118,7 @@
                         "servers/",
                         2500,
                         () -> mBatchDelayMillis,
-                        new NoOpListener());
+                        new CountingListener());
         mStore.completeCall();
         assertThat(mirror.ageMillis(), is(0L));
         return mirror;
@@ -181,13 +217,18 @@
         }
     }
 
-    /** Listener that ignores all notifications. */
-    private static final class NoOpListener implements StoreMirror.Listener {
+    /** Listener that counts how often items may have been missed. */
+    private final class CountingListener implements StoreMirror.Listener {
 
         @Override
         public void onChanged(StoreMirror mirror) {}
 
         @Override
         public void onReachabilityChanged(StoreMirror mirror, boolean reachable) {}
+
+        @Override
+        public void onItemsMissed(StoreMirror mirror) {
+            mMissed++;
+        }
     }
 }
