Keep the mark of a forwarded job whose leader is followed again

A caller could see its task run twice, in two data centres: a home that waits for the hand-over of a job learns meanwhile that its leader has forwarded it, follows that leader again, submits the job again and forgets the mark. Until the notice comes again, the loss of that leader counts as an ordinary one, and the next leader takes polls of its own data centre for proof.

Now a forwarded job stays with its leader while that relays the answer, and the mark ends only with the hand-over.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -215,6 +215,10 @@
     }
 
     private void onNotHandedOver(HomeJob job) {
+        if (job.mForwarded && isStillRelaying(job.mLeader)) {
+            job.mAwaitsHandOver = false;
+            return;
+        }
         if (mElection.leader().exists(next -> next.name().equals(job.mLeader.name()))) {
             // The leader is followed again; it joins the submission to the job if it still has it.
             job.mLeader = null;
@@ -257,7 +261,6 @@
             withdraw(job, job.mFormerLeader);
         }
         job.mFormerLeader = null;
-        job.mForwarded = false;
         job.mAwaitsHandOver = false;
         job.mLeader = leader;
         int submissionCount = ++job.mSubmissionCount;
@@ -329,6 +332,7 @@
                         && mElection.leader().exists(next -> next.name().equals(former.name()));
         job.mLeader = null;
         job.mFormerLeader = null;
+        job.mForwarded = false;
         job.mProgress = result.getLeft();
         job.mMayHaveStarted |= job.mProgress.highestAttempt() > 0;
         // Submitting the job again at once would only add load to an instance that does not lead
