Keep what a second home knows of a forwarded job

A caller could see its task run twice: a job is handed in through two homes, the leader of one forwards it, and the other home, whose earlier leader may have started the job, submits it as well. The leader dropped that home's progress. If a home did not confirm the forwarding, all homes got the progress of an unstarted job back, began at attempt 1 and could say that the job has not run; if all did, the remote leader started it as new beside the runs here.

Now a home that reports an attempt ends the forwarding. If the job is not yet submitted, all homes get that progress back and the leader here waits for the earlier runs; otherwise the job is withdrawn there and abandoned, and the caller sends it again. So all other answers truly are about a job without an attempt.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobForwarder.java
@@ -19,12 +19,18 @@
     boolean forward(WorkSpec spec, PendingJob pendingJob);
 
     /**
-     * Adds a home instance that waits for the outcome of a forwarded job.
+     * Adds a home instance that waits for the outcome of a forwarded job. The forwarding ends if
+     * the home reports that an earlier leader may have started the job.
      *
+     * @param progress what the home knows of the job
      * @param answer receives the outcome
      * @return false if the job was not forwarded
      */
-    boolean join(JobId job, InstanceName home, Consumer<Either<WorkProgress, WorkOutcome>> answer);
+    boolean join(
+            JobId job,
+            InstanceName home,
+            WorkProgress progress,
+            Consumer<Either<WorkProgress, WorkOutcome>> answer);
 
     /** Withdraws a job for one home instance; the job is stopped if no other one waits for it. */
     void withdraw(JobId job, InstanceName home);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -183,7 +183,7 @@
             mCoordinator.submit(spec, arrivedNanos, answer);
             return;
         }
-        if (mForwarder.join(spec.id(), home, answer)) {
+        if (mForwarder.join(spec.id(), home, progress, answer)) {
             return;
         }
         PendingJob pendingJob = mPendingJobs.computeIfAbsent(spec.id(), id -> new PendingJob(spec));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -128,17 +128,44 @@
 
     @Override
     public boolean join(
-            JobId id, InstanceName home, Consumer<Either<WorkProgress, WorkOutcome>> answer) {
+            JobId id,
+            InstanceName home,
+            WorkProgress progress,
+            Consumer<Either<WorkProgress, WorkOutcome>> answer) {
         ForwardedJob job = mForwardedJobs.get(id);
         if (job == null) {
             return false;
         }
         job.mHomes.put(home, answer);
+        if (progress.highestAttempt() > 0) {
+            endForwarding(job, progress);
+            return true;
+        }
         job.mUninformedHomes.add(home);
         notifyHome(job, home);
         return true;
     }
 
+    /**
+     * Takes back a job that an earlier leader here may have started, of which no remote leader must
+     * start a task. If one may have, the job runs in two data centres and is abandoned.
+     */
+    private void endForwarding(ForwardedJob job, WorkProgress progress) {
+        mForwardedJobs.remove(job.id());
+        if (!job.mSubmitted) {
+            answerHomes(job, Either.left(progress));
+            return;
+        }
+        mWithdrawals.withdraw(job.mLeader, job.id(), job.mDeadlineNanos);
+        WorkOutcome outcome = WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "ran here before");
+        mLog.jobEnded(job.id(), outcome, false);
+        answerHomes(job, Either.right(outcome));
+    }
+
+    private static void answerHomes(ForwardedJob job, Either<WorkProgress, WorkOutcome> answer) {
+        job.mHomes.values().forEach(home -> home.accept(answer));
+    }
+
     private void notifyHome(ForwardedJob job, InstanceName home) {
         mHomeNotifier.notifyHome(job.id(), home, informed -> onHomeNotified(job, home, informed));
     }
@@ -160,7 +187,8 @@
                     });
         } else {
             mForwardedJobs.remove(job.id());
-            job.mHomes.values().forEach(each -> each.accept(Either.left(WorkProgress.NONE)));
+            // No home has reported an attempt, see join().
+            answerHomes(job, Either.left(WorkProgress.NONE));
         }
     }
 
@@ -243,6 +271,6 @@
                         ? WorkMessages.outcome(answer.get().getWorkAnswer())
                         : WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "remote leader lost");
         mLog.jobEnded(job.id(), outcome, false);
-        job.mHomes.values().forEach(home -> home.accept(Either.right(outcome)));
+        answerHomes(job, Either.right(outcome));
     }
 }
