Merge a hand-over with what the home knows of the job

A caller could be told that its job had not run although a leader had started it, or see a task run twice: a home replaced the progress of a job by that of each hand-over, so one that knew less erased the attempts of an earlier leader.

The home now merges the hand-over with the progress that it submitted to that leader: the highest attempt, the done tasks of both, and servers that are unknown to either stay unknown. The attempts that were added when a leader was given up do not count if it hands the job over after all. Leaders merge both already; their answers change nothing here.

--- a/decisions/src/main/java/org/wagtailproxy/workload/WorkProgress.java
+++ b/decisions/src/main/java/org/wagtailproxy/workload/WorkProgress.java
@@ -1,7 +1,9 @@
 package org.wagtailproxy.workload;
 
+import com.google.common.collect.Sets;
 import io.vavr.control.Option;
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import org.wagtailproxy.fleet.ServerId;
@@ -47,6 +49,24 @@
         return new WorkProgress(done, highestAttempt, Option.some(Set.copyOf(servers)));
     }
 
+    /**
+     * Merges what two leaders report of the same job. Tasks may run wherever either of them says.
+     *
+     * @param other the other progress, not null
+     * @return the merged progress, never null
+     */
+    public WorkProgress merge(WorkProgress other) {
+        Set<TaskId> allDone = new LinkedHashSet<>(done);
+        allDone.addAll(other.done);
+        Option<Set<ServerId>> allServers =
+                runsOn.flatMap(
+                        servers ->
+                                other.runsOn.map(
+                                        others -> Sets.union(servers, others).immutableCopy()));
+        return new WorkProgress(
+                List.copyOf(allDone), Math.max(highestAttempt, other.highestAttempt), allServers);
+    }
+
     /**
      * Returns a copy that accounts for attempts that a lost leader may have started on any server.
      *
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -69,6 +69,10 @@
         private final long mDeadlineNanos;
         private final Map<Object, Consumer<WorkOutcome>> mCallers = new HashMap<>();
         private WorkProgress mProgress = WorkProgress.NONE;
+
+        /** The progress with which the job was last submitted to a leader. */
+        private WorkProgress mSubmittedProgress = WorkProgress.NONE;
+
         private Peer mLeader;
         private Peer mFormerLeader;
         private int mSubmissionCount;
@@ -263,6 +267,7 @@
         job.mFormerLeader = null;
         job.mAwaitsHandOver = false;
         job.mLeader = leader;
+        job.mSubmittedProgress = job.mProgress;
         int submissionCount = ++job.mSubmissionCount;
         Consumer<Either<WorkProgress, WorkOutcome>> answer =
                 result -> {
@@ -333,7 +338,8 @@
         job.mLeader = null;
         job.mFormerLeader = null;
         job.mForwarded = false;
-        job.mProgress = result.getLeft();
+        // Replaces the attempts that were added if this leader had been given up.
+        job.mProgress = job.mSubmittedProgress.merge(result.getLeft());
         job.mMayHaveStarted |= job.mProgress.highestAttempt() > 0;
         // Submitting the job again at once would only add load to an instance that does not lead
         // yet.
