--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -70,6 +70,10 @@
         private final long mDeadlineNanos;
         private final Map<Object, Consumer<WorkOutcome>> mCallers = new HashMap<>();
         private WorkProgress mProgress = WorkProgress.NONE;
+
+        /** The progress with which the job was last submitted to a leader. */
+        private WorkProgress mSubmittedProgress = WorkProgress.NONE;
+
         private Peer mLeader;
         private Peer mFormerLeader;
 
@@ -220,6 +224,10 @@
     }
 
     private void onNotHandedOver(HomeJob job) {
+        if (job.mForwarded && isStillRelaying(job.mLeader)) {
+            job.mAwaitsHandOver = false;
+            return;
+        }
         if (mElection.leader().exists(next -> next.name().equals(job.mLeader.name()))) {
             // The leader is followed again; it joins the submission to the job if it still has it.
             job.mLeader = null;
@@ -262,10 +270,10 @@
             withdraw(job, job.mFormerLeader);
         }
         job.mFormerLeader = null;
-        job.mForwarded = false;
         job.mAwaitsHandOver = false;
         job.mLeader = leader;
         job.mLeaderScope = mElection.scope(leader);
+        job.mSubmittedProgress = job.mProgress;
         int submissionCount = ++job.mSubmissionCount;
         Consumer<Either<WorkProgress, WorkOutcome>> answer =
                 result -> {
@@ -335,12 +343,11 @@
                         && mElection.leader().exists(next -> next.name().equals(former.name()));
         job.mLeader = null;
         job.mFormerLeader = null;
-        DataCentreScope earlierScope = job.mProgress.scope();
-        job.mProgress = result.getLeft();
-        if (job.mProgress.highestAttempt() > 0) {
-            DataCentreScope scope = job.mProgress.scope().union(job.mLeaderScope);
-            job.mProgress = job.mProgress.startedIn(scope.union(earlierScope));
-        }
+        job.mForwarded = false;
+        WorkProgress handedOver = result.getLeft();
+        DataCentreScope scope = handedOver.scope().union(job.mLeaderScope);
+        // Replaces the attempts that were added if this leader had been given up.
+        job.mProgress = job.mSubmittedProgress.merge(handedOver.startedIn(scope));
         job.mMayHaveStarted |= job.mProgress.highestAttempt() > 0;
         // Submitting the job again at once would only add load to an instance that does not lead
         // yet.
