--- a/decisions/src/test/java/org/wagtailproxy/workload/WorkProgressTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/workload/WorkProgressTest.java
@@ -5,8 +5,10 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wagtailproxy.fleet.ServerId;
+import org.wagtailproxy.identity.DataCentre;
 
 class WorkProgressTest {
 
@@ -28,6 +30,14 @@
         }
     }
 
+    @Test
+    void testMergeKeepsDataCentresOfBoth() {
+        DataCentreScope one = DataCentreScope.of(Set.of(DataCentre.of("a")));
+        WorkProgress left = WorkProgress.NONE.plusAttempts(64, one);
+        assertThat(left.merge(WorkProgress.NONE).scope(), is(one));
+        assertThat(left.merge(WorkProgress.NONE.plusAttempts(64)).scope(), is(DataCentreScope.ALL));
+    }
+
     @Test
     void testMergeDoesNotTakeUnknownServersForKnownOnes() {
         WorkProgress unknown = WorkProgress.of(List.of(), 64);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
@@ -1,5 +1,6 @@
 package org.wagtailproxy.dispatcher;
 
+import io.vavr.control.Option;
 import java.util.Locale;
 import org.wagtailproxy.fleet.PollResult;
 import org.wagtailproxy.fleet.ServerCommand;
@@ -45,11 +46,13 @@
                 .info();
     }
 
-    void jobSubmittedToLeader(JobId job, InstanceName leader, int submissionCount) {
+    void jobSubmittedToLeader(
+            JobId job, InstanceName leader, int submissionCount, int highestAttempt) {
         mLog.event(EventName.JOB_PASSED_ON)
                 .with(EventField.JOB, job)
                 .with(EventField.PEER, leader)
                 .with(EventField.COUNT, submissionCount)
+                .with(EventField.ATTEMPT, highestAttempt)
                 .info();
     }
 
@@ -60,9 +63,10 @@
                 .info();
     }
 
-    void jobMoved(JobId job, String reason) {
+    void jobMoved(JobId job, Option<InstanceName> formerLeader, String reason) {
         mLog.event(EventName.JOB_MOVED)
                 .with(EventField.JOB, job)
+                .with(EventField.PEER, formerLeader.map(InstanceName::value).getOrElse(""))
                 .with(EventField.REASON, reason)
                 .info();
     }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -294,7 +294,8 @@
             return;
         }
         mWithdrawals.onSubmitted(leader.address(), job.mSpec.id());
-        mLog.jobSubmittedToLeader(job.mSpec.id(), leader.name(), submissionCount);
+        mLog.jobSubmittedToLeader(
+                job.mSpec.id(), leader.name(), submissionCount, job.mProgress.highestAttempt());
         long nowNanos = mLoop.nowNanos();
         long callerTimeoutMillis = Math.max(0, (job.mDeadlineNanos - nowNanos) / NANOS_PER_MILLI);
         SubmitWork.Builder work =
@@ -335,9 +336,9 @@
             finish(job, result.get());
             return;
         }
-        mLog.jobMoved(job.mSpec.id(), "handed over");
         // A leader that was given up may hand the job over before there is another one.
         Peer former = job.mLeader != null ? job.mLeader : job.mFormerLeader;
+        mLog.jobMoved(job.mSpec.id(), Option.of(former).map(Peer::name), "handed over");
         boolean isSameLeader =
                 former != null
                         && mElection.leader().exists(next -> next.name().equals(former.name()));
@@ -376,7 +377,7 @@
     }
 
     private void onLeaderLost(HomeJob job, String reason) {
-        mLog.jobMoved(job.mSpec.id(), reason);
+        mLog.jobMoved(job.mSpec.id(), Option.some(job.mLeader.name()), reason);
         if (job.mForwarded) {
             // The next leader cannot poll the servers that run the job; the caller submits it again
             // after its end.
