Take no silence of a former leader for proof that it is gone

Callers would see a task run twice at once: a leader is behind a partition that refuses connections on its behalf, or its registration runs out while it is silent, and it still reaches the servers. The next leader took the refusal, or the name missing from its table, for proof that no other instance leads, polled the servers and placed the waiting tasks of the lost jobs. The former leader regains a server with a higher fencing token after the poll and starts the same tasks.

Which evidence suffices: - Held and polled servers alone do not, however complete their list: a leader that is alive re-claims after 300 ms and the holder learns of it with its next poll. The tests of regained servers fail without any proof about the former leader (tried with a margin of 0: five of LostLeaderTest). - An answer of every peer that it does not lead, after the job was accepted, does, with polls after it: what it started before is listed, and what is under way carries a lower token than the one that the server has accepted. - A refusal does not. Neither does a peer's absence from the table, nor that no peer is a leader while one was seen to follow an instance that is not a peer. Each of the latter two counts as a leader for 5 s. - Time does: by STEP_DOWN_MARGIN, 1.48 s, a former leader has given up the job's home, which the wait for the lease relies on already. Polls that are sent then show what it started, so the lease itself need not expire.

So jobs of a leader that was killed, as far as their tasks do not run, wait 1.5 s instead of starting at once, which is the price; jobs of a silent one wait 1.5 s instead of 2.4 s. What runs is adopted at once as before. A peer that was killed lately blocks the fast proof for jobs of other leaders, too, since the table does not say who led a job; the home knows, and could name the former leader in its submission.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -57,7 +57,17 @@
                             + RARE_PROBE_INTERVAL_NANOS
                             - UNRESPONSIVE_AFTER_NANOS);
 
+    /**
+     * Time for which an instance that is no peer counts as one that may lead. A home that follows
+     * it submits its jobs elsewhere, and these are settled, within less.
+     */
+    private static final long UNTRACKED_LEADER_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     private final Map<InstanceName, PeerState> mPeers = new TreeMap<>();
+
+    /** Instances that are no peers but may lead, with the time at which one was last noticed. */
+    private final Map<InstanceName, Long> mUntrackedLeaders = new TreeMap<>();
+
     private int mSuspensions;
     private boolean mDivided;
 
@@ -100,7 +110,7 @@
         private long mProbedNanos = Long.MIN_VALUE / 2;
         private long mAnsweredNanos;
 
-        /** When the last probe was sent whose result shows that the peer does not lead. */
+        /** When the last probe was sent whose answer shows that the peer does not lead. */
         private long mNotLeadingNanos = Long.MIN_VALUE;
 
         private long mReachedNanos;
@@ -116,6 +126,11 @@
             return mFirstRecord.name();
         }
 
+        /** Its registration has run out, but it may be alive behind a network partition. */
+        private boolean isGone() {
+            return !mRegistered && !mReachable;
+        }
+
         private Peer toPeer() {
             return new Peer(
                     mFirstRecord.name(),
@@ -161,7 +176,10 @@
             state.mAddress = record.peerAddress();
             state.mProcessorMillis = record.processorMillis();
         }
-        mPeers.values().removeIf(state -> !state.mRegistered && !state.mReachable);
+        mPeers.values().stream()
+                .filter(PeerState::isGone)
+                .forEach(state -> mUntrackedLeaders.put(state.name(), state.mProbedNanos));
+        mPeers.values().removeIf(PeerState::isGone);
     }
 
     /**
@@ -239,23 +257,35 @@
      * Records whom a peer follows according to its answer to a probe. Call after {@link #onAnswer}.
      *
      * @param probe the probe, not null
-     * @param follows the leader that the peer follows, none if it has none; not null
+     * @param follows the leader that the peer follows, none if it has none or follows this
+     *     instance; not null
      */
     public void onFollowsAnswered(PeerProbe probe, Option<InstanceName> follows) {
         PeerState state = mPeers.get(probe.peer());
-        if (state != null && !follows.contains(probe.peer())) {
+        if (state == null) {
+            return;
+        }
+        if (!follows.contains(probe.peer())) {
             state.mNotLeadingNanos = state.mProbedNanos;
         }
+        follows.filter(leader -> !mPeers.containsKey(leader))
+                .forEach(leader -> mUntrackedLeaders.put(leader, state.mProbedNanos));
     }
 
     /**
-     * Returns the latest time at which no peer led, as far as the results of probes prove it: each
-     * peer has answered a later probe that it does not lead, or has refused the connection.
+     * Returns the latest time at which no other instance led, as far as the answers to probes prove
+     * it: each peer has answered a later probe that it does not lead, and no instance that is not a
+     * peer is known to have led lately. A refused connection is no proof, since a network partition
+     * may refuse it on behalf of a leader that still reaches its backend servers.
      *
      * @param nowNanos the monotonic time in nanoseconds
      * @return the monotonic time in nanoseconds, {@link Long#MIN_VALUE} if there is no proof
      */
     public long noPeerLedNanos(long nowNanos) {
+        mUntrackedLeaders.values().removeIf(last -> nowNanos - last > UNTRACKED_LEADER_NANOS);
+        if (!mPeers.keySet().containsAll(mUntrackedLeaders.keySet())) {
+            return Long.MIN_VALUE;
+        }
         long nanos = nowNanos;
         for (PeerState state : mPeers.values()) {
             nanos = Math.min(nanos, state.mNotLeadingNanos);
@@ -289,9 +319,6 @@
         if (state != null) {
             state.mProbeOutstanding = false;
             state.mRefusesConnections = !state.mPartitioned;
-            if (state.mRefusesConnections) {
-                state.mNotLeadingNanos = state.mProbedNanos;
-            }
         }
     }
 
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -15,7 +15,10 @@
  * servers run it, and polls of these show its runs. One that did not may still start tasks of the
  * job, also on a server that was polled already, or run them on a server that is not listed here.
  * Only polls sent after no other instance of the pool led are proof, and only if the list of
- * servers is known to be complete; otherwise the leases have to expire.
+ * servers is known to be complete; otherwise the leases have to expire. That a server has accepted
+ * the fencing token of this leader is no proof by itself: a leader that is alive raises its own one
+ * and regains the server. After it no longer does, the token fences the start commands that are
+ * still under way.
  */
 final class DuplicateRunGuard {
 
@@ -32,6 +35,9 @@
                     + PROBE_INTERVAL_MILLIS
                     + ServiceScheduler.MAX_TICK_PAUSE_MILLIS;
 
+    private static final long STEP_DOWN_MARGIN_NANOS =
+            TimeUnit.MILLISECONDS.toNanos(STEP_DOWN_MARGIN_MILLIS);
+
     /**
      * Time after which the lists of all instances lack a server that the directory does not list. A
      * leader that loses its watch in an outage of the store notices it 3.3 s later, reaches the
@@ -75,6 +81,25 @@
         return isFirstProof;
     }
 
+    /**
+     * Records of each job that was accepted long enough ago that its earlier leaders have given up
+     * its homes by now, whether they have told so or not. Returns the same as {@link
+     * #recordNoOtherLeader}.
+     */
+    boolean recordStepDowns(Collection<ScheduledJob> jobs, long nowNanos) {
+        boolean isFirstProof = false;
+        for (ScheduledJob job : jobs) {
+            isFirstProof |= recordStepDown(job, nowNanos);
+        }
+        mEndedJobs.values().forEach(job -> recordStepDown(job, nowNanos));
+        return isFirstProof;
+    }
+
+    private static boolean recordStepDown(ScheduledJob job, long nowNanos) {
+        return nowNanos - job.mAcceptedNanos > STEP_DOWN_MARGIN_NANOS
+                && job.recordNoOtherLeader(nowNanos);
+    }
+
     /**
      * Records that the list of servers is as complete as the directory was at a time, and since
      * when no server can have been listed and removed again without being known here.
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -356,6 +356,9 @@
      */
     public synchronized void tick(long nowNanos) {
         mLastTickNanos = nowNanos;
+        if (mDuplicateRunGuard.recordStepDowns(mJobs.all(), nowNanos)) {
+            mServers.all().forEach(BackendServer::requestPoll);
+        }
         for (BackendServer server : mServers.all()) {
             boolean wasHeld = server.isHeld();
             server.tick(nowNanos);
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
@@ -44,7 +44,7 @@
         long firstNanos = mNowNanos;
         for (PeerProbe probe : mTable.dueProbes(true, Option.none(), mNowNanos)) {
             mTable.onAnswer(probe, 1, mNowNanos);
-            mTable.onFollowsAnswered(probe, Option.some(name(9)));
+            mTable.onFollowsAnswered(probe, Option.none());
         }
         assertThat(mTable.noPeerLedNanos(mNowNanos), is(firstNanos));
         mNowNanos += TICK;
@@ -61,16 +61,54 @@
         assertThat(mTable.noPeerLedNanos(mNowNanos), is(firstNanos));
         mNowNanos += TICK;
         for (PeerProbe probe : mTable.dueProbes(true, Option.none(), mNowNanos)) {
-            if (probe.peer().equals(name(1))) {
+            if (probe.peer().equals(name(3))) {
+                mTable.onConnectionRefused(probe);
+            } else {
                 mTable.onAnswer(probe, 1, mNowNanos);
                 mTable.onFollowsAnswered(probe, Option.none());
-            } else {
-                mTable.onConnectionRefused(probe);
             }
         }
+        assertThat(mTable.noPeerLedNanos(mNowNanos), is(firstNanos));
+        mNowNanos += TICK;
+        answerAllAsFollowersOf(Option.none());
+        assertThat(mTable.noPeerLedNanos(mNowNanos), is(mNowNanos));
+    }
+
+    @Test
+    void testPeerThatHasLeftTheTableMayLead() {
+        mTable.updateRegistered(List.of(record(1, NEAR), record(2, NEAR)), any -> true, false);
+        answerAllAsFollowersOf(Option.none());
+        mNowNanos += TICK;
+        answerAllAsFollowersOf(Option.none());
+        mTable.markUnreachable(name(1));
+        mTable.updateRegistered(List.of(record(2, NEAR)), any -> true, false);
+        mNowNanos += TICK;
+        answerAllAsFollowersOf(Option.none());
+        assertThat(mTable.noPeerLedNanos(mNowNanos), is(Long.MIN_VALUE));
+        mNowNanos += 5_000 * NANOS_PER_MILLI;
+        answerAllAsFollowersOf(Option.none());
         assertThat(mTable.noPeerLedNanos(mNowNanos), is(mNowNanos));
     }
 
+    @Test
+    void testLeaderThatIsNoPeerMayLead() {
+        mTable.updateRegistered(List.of(record(1, NEAR)), any -> true, false);
+        answerAllAsFollowersOf(Option.some(name(9)));
+        mNowNanos += TICK;
+        answerAllAsFollowersOf(Option.none());
+        assertThat(mTable.noPeerLedNanos(mNowNanos), is(Long.MIN_VALUE));
+        mNowNanos += 5_000 * NANOS_PER_MILLI;
+        answerAllAsFollowersOf(Option.none());
+        assertThat(mTable.noPeerLedNanos(mNowNanos), is(mNowNanos));
+    }
+
+    private void answerAllAsFollowersOf(Option<InstanceName> leader) {
+        for (PeerProbe probe : mTable.dueProbes(true, Option.none(), mNowNanos)) {
+            mTable.onAnswer(probe, 1, mNowNanos);
+            mTable.onFollowsAnswered(probe, leader);
+        }
+    }
+
     @Test
     void testUnregisteredPeerStaysWhileReachable() {
         mTable.updateRegistered(List.of(record(1, NEAR)), dataCentre -> true, false);
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -7,6 +7,10 @@
 import io.vavr.control.Option;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
 import org.wagtailproxy.workload.ResourceAmount;
@@ -165,11 +169,7 @@
         var servers = addServers();
         mSimulation.mTrackedSinceNanos = mSimulation.nowNanos();
         mSimulation.run(8000);
-        JobId job = new JobId("00000000000000aa");
-        long now = mSimulation.nowNanos();
-        long deadline = now + 9000 * ServerSimulation.NANOS_PER_MILLI;
-        WorkProgress lost = WorkProgress.NONE.plusAttempts(64);
-        mSimulation.mScheduler.submit(spec(job), lost, now, deadline, now);
+        submitLostJob();
         mSimulation.run(100);
         assertThat(servers.stream().anyMatch(each -> !each.mRunning.isEmpty()), is(true));
     }
@@ -187,6 +187,87 @@
         assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
     }
 
+    @Test
+    void testJobOfLeaderWhoseAddressRefusesIsNotRunTwiceWhenThatLeaderRegainsPolledServer() {
+        var servers = addServers();
+        addPeerThatLeads();
+        JobId job = submitLostJob();
+        mSimulation.run(1);
+        mSimulation
+                .mPeers
+                .dueProbes(true, Option.none(), mSimulation.nowNanos())
+                .forEach(mSimulation.mPeers::onConnectionRefused);
+        mSimulation.run(60);
+        regain(servers.get(2), job);
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
+    @Test
+    void testJobOfLeaderWhoseRegistrationHasRunOutIsNotRunTwiceWhenItRegainsPolledServer() {
+        var servers = addServers();
+        addPeerThatLeads();
+        mSimulation.mPeers.dueProbes(true, Option.none(), mSimulation.nowNanos());
+        JobId job = submitLostJob();
+        mSimulation.mPeers.updateRegistered(List.of(), any -> true, false);
+        assertThat(mSimulation.mPeers.peers(), is(empty()));
+        mSimulation.run(60);
+        regain(servers.get(2), job);
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
+    @Test
+    void testJobOfSilentLeaderIsPlacedOnceThatLeaderMustHaveSteppedDown() {
+        addServers();
+        mSimulation.mOtherLeaderPossible = true;
+        submitLostJob();
+        mSimulation.run(DuplicateRunGuard.STEP_DOWN_MARGIN_MILLIS);
+        assertThat(mSimulation.mStarts, is(0));
+        mSimulation.run(60);
+        assertThat(mSimulation.mStarts, is(2));
+    }
+
+    @Test
+    void testJobThatSilentLeaderStartsJustBeforeItMustHaveSteppedDownIsNotRunTwice() {
+        var servers = addServers();
+        mSimulation.mOtherLeaderPossible = true;
+        JobId job = submitLostJob();
+        mSimulation.run(DuplicateRunGuard.STEP_DOWN_MARGIN_MILLIS - 5);
+        regain(servers.get(2), job);
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
+    private void addPeerThatLeads() {
+        DataCentre dataCentre = DataCentre.of("pwani-a");
+        HostAddress address = HostAddress.of("10.0.0.2", 7000);
+        InstanceName name = InstanceName.of("n2");
+        mSimulation.mPeers.updateRegistered(
+                List.of(new InstanceRecord(name, dataCentre, address, 1000, 1)),
+                any -> true,
+                false);
+    }
+
+    /** Simulates that an earlier leader claims a server again and starts a job there. */
+    private void regain(ServerSimulation.SimulatedServer server, JobId job) {
+        long token = mSimulation.mTokens.highest() + 50 * FencingTokenSource.STEP;
+        server.addRunOfEarlierLeader(token, job, 1);
+    }
+
+    /** Submits a job of two tasks that an earlier leader lost and may start. */
+    private JobId submitLostJob() {
+        JobId job = new JobId("00000000000000aa");
+        long now = mSimulation.nowNanos();
+        long deadline = now + 9000 * ServerSimulation.NANOS_PER_MILLI;
+        WorkProgress lost = WorkProgress.NONE.plusAttempts(64);
+        mSimulation.mScheduler.submit(spec(job), lost, now, deadline, now);
+        return job;
+    }
+
     /** Submits a job of two tasks that an earlier leader lost while they run on a server. */
     private JobId submitJobOfEarlierLeader(ServerSimulation.SimulatedServer server) {
         JobId job = new JobId("00000000000000aa");
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -21,6 +21,7 @@
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.identity.ServiceName;
+import org.wagtailproxy.leadership.PeerTable;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.ResourceAmount;
 import org.wagtailproxy.workload.StoredJob;
@@ -52,6 +53,9 @@
     /** While true, the scheduler receives answers but no ticks, as in a pause of its process. */
     boolean mTicksPaused;
 
+    /** The other instances of the pool, one of which may be leading. */
+    final PeerTable mPeers = new PeerTable();
+
     /** If true, another instance of the pool may be leading. */
     boolean mOtherLeaderPossible;
 
@@ -128,7 +132,7 @@
             mServers.values().forEach(SimulatedServer::step);
             if (mNowMillis % 20 == 0 && !mTicksPaused) {
                 if (!mOtherLeaderPossible) {
-                    mScheduler.recordNoOtherLeader(nowNanos());
+                    mScheduler.recordNoOtherLeader(mPeers.noPeerLedNanos(nowNanos()));
                 }
                 if (!mListOutdated) {
                     mScheduler.recordServerListRead(nowNanos(), mTrackedSinceNanos);
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/UnreliableServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/UnreliableServerSimulation.java
@@ -237,6 +237,9 @@
             mPending.clear();
             pending.forEach(Runnable::run);
             if (mNowMillis % 20 == 0) {
+                if (mChangesLeader) {
+                    mScheduler.recordServerListRead(nowNanos(), Long.MIN_VALUE / 2);
+                }
                 mScheduler.tick(nowNanos());
                 mScheduler.refuseUnattainable(nowNanos());
             }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -351,7 +351,8 @@
         PeerTable.ContactChange contact =
                 mPeers.onAnswer(probe, presence.getSeniority(), mLoop.nowNanos());
         PresenceMessages.status(presence)
-                .forEach(status -> mPeers.onFollowsAnswered(probe, status.follows()));
+                .map(status -> status.follows().filter(name -> !name.equals(mSettings.name())))
+                .forEach(follows -> mPeers.onFollowsAnswered(probe, follows));
         if (contact == PeerTable.ContactChange.HEALED) {
             mListener.onPartitionHealed();
         }
