Notice that a partition has healed after registrations have run out

A peer that was cut off until its registration ran out left the table, and its seniority with it. Registered and reached again, it counted as new, so the leader did not learn that jobs may arrive from the other side of a partition, with runs on servers that are not listed here yet; it could place their tasks on the strength of polls, and callers would see one run twice.

Evidence, before the fix (PeerTableTest): Expected: is <HEALED> but: was <REACHED>

The table remembers the seniority of peers that leave it while unreachable. An instance that has restarted has another one, and still counts as new.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -68,6 +68,9 @@
     /** Instances that are no peers but may lead, with the time at which one was last noticed. */
     private final Map<InstanceName, Long> mUntrackedLeaders = new TreeMap<>();
 
+    /** The seniority of peers that were unreachable when their registration ran out. */
+    private final Map<InstanceName, Long> mSeniorityWhenRemoved = new TreeMap<>();
+
     private int mSuspensions;
     private boolean mDivided;
 
@@ -171,17 +174,27 @@
         mPeers.values().removeIf(state -> !isPooled.test(state.mFirstRecord.dataCentre()));
         mPeers.values().forEach(state -> state.mRegistered = false);
         for (InstanceRecord record : records) {
-            PeerState state = mPeers.computeIfAbsent(record.name(), name -> new PeerState(record));
+            PeerState state = mPeers.computeIfAbsent(record.name(), name -> newPeer(record));
             state.mRegistered = true;
             state.mAddress = record.peerAddress();
             state.mProcessorMillis = record.processorMillis();
         }
         mPeers.values().stream()
                 .filter(PeerState::isGone)
-                .forEach(state -> mUntrackedLeaders.put(state.name(), state.mProbedNanos));
+                .forEach(
+                        state -> {
+                            mUntrackedLeaders.put(state.name(), state.mProbedNanos);
+                            mSeniorityWhenRemoved.put(state.name(), state.mSeniorityWhenLost);
+                        });
         mPeers.values().removeIf(PeerState::isGone);
     }
 
+    private PeerState newPeer(InstanceRecord record) {
+        PeerState state = new PeerState(record);
+        state.mSeniorityWhenLost = mSeniorityWhenRemoved.getOrDefault(record.name(), -1L);
+        return state;
+    }
+
     /**
      * Returns the probes to send now.
      *
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
@@ -102,6 +102,16 @@
         assertThat(mTable.noPeerLedNanos(mNowNanos), is(mNowNanos));
     }
 
+    @Test
+    void testPeerThatIsRegisteredAgainInTheSameIncarnationHasHealed() {
+        fill(1);
+        mTable.markUnreachable(name(1));
+        mTable.updateRegistered(List.of(), any -> true, false);
+        mTable.updateRegistered(List.of(record(1, NEAR)), any -> true, false);
+        PeerProbe probe = mTable.dueProbes(true, Option.none(), mNowNanos).get(0);
+        assertThat(mTable.onAnswer(probe, 1, mNowNanos), is(PeerTable.ContactChange.HEALED));
+    }
+
     private void answerAllAsFollowersOf(Option<InstanceName> leader) {
         for (PeerProbe probe : mTable.dueProbes(true, Option.none(), mNowNanos)) {
             mTable.onAnswer(probe, 1, mNowNanos);
