Let a stored job wait for the lease of runs that polls may not find

Callers would see a stored task run twice at once: the entry of a server runs out while the coordinator still reaches the server, which goes on with its tasks under renewed leases. The coordinator is lost more than 7 s later. The next one takes the time at which it reads the job for the time at which the job arrived, concludes that no leader had the server listed by then, polls the other servers and places the task again.

A stored job may have arrived at any time, so its list of servers is never known to be complete, and its tasks that do not run wait for the lease, 2.4 s. The price falls on every change of the coordinator, also a planned one, where 0.1 s sufficed. The time of arrival in the stored record, and a hand-over that names the servers as for other jobs, would spare it.

testDoneTasksAreNotRunAgain runs for 4 s instead of 2 s, since its one waiting task starts after 2.4 s; what it demands is unchanged.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -117,9 +117,12 @@
     /**
      * Checks whether every server on which an earlier leader may run the job is listed. A server
      * that is missing may be alive, but no leader has started the job there if the lists of all
-     * lacked it before the job arrived.
+     * lacked it before the job arrived. When a stored job arrived is not known here.
      */
     private boolean isListComplete(ScheduledJob job) {
+        if (job.mSpec.isStored()) {
+            return false;
+        }
         long lastMissedNanos = Math.max(mServerRemovedNanos, mTrackedSinceNanos);
         return job.mAcceptedNanos < mListReadNanos
                 && job.mAcceptedNanos >= mListIncompleteUntilNanos
