Continue a forwarded job that the remote leader hands over

A caller got 504 as soon as the remote leader of its job stepped down, and could see the task run twice: the runs go on in that data centre until its next leader adopts or stops them, which may take longer than the 1.3 s after which the caller sends the job again, here as a new one. The forwarder took a hand-over for the end of the job.

Now it submits the job with its progress to the next leader there, which adopts the runs and ends the job; first that leader has to answer a probe, since it withdraws jobs of an instance that does not probe it. A job of which no task was started goes back to its homes. Both end at the caller's deadline.

Before, the tests failed with "Condition ... was not fulfilled within 1 seconds" (no submission to the next leader) and "Expected: is <MOVED> but: was <ABANDONED>".

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -20,6 +20,7 @@
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.SubmitWork;
+import org.wagtailproxy.wire.WorkAnswer;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.WorkOutcome;
 import org.wagtailproxy.workload.WorkProgress;
@@ -30,9 +31,11 @@
  * Confined to the event loop.
  *
  * <p>A job is submitted to the remote leader once its home instances have confirmed that they know
- * of it. A job whose remote leader is lost is abandoned: its tasks may still run in that data
- * centre, where no instance here can poll the backend servers. The job is withdrawn there, and the
- * remote leader withdraws it by itself once it receives no more probes from this instance.
+ * of it. One that the remote leader hands over goes to the next leader of that data centre, or back
+ * to its homes if no task was started. A job whose remote leader is lost is abandoned: its tasks
+ * may still run in that data centre, where no instance here can poll the backend servers. The job
+ * is withdrawn there, and the remote leader withdraws it by itself once it receives no more probes
+ * from this instance.
  */
 final class RemoteJobForwarder implements JobForwarder {
 
@@ -42,6 +45,9 @@
     /** Pause before a home instance that has joined a forwarded job is notified again. */
     private static final long NOTICE_RETRY_MILLIS = 50;
 
+    /** Pause before the next remote leader is looked for again. */
+    private static final long NEXT_LEADER_RETRY_MILLIS = 50;
+
     private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final DispatcherSettings mSettings;
@@ -73,13 +79,17 @@
         private final WorkSpec mSpec;
         private final long mArrivedNanos;
         private final long mDeadlineNanos;
-        private final HostAddress mLeader;
+        private final DataCentre mDataCentre;
         private final Map<InstanceName, Consumer<Either<WorkProgress, WorkOutcome>>> mHomes;
         private final Set<InstanceName> mUninformedHomes;
+        private WorkProgress mProgress = WorkProgress.NONE;
+        private HostAddress mLeader;
         private boolean mSubmitted;
 
-        private ForwardedJob(WorkSpec spec, PendingJob pendingJob, HostAddress leader) {
+        private ForwardedJob(
+                WorkSpec spec, PendingJob pendingJob, DataCentre dataCentre, HostAddress leader) {
             mSpec = spec;
+            mDataCentre = dataCentre;
             mArrivedNanos = pendingJob.arrivedNanos();
             mDeadlineNanos = pendingJob.deadlineNanos();
             mLeader = leader;
@@ -120,7 +130,7 @@
             return false;
         }
         mLog.jobForwarded(spec.id(), target.get());
-        ForwardedJob job = new ForwardedJob(spec, pendingJob, leader.get());
+        ForwardedJob job = new ForwardedJob(spec, pendingJob, target.get(), leader.get());
         mForwardedJobs.put(spec.id(), job);
         List.copyOf(job.mHomes.keySet()).forEach(home -> notifyHome(job, home));
         return true;
@@ -151,15 +161,13 @@
      * start a task. If one may have, the job runs in two data centres and is abandoned.
      */
     private void endForwarding(ForwardedJob job, WorkProgress progress) {
-        mForwardedJobs.remove(job.id());
         if (!job.mSubmitted) {
+            mForwardedJobs.remove(job.id());
             answerHomes(job, Either.left(progress));
             return;
         }
         mWithdrawals.withdraw(job.mLeader, job.id(), job.mDeadlineNanos);
-        WorkOutcome outcome = WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "ran here before");
-        mLog.jobEnded(job.id(), outcome, false);
-        answerHomes(job, Either.right(outcome));
+        abandon(job, "ran here before");
     }
 
     private static void answerHomes(ForwardedJob job, Either<WorkProgress, WorkOutcome> answer) {
@@ -204,12 +212,16 @@
         if (job.mSubmitted || !job.mUninformedHomes.isEmpty()) {
             return;
         }
+        submitToRemoteLeader(job);
+    }
+
+    private void submitToRemoteLeader(ForwardedJob job) {
         job.mSubmitted = true;
         mWithdrawals.onSubmitted(job.mLeader, job.id());
         long nowNanos = mLoop.nowNanos();
         long callerTimeoutMillis = Math.max(0, (job.mDeadlineNanos - nowNanos) / NANOS_PER_MILLI);
         SubmitWork.Builder work =
-                WorkMessages.submit(job.mSpec, WorkProgress.NONE)
+                WorkMessages.submit(job.mSpec, job.mProgress)
                         .setAgeMillis((nowNanos - job.mArrivedNanos) / NANOS_PER_MILLI)
                         .setPatienceMillis(callerTimeoutMillis)
                         .setHome(mSettings.name().value())
@@ -260,8 +272,12 @@
         if (!isOpen(job)) {
             return;
         }
-        mForwardedJobs.remove(job.id());
         boolean hasAnswer = answer.isRight() && answer.get().hasWorkAnswer();
+        if (hasAnswer && answer.get().getWorkAnswer().getKind() == WorkAnswer.Kind.MOVED) {
+            onHandedOver(job, answer.get().getWorkAnswer());
+            return;
+        }
+        mForwardedJobs.remove(job.id());
         if (!hasAnswer) {
             // The remote leader may be alive and keeps the job as long as this instance probes it.
             mWithdrawals.withdraw(job.mLeader, job.id(), job.mDeadlineNanos);
@@ -273,4 +289,43 @@
         mLog.jobEnded(job.id(), outcome, false);
         answerHomes(job, Either.right(outcome));
     }
+
+    /**
+     * Continues a job that the remote leader no longer has. Tasks that it has started go on in that
+     * data centre, where only the next leader can adopt or stop them.
+     */
+    private void onHandedOver(ForwardedJob job, WorkAnswer answer) {
+        job.mProgress = job.mProgress.merge(WorkMessages.progress(job.id(), answer.getProgress()));
+        if (job.mProgress.highestAttempt() == 0) {
+            mForwardedJobs.remove(job.id());
+            answerHomes(job, Either.left(WorkProgress.NONE));
+            return;
+        }
+        mLog.jobMoved(job.id(), "handed over by remote leader");
+        mLoop.schedule(NEXT_LEADER_RETRY_MILLIS, () -> submitToNextRemoteLeader(job));
+    }
+
+    private void submitToNextRemoteLeader(ForwardedJob job) {
+        if (!isOpen(job)) {
+            return;
+        }
+        if (mLoop.nowNanos() >= job.mDeadlineNanos) {
+            abandon(job, "no remote leader in time");
+            return;
+        }
+        Option<HostAddress> next = mRemoteLeaders.confirmedLeaderAddress(job.mDataCentre);
+        if (next.isDefined()) {
+            job.mLeader = next.get();
+            submitToRemoteLeader(job);
+            return;
+        }
+        mLoop.schedule(NEXT_LEADER_RETRY_MILLIS, () -> submitToNextRemoteLeader(job));
+    }
+
+    private void abandon(ForwardedJob job, String reason) {
+        mForwardedJobs.remove(job.id());
+        WorkOutcome outcome = WorkOutcome.of(WorkOutcome.Kind.ABANDONED, reason);
+        mLog.jobEnded(job.id(), outcome, false);
+        answerHomes(job, Either.right(outcome));
+    }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
@@ -50,6 +50,9 @@
         private boolean mProbeOutstanding;
         private Option<InstanceRecord> mLeader = Option.none();
 
+        /** Whether the leader itself has answered the last probe, and leads. */
+        private boolean mLeaderConfirmed;
+
         private InstanceRecord instanceToProbe() {
             return mLeader.getOrElse(() -> mInstances.get(mNextIndex % mInstances.size()));
         }
@@ -94,6 +97,17 @@
                 .map(InstanceRecord::peerAddress);
     }
 
+    /**
+     * Returns the address of the leader of a data centre if it has answered a probe of this
+     * instance, so that it does not count this instance as lost.
+     */
+    Option<HostAddress> confirmedLeaderAddress(DataCentre dataCentre) {
+        return Option.of(mTargets.get(dataCentre))
+                .filter(target -> target.mLeaderConfirmed)
+                .flatMap(target -> target.mLeader)
+                .map(InstanceRecord::peerAddress);
+    }
+
     void tick(Presence.Builder presence) {
         mLastProbeNanos
                 .values()
@@ -125,6 +139,7 @@
             InstanceRecord probed,
             Either<Failure, Envelope> answer) {
         target.mProbeOutstanding = false;
+        target.mLeaderConfirmed = false;
         if (answer.isLeft() || !answer.get().hasPresence()) {
             mClient.closeConnection(probed.peerAddress());
             mSpillOver.removeReport(dataCentre);
@@ -135,6 +150,7 @@
         Presence presence = answer.get().getPresence();
         if (presence.getFollows().equals(presence.getName()) && !presence.getDraining()) {
             target.mLeader = Option.some(probed);
+            target.mLeaderConfirmed = true;
             mSpillOver.updateReport(
                     dataCentre,
                     presence.getFreeCpuMillis(),
