Take note of tasks that ended before their run could be adopted

A caller got 504 when its leader died: the tasks had ended as done before the next leader polled their server, and it took note of such ends for stored jobs only. Since the next leader no longer takes a refused connection for proof, it waited until the job was out of time; before, it ran the tasks again. Seen once in NodeTest#testJobCompletesAfterLeaderDies at load 20: expected 200, was 504.

An end of an earlier leader's run now counts for every open job. Before, the new test failed with 'Expected: is <Some(COMPLETE)> but: was <None>'.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
@@ -57,7 +57,7 @@
     @Override
     public void inheritedRunEnded(BackendServer server, TaskId task, RunEnd end, long nowNanos) {
         ScheduledJob job = mJobs.get(task.job());
-        if (job != null && job.mSpec.isStored() && !job.isEnded()) {
+        if (job != null && !job.isEnded()) {
             long previousChange = job.changeCount();
             onTaskEnded(job, job.inheritedRunEnded(task, end), previousChange, nowNanos);
         }
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -215,6 +215,17 @@
         assertThat(mSimulation.mEvidence, hasValue(InheritedJobEvidence.ALL_SERVERS_POLLED));
     }
 
+    @Test
+    void testTaskThatEndsBeforeItsRunIsAdoptedIsNotRunAgain() {
+        var server = addServers().get(0);
+        mSimulation.mOtherLeaderPossible = true;
+        server.mWorkMillis = 1;
+        JobId job = submitJobOfEarlierLeader(server);
+        mSimulation.run(100);
+        assertThat(mSimulation.mStarts, is(0));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
     private void submitLost(WorkProgress progress) {
         long now = mSimulation.nowNanos();
         mSimulation.mScheduler.submit(
