Keep the jobs of a home that the leader has not reached by a probe yet

A caller got 504 with the reason 'being stopped': its home had followed the leader and submitted the job before the leader's first probe to it was answered. The leader took the missing answer for a lost home, handed the job over at its next tick and was stopping the runs when the job came back. Seen once in NodeTest#testJobCompletesAfterLeaderDies at load 24: the leader starts the tasks, hands the job over 85 ms later and abandons it.

A home now counts as alive for 520 ms after its last submission, the time after which a peer that does not answer counts as unresponsive. That is within the time that the next leader allows a former one to give the home up.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -118,6 +118,10 @@
         private long mNotLeadingNanos = Long.MIN_VALUE;
 
         private long mReachedNanos;
+
+        /** When the last request of the peer was received. */
+        private long mRequestedNanos = Long.MIN_VALUE / 2;
+
         private long mSeniorityWhenLost = -1;
         private Option<InstanceName> mFollows = Option.none();
 
@@ -414,18 +418,35 @@
     }
 
     /**
-     * Records that a peer follows a leader, as its behaviour shows.
+     * Records that a peer follows a leader, as a request of the peer shows.
      *
      * @param name the name of the peer, not null
      * @param leader the leader that it follows, not null
+     * @param nowNanos the monotonic time in nanoseconds
      */
-    public void recordFollowing(InstanceName name, InstanceName leader) {
+    public void recordFollowing(InstanceName name, InstanceName leader, long nowNanos) {
         PeerState state = mPeers.get(name);
         if (state != null) {
             state.mFollows = Option.some(leader);
+            state.mRequestedNanos = nowNanos;
         }
     }
 
+    /**
+     * Checks whether a peer is alive: it answers probes, or its last request is not older than the
+     * time in which a peer that does not answer counts as unresponsive.
+     *
+     * @param name the name of the peer, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return true if it is
+     */
+    public boolean isAlive(InstanceName name, long nowNanos) {
+        PeerState state = mPeers.get(name);
+        return state != null
+                && (state.mReachable
+                        || nowNanos - state.mRequestedNanos <= UNRESPONSIVE_AFTER_NANOS);
+    }
+
     /**
      * Records that another instance controls a server whose preferred owner is confirmed dead as
      * far as is known here. The owner may be alive behind a network partition although its address
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -494,8 +494,7 @@
      * jobs there, whether it was able to withdraw them here or not.
      */
     private boolean isHomeAlive(InstanceName home) {
-        boolean isNeighbour =
-                mElection.isReachable(home) && !mElection.isFollowingAnotherLeader(home);
+        boolean isNeighbour = mElection.isAlive(home) && !mElection.isFollowingAnotherLeader(home);
         return home.equals(mSettings.name()) || isNeighbour || mRemote.hasProbedRecently(home);
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -225,6 +225,11 @@
         return mPeers.find(name).exists(Peer::reachable);
     }
 
+    /** Checks whether a peer answers probes or has sent a request lately. */
+    boolean isAlive(InstanceName name) {
+        return mPeers.isAlive(name, mLoop.nowNanos());
+    }
+
     /** Checks whether a peer reports that it follows a leader other than this instance. */
     boolean isFollowingAnotherLeader(InstanceName name) {
         return mPeers.find(name)
@@ -234,7 +239,7 @@
 
     /** Records that a peer follows this instance, since it has submitted a job to it. */
     void recordFollower(InstanceName name) {
-        mPeers.recordFollowing(name, mSettings.name());
+        mPeers.recordFollowing(name, mSettings.name(), mLoop.nowNanos());
     }
 
     private boolean hasMultiplePools() {
