Wait for a new probe after a remote leader has handed a job over

The forwarder submitted the job to the leader that its last probe had confirmed, which was the one that had just handed it over. Seen once in ForwardingTest at load 24: no submission to the next leader within a second.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -301,6 +301,7 @@
             answerHomes(job, Either.left(WorkProgress.NONE));
             return;
         }
+        mRemoteLeaders.onHandedOver(job.mDataCentre);
         mLog.jobMoved(job.id(), Option.none(), "handed over by remote leader");
         mLoop.schedule(NEXT_LEADER_RETRY_MILLIS, () -> submitToNextRemoteLeader(job));
     }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
@@ -108,6 +108,11 @@
                 .map(InstanceRecord::peerAddress);
     }
 
+    /** Records that the leader of a data centre has handed a job over, so it may have changed. */
+    void onHandedOver(DataCentre dataCentre) {
+        Option.of(mTargets.get(dataCentre)).forEach(target -> target.mLeaderConfirmed = false);
+    }
+
     void tick(Presence.Builder presence) {
         mLastProbeNanos
                 .values()
