Refuse a forwarded job whose forwarder is not heard of

A caller could see its task run twice: a submission to a remote leader that was delayed on a broken connection arrives after its sender has given the job up or is gone. The remote leader started it as new and noticed only at its next tick, up to 100 ms later, that the sender sends no probes, while the caller had sent the job again elsewhere.

A leader forwards only where its probes were answered within 400 ms, so a forwarded job without a probe in the last 520 ms is late; it is now returned unstarted.

A late submission of a forwarder that probes again is only refused for 1 s after the withdrawal, as before.

A submission that is not forwarded is handled as before; not compared with the code before.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -131,8 +131,15 @@
                     Either.right(WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "withdrawn before")));
             return;
         }
-        boolean isForwarded = message.getForwarded() && mRemoteLeaders.hasProbedRecently(home);
-        if (!mElection.isReachable(home) && !isForwarded) {
+        boolean hasProbed = message.getForwarded() && mRemoteLeaders.hasProbedRecently(home);
+        boolean isKnown = mElection.isReachable(home) || hasProbed;
+        if (!isKnown && message.getForwarded()) {
+            // A leader probes before it forwards, so this message was delayed: its sender is lost,
+            // or has given the job up.
+            answer.accept(Either.left(progress));
+            return;
+        }
+        if (!isKnown) {
             // After a network partition, requests of a peer can arrive before a probe finds it
             // reachable. An instance outside the pool may not know yet that the fleet is divided;
             // an earlier leader may have started its job on servers that are not listed here.
