Withdraw a job from the leader that was given up last

A caller that left, cancelled its job or ran out of time while no leader was ready left the job running: the home had given its leader up, which may be alive and was to be told upon the next submission only, and there was none. The caller may send the job again 1.3 s later elsewhere.

The home now withdraws such a job from the leader that it gave up. Before, the new test failed at "Condition ... was not fulfilled within 1 seconds", the wait for the withdrawal.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -384,8 +384,10 @@
     }
 
     private void withdrawFromLeader(HomeJob job) {
-        if (job.mLeader != null) {
-            withdraw(job, job.mLeader);
+        // A leader that was given up may be alive and still have the job.
+        Peer leader = job.mLeader != null ? job.mLeader : job.mFormerLeader;
+        if (leader != null) {
+            withdraw(job, leader);
         }
     }
 
