--- a/decisions/src/main/java/org/wagtailproxy/workload/ResourceAmount.java
+++ b/decisions/src/main/java/org/wagtailproxy/workload/ResourceAmount.java
@@ -9,6 +9,12 @@
  */
 public record ResourceAmount(long cpuMillis, long memoryMegabytes, long accelerators) {
 
+    /**
+     * Bound of the capacity of a server and of the demand of a task, in every resource. The sums
+     * over all servers and tasks of a service stay in the range of a long.
+     */
+    public static final long MAX_PER_SERVER = 1_000_000_000;
+
     /** The amount without any resources. */
     public static final ResourceAmount NONE = new ResourceAmount(0, 0, 0);
 
