Reject addresses whose octets exceed 255

10.0.0.256:8080 was accepted as an IP address. The connection to it looks it up as a host name on the event loop; where no name server answers, the instance would block for each command to such a server. On this machine the look-up fails within 10 ms, so no run shows the block.

The pattern now accepts the octets 0 to 255 without leading zeros only.

Before: testHostNameThatLooksLikeIpNumberIsRejected, but was <Some(10.0.0.256:8080)>.

--- a/decisions/src/main/java/org/wagtailproxy/identity/HostAddress.java
+++ b/decisions/src/main/java/org/wagtailproxy/identity/HostAddress.java
@@ -11,8 +11,14 @@
  */
 public record HostAddress(String host, int port) implements Comparable<HostAddress> {
 
-    private static final Pattern HOST = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}");
-    private static final int MAX_PORT = 65_535;
+    private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+
+    /** Anything else would be looked up as a host name, which blocks the caller. */
+    private static final Pattern HOST = Pattern.compile(OCTET + "(\\." + OCTET + "){3}");
+
+    /** The highest port. */
+    public static final int MAX_PORT = 65_535;
+
     private static final int MAX_PORT_DIGITS = 5;
 
     /** Validates the components. */
