Follow the store after changes that do not fit into one answer

Entries may have up to 1 MiB. If another writer changes a few large ones within one pause of the mirror, the answer to the watch exceeds the 4 MiB that the client takes. The watch was then repeated from the same revision and failed again, so the instance no longer followed the list of servers, and jobs were refused once the servers it knew had left.

An answer that is too large is now told apart from none, and the mirror reads the items in pages.

--- a/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
+++ b/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
@@ -246,6 +246,11 @@
                 readFrom("");
                 return;
             }
+            if (result.getLeft() == StoreFailure.UNREADABLE) {
+                // Changes that do not fit into one answer are read in pages.
+                mLoop.schedule(MIN_RETRY_DELAY_MILLIS, () -> readFrom(""));
+                return;
+            }
             updateReachable(false);
             mLoop.schedule(nextRetryDelayMillis(), this::watch);
             return;
--- a/proxy/src/test/java/org/wagtailproxy/store/StoreMirrorTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/store/StoreMirrorTest.java
@@ -66,6 +66,17 @@
         assertThat(confirmed, contains(true, false));
     }
 
+    @Test
+    void testReadsItemsInPagesAfterUnreadableWatch() {
+        start();
+        mLoop.advance(100);
+        mStore.mCallback.accept(Either.left(StoreFailure.UNREADABLE));
+        mLoop.advance(250);
+        mStore.completeCall();
+        mLoop.advance(100);
+        assertThat(mStore.mCalls, contains("read", "watch", "read", "watch"));
+    }
+
     private static StoreItem item(String key, long revision) {
         return new StoreItem(key, new byte[0], revision);
     }
