Keep the connection to an instance that another registration names

A registration with the address of a live instance was probed every 100 ms, and each time that instance answered under its own name its connection was closed, with the jobs and probes under way on it. Callers got 504.

The connection is now kept, since it works; the odd peer stays unreachable.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -304,7 +304,8 @@
      * due.
      */
     void tick() {
-        mPeers.unresponsivePeers(mLoop.nowNanos()).forEach(name -> markUnreachable(name, "silent"));
+        mPeers.unresponsivePeers(mLoop.nowNanos())
+                .forEach(name -> markUnreachable(name, "silent", true));
         electLeader();
         sendProbes(isLeader());
     }
@@ -337,10 +338,11 @@
                 return;
             }
             mPeers.onTimeout(probe);
-            markUnreachable(peer, "another instance answers");
+            // The connection works and carries the calls to the instance that answers.
+            markUnreachable(peer, "another instance answers", false);
         } else if (answer.isLeft() && answer.getLeft().kind() == FailureKind.PEER_REFUSED) {
             mPeers.onConnectionRefused(probe);
-            markUnreachable(peer, "refused");
+            markUnreachable(peer, "refused", true);
             electLeader();
         } else if (mPeers.onTimeout(probe)) {
             mClient.closeConnection(probe.address());
@@ -377,14 +379,16 @@
         }
     }
 
-    private void markUnreachable(InstanceName name, String reason) {
+    private void markUnreachable(InstanceName name, String reason, boolean closesConnection) {
         if (mPeers.markUnreachable(name)) {
             mLog.event(EventName.PEER_LOST)
                     .with(EventField.PEER, name)
                     .with(EventField.REASON, reason)
                     .warn();
         }
-        address(name).forEach(mClient::closeConnection);
+        if (closesConnection) {
+            address(name).forEach(mClient::closeConnection);
+        }
     }
 
     private void electLeader() {
