Write no leased item after its removal

A planned stop between the grant of the registration's lease and its write left the registration until its lease ended (5 s), and a write under way could overtake the removal.

A removed item is no longer written, and is removed again after a write that was under way.

--- a/proxy/src/main/java/org/wagtailproxy/store/LeasedItem.java
+++ b/proxy/src/main/java/org/wagtailproxy/store/LeasedItem.java
@@ -92,10 +92,18 @@
             return;
         }
         mLease = lease.get();
+        if (mRemoved) {
+            return;
+        }
         mStore.write(mKey, mValue, mLease, this::written);
     }
 
     private void written(Either<StoreFailure, Long> revision) {
+        if (mRemoved) {
+            // The write may have overtaken the removal.
+            mStore.remove(mKey, removed -> {});
+            return;
+        }
         if (revision.isLeft()) {
             mLoop.schedule(RETRY_DELAY_MILLIS, this::grantLeaseAndWrite);
             return;
