--- a/proxy/src/test/java/org/wagtailproxy/store/StoreMirrorTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/store/StoreMirrorTest.java
@@ -98,6 +98,17 @@
         assertThat(mirror.items(), is(empty()));
     }
 
+    @Test
+    void testReadsItemsInPagesAfterUnreadableWatch() {
+        start();
+        mLoop.advance(100);
+        mStore.mCallback.accept(Either.left(StoreFailure.UNREADABLE));
+        mLoop.advance(250);
+        mStore.completeCall();
+        mLoop.advance(100);
+        assertThat(mStore.mCalls, contains("read", "watch", "read", "watch"));
+    }
+
     private static StorePage removal(long revision, String key) {
         return new StorePage(List.of(), List.of(key), revision, false);
     }
