--- a/decisions/src/main/java/org/wagtailproxy/scheduling/InheritedJobEvidence.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/InheritedJobEvidence.java
@@ -4,7 +4,7 @@
 public enum InheritedJobEvidence {
     /** The servers that the earlier leader named have been polled. */
     FORMER_SERVERS_POLLED,
-    /** All servers have been polled since no other instance led. */
+    /** All servers have been polled since no earlier leader can start tasks of the job. */
     ALL_SERVERS_POLLED,
     /** All leases that the earlier leader may have extended have expired. */
     LEASES_EXPIRED
