Judge a job that is sent again by its first arrival

A caller could see its task run twice: a job ends at a leader while a lost one may still run it on a server that is no longer listed, and the caller sends it again. Whether the list of servers is complete for a job counts from its arrival, and the second arrival was taken, although the earlier leader may have started the first one when it still listed the server.

The time since which a leader may have started the job now passes on with what is remembered of the ended one. Before, the new test failed with both tasks running twice at once.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -136,7 +136,7 @@
         return mScope.containsAll(job.inheritedScope())
                 && job.mAcceptedNanos < mListReadNanos
                 && job.mAcceptedNanos >= mListIncompleteUntilNanos
-                && lastMissedNanos + REMOVAL_KNOWN_NANOS < job.mArrivedNanos;
+                && lastMissedNanos + REMOVAL_KNOWN_NANOS < job.mMayRunSinceNanos;
     }
 
     /** Remembers a job that ends while an earlier leader may still run its tasks. */
@@ -152,6 +152,7 @@
         if (ended != null) {
             job.updateInherited(
                     ended.progress(), job.isInherited() ? nowNanos : ended.mAcceptedNanos);
+            job.mMayRunSinceNanos = Math.min(job.mMayRunSinceNanos, ended.mMayRunSinceNanos);
         }
     }
 
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
@@ -41,6 +41,10 @@
 
     final WorkSpec mSpec;
     final long mArrivedNanos;
+
+    /** The earliest time at which a leader may have started tasks of the job. */
+    long mMayRunSinceNanos;
+
     long mAcceptedNanos;
     long mDeadlineNanos;
     final long mObjectiveNanos;
@@ -95,6 +99,7 @@
             long responseDelayMillis) {
         mSpec = spec;
         mArrivedNanos = arrivedNanos;
+        mMayRunSinceNanos = arrivedNanos;
         mAcceptedNanos = nowNanos;
         mDeadlineNanos = deadlineNanos;
         long objective = spec.objectiveMillis();
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -76,6 +76,29 @@
         assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
     }
 
+    @Test
+    void testJobSentAgainIsNotRunTwiceOnServerThatWasListedBeforeItWasFirstSent() {
+        var servers = addServers();
+        servers.get(0).mListed = false;
+        mSimulation.list();
+        mSimulation.run(6500);
+        mSimulation.mOtherLeaderPossible = true;
+        JobId job = submitLostJob();
+        mSimulation.run(50);
+        mSimulation.mScheduler.withdraw(job, mSimulation.nowNanos());
+        mSimulation.run(1150);
+        // The earlier leader still lists the server.
+        servers.get(0).addRunOfEarlierLeader(servers.get(0).mToken, job, 1);
+        mSimulation.run(100);
+        long againNanos = mSimulation.nowNanos();
+        long deadline = againNanos + 9000 * ServerSimulation.NANOS_PER_MILLI;
+        mSimulation.mScheduler.submit(
+                spec(job), WorkProgress.NONE, againNanos, deadline, againNanos);
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
     @Test
     void testJobOfDeadLeaderIsNotRunTwiceWhileServerThatWasAddedRunsIt() {
         var servers = addServers();
