Count the memory of a handed-over end once

A hand-over whose last part is sent again after a lost answer added the bytes of its ends again, while they are subtracted once, so callers could be refused with outcome-memory-full early. Only an end that is new counts now.

It was not run in its final form without the fix.

--- a/proxy/src/main/java/org/wagtailproxy/home/JobService.java
+++ b/proxy/src/main/java/org/wagtailproxy/home/JobService.java
@@ -233,8 +233,11 @@
      * @param record the end, not null
      */
     public void addHandedOverEnd(JobName name, EndRecord record) {
-        mTable.withShard(name, jobs -> jobs.putIfAbsent(name, JobEntry.ended(record)));
-        mOutcomeBytes.addAndGet(EndRecords.documentBytes(record));
+        JobEntry existing =
+                mTable.withShard(name, jobs -> jobs.putIfAbsent(name, JobEntry.ended(record)));
+        if (existing == null) {
+            mOutcomeBytes.addAndGet(EndRecords.documentBytes(record));
+        }
     }
 
     /** Starts to refuse new jobs. */
