Start nothing on a submission that was held up on its way

Callers saw a task run twice at once (TWICE): a submission is held up by a network partition, its home instance gives the leader up and submits the job to the next one, and when the partition heals the leader takes the late submission for a current one and starts the job as new, attempt 1, beside attempt 65, 129 or 193 of the next leader. A submission carries how long its caller waits from its arrival on, so a late one did not look old; withdrawals may have arrived before it, since each connection recovers by itself, or were forgotten after 1 s. No wait of the next leader covers this. Found by a review of the fixes.

Leaders report their monotonic clock in probes, and a submission carries the last clock of its receiver that the sender knew, which is at least as old as the message. One that is older than 520 ms, the time after which a silent peer is given up, goes back without an effect, also if it refers to the clock of an earlier process, was sent before the machine may have been suspended, or may have been sent before the home reported that it follows another leader. A home that still waits submits the job again. So a leader acts on a job that its home has given up for no longer than the 1.48 s that the next one waits. A home counts as alive from the clock of its submission, not from its receipt. A message without a clock is accepted as before.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerStatus.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerStatus.java
@@ -14,6 +14,8 @@
  * @param storeUnreachable true if stored jobs are in use and it cannot reach the store
  * @param coordinatesStoredJobs true if it coordinates the stored jobs
  * @param scope the data centres on whose backend servers it starts tasks while it leads, not null
+ * @param clockNanos its monotonic clock in nanoseconds, {@link MessageAge#UNKNOWN_CLOCK_NANOS} if
+ *     it is not reported
  */
 public record PeerStatus(
         InstanceName name,
@@ -22,7 +24,8 @@
         boolean draining,
         boolean storeUnreachable,
         boolean coordinatesStoredJobs,
-        DataCentreScope scope) {
+        DataCentreScope scope,
+        long clockNanos) {
 
     /** Validates the components. */
     public PeerStatus {
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -26,7 +26,7 @@
 public final class PeerTable {
 
     /** Time without an answer after which a peer is unresponsive; two answers may get lost. */
-    private static final long UNRESPONSIVE_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(520);
+    static final long UNRESPONSIVE_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(520);
 
     /** Time after a peer became reachable in which it may still be loading its code. */
     private static final long WARM_UP_NANOS = TimeUnit.SECONDS.toNanos(3);
@@ -58,20 +58,9 @@
                             + RARE_PROBE_INTERVAL_NANOS
                             - UNRESPONSIVE_AFTER_NANOS);
 
-    /**
-     * Time for which an instance that is no peer counts as one that may lead. A home that follows
-     * it submits its jobs elsewhere, and these are settled, within less.
-     */
-    private static final long UNTRACKED_LEADER_NANOS = TimeUnit.SECONDS.toNanos(5);
-
     private final Map<InstanceName, PeerState> mPeers = new TreeMap<>();
 
-    /** Instances that are no peers but may lead, with the time at which one was last noticed. */
-    private final Map<InstanceName, Long> mUntrackedLeaders = new TreeMap<>();
-
-    /** The seniority of peers that were unreachable when their registration ran out. */
-    private final Map<InstanceName, Long> mSeniorityWhenRemoved = new TreeMap<>();
-
+    private final UntrackedInstances mUntrackedInstances = new UntrackedInstances();
     private int mSuspensions;
     private boolean mDivided;
 
@@ -119,13 +108,17 @@
 
         private long mReachedNanos;
 
-        /** When the last request of the peer was received. */
+        /** The latest time at or before which a request of the peer is known to have been sent. */
         private long mRequestedNanos = Long.MIN_VALUE / 2;
 
         private long mSeniorityWhenLost = -1;
         private Option<InstanceName> mFollows = Option.none();
 
         private DataCentreScope mScope = DataCentreScope.ALL;
+        private long mClockNanos = MessageAge.UNKNOWN_CLOCK_NANOS;
+
+        /** When the last status of the peer was received. */
+        private long mStatusNanos = Long.MIN_VALUE;
 
         private PeerState(InstanceRecord record) {
             mFirstRecord = record;
@@ -189,16 +182,17 @@
         mPeers.values().stream()
                 .filter(PeerState::isGone)
                 .forEach(
-                        state -> {
-                            mUntrackedLeaders.put(state.name(), state.mProbedNanos);
-                            mSeniorityWhenRemoved.put(state.name(), state.mSeniorityWhenLost);
-                        });
+                        state ->
+                                mUntrackedInstances.onRemoved(
+                                        state.name(),
+                                        state.mProbedNanos,
+                                        state.mSeniorityWhenLost));
         mPeers.values().removeIf(PeerState::isGone);
     }
 
     private PeerState newPeer(InstanceRecord record) {
         PeerState state = new PeerState(record);
-        state.mSeniorityWhenLost = mSeniorityWhenRemoved.getOrDefault(record.name(), -1L);
+        state.mSeniorityWhenLost = mUntrackedInstances.seniorityWhenLost(record.name());
         return state;
     }
 
@@ -289,7 +283,7 @@
             state.mNotLeadingNanos = state.mProbedNanos;
         }
         follows.filter(leader -> !mPeers.containsKey(leader))
-                .forEach(leader -> mUntrackedLeaders.put(leader, state.mProbedNanos));
+                .forEach(leader -> mUntrackedInstances.onFollowed(leader, state.mProbedNanos));
     }
 
     /**
@@ -302,8 +296,7 @@
      * @return the monotonic time in nanoseconds, {@link Long#MIN_VALUE} if there is no proof
      */
     public long noPeerLedNanos(long nowNanos) {
-        mUntrackedLeaders.values().removeIf(last -> nowNanos - last > UNTRACKED_LEADER_NANOS);
-        if (!mPeers.keySet().containsAll(mUntrackedLeaders.keySet())) {
+        if (mUntrackedInstances.mayLead(mPeers.keySet(), nowNanos)) {
             return Long.MIN_VALUE;
         }
         long nanos = nowNanos;
@@ -382,9 +375,10 @@
      * Updates the status that a peer reports of itself.
      *
      * @param status the reported status, not null
+     * @param nowNanos the monotonic time in nanoseconds
      * @return true if the change may affect who leads
      */
-    public boolean updateStatus(PeerStatus status) {
+    public boolean updateStatus(PeerStatus status, long nowNanos) {
         PeerState state = mPeers.get(status.name());
         if (state == null) {
             return false;
@@ -393,12 +387,14 @@
                 state.mDraining != status.draining()
                         || state.mStoreUnreachable != status.storeUnreachable()
                         || !state.mFollows.equals(status.follows());
+        state.mStatusNanos = nowNanos;
         state.mSeniority = status.seniority();
         state.mDraining = status.draining();
         state.mFollows = status.follows();
         state.mCoordinatesStoredJobs = status.coordinatesStoredJobs();
         state.mStoreUnreachable = status.storeUnreachable();
         state.mScope = status.scope();
+        state.mClockNanos = status.clockNanos();
         return changed;
     }
 
@@ -422,19 +418,19 @@
      *
      * @param name the name of the peer, not null
      * @param leader the leader that it follows, not null
-     * @param nowNanos the monotonic time in nanoseconds
+     * @param sentNanos a monotonic time in nanoseconds at or before which the request was sent
      */
-    public void recordFollowing(InstanceName name, InstanceName leader, long nowNanos) {
+    public void recordFollowing(InstanceName name, InstanceName leader, long sentNanos) {
         PeerState state = mPeers.get(name);
         if (state != null) {
             state.mFollows = Option.some(leader);
-            state.mRequestedNanos = nowNanos;
+            state.mRequestedNanos = Math.max(state.mRequestedNanos, sentNanos);
         }
     }
 
     /**
-     * Checks whether a peer is alive: it answers probes, or its last request is not older than the
-     * time in which a peer that does not answer counts as unresponsive.
+     * Checks whether a peer is alive: it answers probes, or it has sent a request within the time
+     * after which a peer that does not answer counts as unresponsive.
      *
      * @param name the name of the peer, not null
      * @param nowNanos the monotonic time in nanoseconds
@@ -529,6 +525,33 @@
         return state == null ? DataCentreScope.ALL : state.mScope;
     }
 
+    /**
+     * Checks whether a peer follows another leader than this instance, as far as it has reported,
+     * and whether it may have sent a request before that report.
+     *
+     * @param name the name of the peer, not null
+     * @param self the name of this instance, not null
+     * @param sentNanos a monotonic time in nanoseconds at or before which the request was sent
+     * @return true if the peer may have left since it sent the request
+     */
+    public boolean mayHaveLeftSince(InstanceName name, InstanceName self, long sentNanos) {
+        PeerState state = mPeers.get(name);
+        return state != null
+                && state.mFollows.exists(leader -> !leader.equals(self))
+                && state.mStatusNanos >= sentNanos;
+    }
+
+    /**
+     * Returns the monotonic clock that a peer has reported last.
+     *
+     * @param name the name of the peer, not null
+     * @return its clock in nanoseconds, {@link MessageAge#UNKNOWN_CLOCK_NANOS} if it is not known
+     */
+    public long clockNanos(InstanceName name) {
+        PeerState state = mPeers.get(name);
+        return state == null ? MessageAge.UNKNOWN_CLOCK_NANOS : state.mClockNanos;
+    }
+
     /**
      * Checks whether a peer reports that it coordinates the stored jobs.
      *
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
@@ -192,7 +192,8 @@
         fill(1);
         mTable.updateStatus(
                 new PeerStatus(
-                        name(1), 1, Option.none(), false, false, false, DataCentreScope.ALL));
+                        name(1), 1, Option.none(), false, false, false, DataCentreScope.ALL, 0),
+                0);
         mTable.markUnreachable(name(1));
         PeerProbe probe = mTable.dueProbes(true, Option.none(), mNowNanos).get(0);
         assertThat(mTable.onAnswer(probe, 1, mNowNanos), is(PeerTable.ContactChange.HEALED));
@@ -222,7 +223,8 @@
                         false,
                         false,
                         false,
-                        DataCentreScope.ALL);
+                        DataCentreScope.ALL,
+                        0);
         return mTable.followsOutsidePool(status, name(5));
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -293,6 +293,14 @@
                     answer);
             return;
         }
+        sendToLeader(job, leader, submissionCount, answer);
+    }
+
+    private void sendToLeader(
+            HomeJob job,
+            Peer leader,
+            int submissionCount,
+            Consumer<Either<WorkProgress, WorkOutcome>> answer) {
         mWithdrawals.onSubmitted(leader.address(), job.mSpec.id());
         mLog.jobSubmittedToLeader(
                 job.mSpec.id(), leader.name(), submissionCount, job.mProgress.highestAttempt());
@@ -302,7 +310,8 @@
                 WorkMessages.submit(job.mSpec, job.mProgress)
                         .setAgeMillis((nowNanos - job.mArrivedNanos) / NANOS_PER_MILLI)
                         .setPatienceMillis(callerTimeoutMillis)
-                        .setHome(mSettings.name().value());
+                        .setHome(mSettings.name().value())
+                        .setReceiverClockNanos(mElection.clockNanos(leader));
         Duration timeout = Duration.ofMillis(callerTimeoutMillis + ANSWER_SLACK_MILLIS);
         mClient.call(leader.address(), Envelope.newBuilder().setSubmitWork(work), timeout)
                 .thenAccept(
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -20,6 +20,7 @@
 import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.leadership.Leadership;
 import org.wagtailproxy.leadership.Majority;
+import org.wagtailproxy.leadership.MessageAge;
 import org.wagtailproxy.leadership.Peer;
 import org.wagtailproxy.leadership.PeerProbe;
 import org.wagtailproxy.leadership.PeerStatus;
@@ -34,6 +35,7 @@
 import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.Presence;
 import org.wagtailproxy.workload.DataCentreScope;
+import org.wagtailproxy.workload.JobId;
 
 /**
  * Chooses the leader that this instance follows, from the status that the other instances of the
@@ -90,6 +92,7 @@
     private final EventLog mLog;
     private final Listener mListener;
     private final PeerTable mPeers = new PeerTable();
+    private final MessageAge mMessageAge = new MessageAge();
     private long mSeniority = UNREGISTERED;
     private long mInstancesKnownNanos;
     private boolean mInstancesKnown;
@@ -237,9 +240,43 @@
                 .exists(leader -> !leader.equals(mSettings.name()));
     }
 
-    /** Records that a peer follows this instance, since it has submitted a job to it. */
-    void recordFollower(InstanceName name) {
-        mPeers.recordFollowing(name, mSettings.name(), mLoop.nowNanos());
+    /**
+     * Checks whether a submission has been held up on its way, so that the home instance may have
+     * given it up and submitted the job to another leader.
+     *
+     * @param clockNanos the clock of this instance that the submission carries
+     */
+    boolean isOutdated(JobId job, InstanceName home, long clockNanos) {
+        long nowNanos = mLoop.nowNanos();
+        boolean hasLeft =
+                clockNanos != MessageAge.UNKNOWN_CLOCK_NANOS
+                        && mPeers.mayHaveLeftSince(home, mSettings.name(), clockNanos);
+        boolean outdated = hasLeft || mMessageAge.isOutdated(clockNanos, nowNanos);
+        if (outdated) {
+            mLog.event(EventName.SUBMISSION_OUTDATED)
+                    .with(EventField.JOB, job)
+                    .with(EventField.PEER, home)
+                    .with(
+                            EventField.MILLISECONDS,
+                            TimeUnit.NANOSECONDS.toMillis(nowNanos - clockNanos))
+                    .info();
+        }
+        return outdated;
+    }
+
+    /** Returns the clock that a peer has reported last, for the submissions to it. */
+    long clockNanos(Peer peer) {
+        return mPeers.clockNanos(peer.name());
+    }
+
+    /**
+     * Records that a peer follows this instance, since it has submitted a job to it.
+     *
+     * @param clockNanos the clock of this instance that the submission carries
+     */
+    void recordFollower(InstanceName name, long clockNanos) {
+        boolean isKnown = clockNanos != MessageAge.UNKNOWN_CLOCK_NANOS;
+        mPeers.recordFollowing(name, mSettings.name(), isKnown ? clockNanos : mLoop.nowNanos());
     }
 
     private boolean hasMultiplePools() {
@@ -291,6 +328,7 @@
     @Override
     public void onPossibleSuspension() {
         mPeers.onSuspension();
+        mMessageAge.onSuspension(mLoop.nowNanos());
         mListener.onPartitionHealed();
         sendProbes(true);
     }
@@ -391,7 +429,7 @@
         if (status.exists(each -> mPeers.followsOutsidePool(each, mSettings.name()))) {
             mListener.onPeerFollowsOutsidePool();
         }
-        if (status.exists(mPeers::updateStatus)) {
+        if (status.exists(each -> mPeers.updateStatus(each, mLoop.nowNanos()))) {
             electLeader();
         }
     }
@@ -486,6 +524,7 @@
                 .setDraining(mDraining)
                 .setStoreless(mStoreUnreachable)
                 .setScope(WorkMessages.scope(mScope))
+                .setClockNanos(mLoop.nowNanos())
                 .setHighestToken(mTokens.highest())
                 .setConfigurationVersion(mConfigurationVersion);
     }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -108,13 +108,7 @@
 
     private void onSubmitWork(SubmitWork message, Consumer<Envelope.Builder> reply) {
         Consumer<Either<WorkProgress, WorkOutcome>> answer =
-                result ->
-                        reply.accept(
-                                Envelope.newBuilder()
-                                        .setWorkAnswer(
-                                                result.fold(
-                                                        WorkMessages::moved,
-                                                        WorkMessages::answer)));
+                result -> reply.accept(workAnswer(result));
         Either<Failure, WorkSpec> spec = WorkMessages.spec(message);
         if (spec.isLeft() || !Names.isName(message.getHome())) {
             answer.accept(Either.right(WorkOutcome.refused("unreadable", 0)));
@@ -126,6 +120,12 @@
             answer.accept(Either.left(progress));
             return;
         }
+        mLeaderScheduler.detectSuspension();
+        if (mElection.isOutdated(spec.get().id(), home, message.getReceiverClockNanos())) {
+            // A home that still waits for this instance submits the job again.
+            answer.accept(Either.left(progress));
+            return;
+        }
         if (message.getForwarded() && wasJustWithdrawn(new Submission(spec.get().id(), home))) {
             answer.accept(
                     Either.right(WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "withdrawn before")));
@@ -145,10 +145,19 @@
             // an earlier leader may have started its job on servers that are not listed here.
             mLeaderScheduler.onPartitionHealed();
         }
-        mElection.recordFollower(home);
+        submit(spec.get(), progress, message, home, answer);
+    }
+
+    private void submit(
+            WorkSpec spec,
+            WorkProgress progress,
+            SubmitWork message,
+            InstanceName home,
+            Consumer<Either<WorkProgress, WorkOutcome>> answer) {
+        mElection.recordFollower(home, message.getReceiverClockNanos());
         long nowNanos = mLoop.nowNanos();
         mLeaderScheduler.submit(
-                spec.get(),
+                spec,
                 progress,
                 nowNanos - message.getAgeMillis() * NANOS_PER_MILLI,
                 nowNanos + message.getPatienceMillis() * NANOS_PER_MILLI,
@@ -157,6 +166,11 @@
                 answer);
     }
 
+    private static Envelope.Builder workAnswer(Either<WorkProgress, WorkOutcome> result) {
+        return Envelope.newBuilder()
+                .setWorkAnswer(result.fold(WorkMessages::moved, WorkMessages::answer));
+    }
+
     private void onWithdrawWork(WithdrawWork message, Consumer<Envelope.Builder> reply) {
         Option<JobId> job = JobId.parse(message.getJob());
         if (job.isDefined() && Names.isName(message.getHome())) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
@@ -23,7 +23,8 @@
                                         presence.getDraining(),
                                         presence.getStoreless(),
                                         presence.getKeepsJobs(),
-                                        WorkMessages.scope(presence.getScope())));
+                                        WorkMessages.scope(presence.getScope()),
+                                        presence.getClockNanos()));
     }
 
     private static Option<InstanceName> name(String text) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -225,7 +225,8 @@
                         .setAgeMillis((nowNanos - job.mArrivedNanos) / NANOS_PER_MILLI)
                         .setPatienceMillis(callerTimeoutMillis)
                         .setHome(mSettings.name().value())
-                        .setForwarded(true);
+                        .setForwarded(true)
+                        .setReceiverClockNanos(mRemoteLeaders.leaderClockNanos(job.mDataCentre));
         Duration timeout = Duration.ofMillis(callerTimeoutMillis + ANSWER_SLACK_MILLIS);
         mClient.call(job.mLeader, Envelope.newBuilder().setSubmitWork(work), timeout)
                 .thenAccept(answer -> mLoop.execute(() -> onAnswer(job, answer)));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
@@ -15,6 +15,7 @@
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.InstanceRecord;
+import org.wagtailproxy.leadership.MessageAge;
 import org.wagtailproxy.peer.PeerClient;
 import org.wagtailproxy.scheduling.SpillOver;
 import org.wagtailproxy.serve.EventLoop;
@@ -53,6 +54,8 @@
         /** Whether the leader itself has answered the last probe, and leads. */
         private boolean mLeaderConfirmed;
 
+        private long mLeaderClockNanos = MessageAge.UNKNOWN_CLOCK_NANOS;
+
         private InstanceRecord instanceToProbe() {
             return mLeader.getOrElse(() -> mInstances.get(mNextIndex % mInstances.size()));
         }
@@ -108,6 +111,13 @@
                 .map(InstanceRecord::peerAddress);
     }
 
+    /** Returns the clock that the leader of a data centre has reported last. */
+    long leaderClockNanos(DataCentre dataCentre) {
+        return Option.of(mTargets.get(dataCentre))
+                .map(target -> target.mLeaderClockNanos)
+                .getOrElse(MessageAge.UNKNOWN_CLOCK_NANOS);
+    }
+
     /** Records that the leader of a data centre has handed a job over, so it may have changed. */
     void onHandedOver(DataCentre dataCentre) {
         Option.of(mTargets.get(dataCentre)).forEach(target -> target.mLeaderConfirmed = false);
@@ -156,6 +166,7 @@
         if (presence.getFollows().equals(presence.getName()) && !presence.getDraining()) {
             target.mLeader = Option.some(probed);
             target.mLeaderConfirmed = true;
+            target.mLeaderClockNanos = presence.getClockNanos();
             mSpillOver.updateReport(
                     dataCentre,
                     presence.getFreeCpuMillis(),
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
@@ -58,6 +58,8 @@
     JOB_FORWARDED,
     /** A job lost its leader and is submitted to another one. */
     JOB_MOVED,
+    /** A submission was held up on its way and is answered without an effect. */
+    SUBMISSION_OUTDATED,
     /** Tasks of a job that an earlier leader may have started may be placed. */
     INHERITED_JOB_RELEASED,
     /** A job was withdrawn because its caller has disconnected. */
--- a/wire/src/main/java/org/wagtailproxy/wire/Presence.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Presence.java
@@ -379,6 +379,21 @@
     return scope_ == null ? org.wagtailproxy.wire.DataCentreScope.getDefaultInstance() : scope_;
   }
 
+  public static final int CLOCK_NANOS_FIELD_NUMBER = 15;
+  private long clockNanos_ = 0L;
+  /**
+   * <pre>
+   * The monotonic clock of the sender.
+   * </pre>
+   *
+   * <code>sfixed64 clock_nanos = 15;</code>
+   * @return The clockNanos.
+   */
+  @java.lang.Override
+  public long getClockNanos() {
+    return clockNanos_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -435,6 +450,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(14, getScope());
     }
+    if (clockNanos_ != 0L) {
+      output.writeSFixed64(15, clockNanos_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -491,6 +509,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, getScope());
     }
+    if (clockNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSFixed64Size(15, clockNanos_);
+    }
     return size;
   }
   @java.lang.Override
@@ -546,6 +568,8 @@
       if (!getScope()
           .equals(other.getScope())) return false;
     }
+    if (getClockNanos()
+        != other.getClockNanos()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -595,6 +619,9 @@
       hash = (37 * hash) + SCOPE_FIELD_NUMBER;
       hash = (53 * hash) + getScope().hashCode();
     }
+    hash = (37 * hash) + CLOCK_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getClockNanos());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -754,6 +781,7 @@
         scopeBuilder_.dispose();
         scopeBuilder_ = null;
       }
+      clockNanos_ = 0L;
       return this;
     }
 
@@ -833,6 +861,9 @@
             : scopeBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.clockNanos_ = clockNanos_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -898,6 +929,9 @@
       if (other.hasScope()) {
         mergeScope(other.getScope());
       }
+      if (other.getClockNanos() != 0L) {
+        setClockNanos(other.getClockNanos());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -994,6 +1028,11 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 114
+            case 121: {
+              clockNanos_ = input.readSFixed64();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 121
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1822,6 +1861,50 @@
       return scopeBuilder_;
     }
 
+    private long clockNanos_ ;
+    /**
+     * <pre>
+     * The monotonic clock of the sender.
+     * </pre>
+     *
+     * <code>sfixed64 clock_nanos = 15;</code>
+     * @return The clockNanos.
+     */
+    @java.lang.Override
+    public long getClockNanos() {
+      return clockNanos_;
+    }
+    /**
+     * <pre>
+     * The monotonic clock of the sender.
+     * </pre>
+     *
+     * <code>sfixed64 clock_nanos = 15;</code>
+     * @param value The clockNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClockNanos(long value) {
+
+      clockNanos_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The monotonic clock of the sender.
+     * </pre>
+     *
+     * <code>sfixed64 clock_nanos = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearClockNanos() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      clockNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wagtailproxy.wire.Presence)
   }
 
--- a/wire/src/main/java/org/wagtailproxy/wire/PresenceOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/PresenceOrBuilder.java
@@ -166,4 +166,14 @@
    * <code>.wagtailproxy.wire.DataCentreScope scope = 14;</code>
    */
   org.wagtailproxy.wire.DataCentreScopeOrBuilder getScopeOrBuilder();
+
+  /**
+   * <pre>
+   * The monotonic clock of the sender.
+   * </pre>
+   *
+   * <code>sfixed64 clock_nanos = 15;</code>
+   * @return The clockNanos.
+   */
+  long getClockNanos();
 }
