Keep a hand-over that crosses another submission to the same leader

A home submits a job again to a leader that it follows again, and dropped what the first submission led to. If that leader had stepped down meanwhile, the next one got the job as new although its tasks were running. The answer to an earlier submission now adds its progress.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -277,9 +277,13 @@
         int submissionCount = ++job.mSubmissionCount;
         Consumer<Either<WorkProgress, WorkOutcome>> answer =
                 result -> {
-                    if (mJobs.get(job.mSpec.id()) == job
-                            && job.mSubmissionCount == submissionCount) {
+                    if (mJobs.get(job.mSpec.id()) != job) {
+                        return;
+                    }
+                    if (job.mSubmissionCount == submissionCount) {
                         onResult(job, result);
+                    } else {
+                        result.swap().forEach(progress -> onLateHandOver(job, progress));
                     }
                 };
         if (mElection.isSelf(leader)) {
@@ -340,6 +344,13 @@
         }
     }
 
+    /** Adds what an earlier submission has led to; a later one may have crossed its hand-over. */
+    private static void onLateHandOver(HomeJob job, WorkProgress handedOver) {
+        job.mSubmittedProgress = job.mSubmittedProgress.merge(handedOver);
+        job.mProgress = job.mProgress.merge(handedOver);
+        job.mMayHaveStarted |= handedOver.highestAttempt() > 0;
+    }
+
     private void onResult(HomeJob job, Either<WorkProgress, WorkOutcome> result) {
         if (result.isRight()) {
             finish(job, result.get());
