Move the state of a peer to a class of its own

Change: PeerState, until now a nested class, stands by itself, with the times that only it uses. No behaviour changes.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.wagtailproxy.identity.DataCentre;
-import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.workload.DataCentreScope;
 
 /**
@@ -28,12 +27,8 @@
     /** Time without an answer after which a peer is unresponsive; two answers may get lost. */
     static final long UNRESPONSIVE_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(520);
 
-    /** Time after a peer became reachable in which it may still be loading its code. */
-    private static final long WARM_UP_NANOS = TimeUnit.SECONDS.toNanos(3);
-
     /** Time without an answer after which a peer that may be loading its code is unresponsive. */
-    private static final long WARM_UP_UNRESPONSIVE_AFTER_NANOS =
-            TimeUnit.MILLISECONDS.toNanos(1100);
+    static final long WARM_UP_UNRESPONSIVE_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1100);
 
     /**
      * Timeouts in a row after which a connection is considered broken; a busy peer may miss one.
@@ -46,7 +41,7 @@
     private static final int MAX_SUCCESSOR_CANDIDATES = 2;
 
     /** Interval between probes to the other peers of a divided fleet; a few ticks. */
-    private static final long RARE_PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
+    static final long RARE_PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
 
     /**
      * Longest time in milliseconds by which one of two peers that lose contact may find the other
@@ -74,88 +69,6 @@
         HEALED
     }
 
-    /** Represents the state of a peer. */
-    private static final class PeerState {
-        private final InstanceRecord mFirstRecord;
-        private HostAddress mAddress;
-        private long mProcessorMillis;
-        private long mSeniority;
-        private boolean mRegistered;
-        private boolean mDraining;
-        private boolean mProbeOutstanding;
-
-        /** True if it is not known whom the peer follows since this machine was suspended. */
-        private boolean mUnconfirmed;
-
-        private boolean mReachable;
-        private boolean mRefusesConnections;
-        private boolean mPartitioned;
-        private boolean mCoordinatesStoredJobs;
-        private boolean mStoreUnreachable;
-        private boolean mProbedRarely;
-
-        /**
-         * True if the last answer may be older than that of a peer that is probed in every tick.
-         */
-        private boolean mLastAnswerMayBeOlder;
-
-        private int mConsecutiveTimeouts;
-        private long mProbedNanos = Long.MIN_VALUE / 2;
-        private long mAnsweredNanos;
-
-        /** When the last probe was sent whose answer shows that the peer does not lead. */
-        private long mNotLeadingNanos = Long.MIN_VALUE;
-
-        private long mReachedNanos;
-
-        /** The latest time at or before which a request of the peer is known to have been sent. */
-        private long mRequestedNanos = Long.MIN_VALUE / 2;
-
-        private long mSeniorityWhenLost = -1;
-        private Option<InstanceName> mFollows = Option.none();
-
-        private DataCentreScope mScope = DataCentreScope.ALL;
-        private long mClockNanos = MessageAge.UNKNOWN_CLOCK_NANOS;
-
-        /** When the last status of the peer was received. */
-        private long mStatusNanos = Long.MIN_VALUE;
-
-        private PeerState(InstanceRecord record) {
-            mFirstRecord = record;
-            mSeniority = record.seniority();
-        }
-
-        private InstanceName name() {
-            return mFirstRecord.name();
-        }
-
-        /** Its registration has run out, but it may be alive behind a network partition. */
-        private boolean isGone() {
-            return !mRegistered && !mReachable;
-        }
-
-        private Peer toPeer() {
-            return new Peer(
-                    mFirstRecord.name(),
-                    mFirstRecord.dataCentre(),
-                    mAddress,
-                    mProcessorMillis,
-                    mSeniority,
-                    mReachable,
-                    mDraining,
-                    mStoreUnreachable,
-                    mFollows);
-        }
-
-        private boolean isUnresponsive(long nowNanos) {
-            boolean warmingUp = nowNanos - mReachedNanos < WARM_UP_NANOS;
-            long unresponsiveAfter =
-                    warmingUp ? WARM_UP_UNRESPONSIVE_AFTER_NANOS : UNRESPONSIVE_AFTER_NANOS;
-            long probeInterval = mLastAnswerMayBeOlder ? RARE_PROBE_INTERVAL_NANOS : 0;
-            return mReachable && nowNanos - mAnsweredNanos > unresponsiveAfter + probeInterval;
-        }
-    }
-
     /** Creates an empty table. */
     public PeerTable() {}
 
