Keep the jobs of a home whose registration ran out in a partition

Cause: after a data centre was cut off for longer than registrations live (5 s), its instances follow the leader on the other side within 0.3 s of the end of the cut, but the leader knows them again only once they are registered, 1.2 s later. Until then it took their jobs and gave them up at the next tick, 100 ms later, as jobs of a lost home, submitted again and then refused as "being stopped". Ruled out: a slow heal of the links (the same connections answered in 1 ms).

Change: a former peer that sends a probe is a peer again, and is probed at once (PeerTable.restoreFormerPeer).

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
@@ -70,6 +70,11 @@
         return !mRegistered && !mReachable;
     }
 
+    InstanceRecord toRecord() {
+        return new InstanceRecord(
+                name(), mFirstRecord.dataCentre(), mAddress, mProcessorMillis, mSeniority);
+    }
+
     Peer toPeer() {
         return new Peer(
                 mFirstRecord.name(),
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -58,6 +58,7 @@
     private final UntrackedInstances mUntrackedInstances = new UntrackedInstances();
     private int mSuspensions;
     private boolean mDivided;
+    private Predicate<DataCentre> mIsPooled = dataCentre -> true;
 
     /** How an answer changes the reachability of a peer. */
     public enum ContactChange {
@@ -97,14 +98,35 @@
                 .forEach(
                         state ->
                                 mUntrackedInstances.onRemoved(
-                                        state.name(),
+                                        state.toRecord(),
                                         state.mProbedNanos,
                                         state.mSeniorityWhenLost));
         mPeers.values().removeIf(PeerState::isGone);
+        mIsPooled = isPooled;
+    }
+
+    /**
+     * Makes a former peer a peer again, since it has sent a probe and hence is alive. Its
+     * registration may have run out in a network partition that has just healed; until it is
+     * renewed, the peer may already submit jobs.
+     *
+     * @param name the name of the instance that has sent a probe, not null
+     * @return true if it was a former peer
+     */
+    public boolean restoreFormerPeer(InstanceName name) {
+        Option<InstanceRecord> former =
+                mUntrackedInstances
+                        .takeRemoved(name)
+                        .filter(record -> mIsPooled.test(record.dataCentre()))
+                        .filter(record -> !mPeers.containsKey(name));
+        former.forEach(record -> mPeers.put(name, newPeer(record)));
+        return former.isDefined();
     }
 
     private PeerState newPeer(InstanceRecord record) {
         PeerState state = new PeerState(record);
+        state.mAddress = record.peerAddress();
+        state.mProcessorMillis = record.processorMillis();
         state.mSeniorityWhenLost = mUntrackedInstances.seniorityWhenLost(record.name());
         return state;
     }
--- a/decisions/src/main/java/org/wagtailproxy/leadership/UntrackedInstances.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/UntrackedInstances.java
@@ -1,5 +1,7 @@
 package org.wagtailproxy.leadership;
 
+import io.vavr.control.Option;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -18,15 +20,35 @@
      */
     private static final long MAY_LEAD_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /** Number of former peers that are remembered; the instances of several large pools. */
+    private static final int MAX_REMOVED = 1000;
+
     private static final long UNKNOWN_SENIORITY = -1;
 
     private final Map<InstanceName, Long> mLastNoticedNanos = new TreeMap<>();
     private final Map<InstanceName, Long> mSeniorityWhenLost = new TreeMap<>();
 
+    /** Former peers, oldest removal first. */
+    private final Map<InstanceName, InstanceRecord> mRemoved =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(
+                        Map.Entry<InstanceName, InstanceRecord> eldest) {
+                    return size() > MAX_REMOVED;
+                }
+            };
+
     /** Records that an unreachable peer is no longer registered. */
-    void onRemoved(InstanceName name, long probedNanos, long seniorityWhenLost) {
-        mLastNoticedNanos.put(name, probedNanos);
-        mSeniorityWhenLost.put(name, seniorityWhenLost);
+    void onRemoved(InstanceRecord record, long probedNanos, long seniorityWhenLost) {
+        mLastNoticedNanos.put(record.name(), probedNanos);
+        mSeniorityWhenLost.put(record.name(), seniorityWhenLost);
+        mRemoved.remove(record.name());
+        mRemoved.put(record.name(), record);
+    }
+
+    /** Forgets and returns the record of a former peer, none if it is not known. */
+    Option<InstanceRecord> takeRemoved(InstanceName name) {
+        return Option.of(mRemoved.remove(name));
     }
 
     /** Records that a peer follows an instance that is no peer. */
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
@@ -37,6 +37,29 @@
         assertThat(mTable.dueProbes(true, Option.none(), mNowNanos), hasSize(1));
     }
 
+    @Test
+    void testPeerWhoseRegistrationRanOutIsProbedAgainOnceItHasSentAProbe() {
+        mTable.updateRegistered(List.of(record(1, NEAR), record(2, FAR)), any -> true, false);
+        mTable.updateRegistered(List.of(record(1, NEAR)), any -> true, false);
+        assertThat(mTable.restoreFormerPeer(name(3)), is(false));
+        assertThat(mTable.restoreFormerPeer(name(1)), is(false));
+        assertThat(mTable.restoreFormerPeer(name(2)), is(true));
+        assertThat(mTable.restoreFormerPeer(name(2)), is(false));
+        answerAll(mTable.dueProbes(true, Option.none(), mNowNanos));
+        assertThat(mTable.find(name(2)).exists(Peer::reachable), is(true));
+        // It stays a peer while it answers, registered or not.
+        mTable.updateRegistered(List.of(record(1, NEAR)), any -> true, false);
+        assertThat(mTable.find(name(2)).isDefined(), is(true));
+    }
+
+    @Test
+    void testFormerPeerOutsideThePoolIsNotRestored() {
+        mTable.updateRegistered(List.of(record(1, NEAR), record(2, FAR)), any -> true, false);
+        mTable.updateRegistered(List.of(record(1, NEAR)), any -> true, false);
+        mTable.updateRegistered(List.of(record(1, NEAR)), NEAR::equals, true);
+        assertThat(mTable.restoreFormerPeer(name(2)), is(false));
+    }
+
     @Test
     void testSilentAndLeadingPeersAreNotTakenForFollowers() {
         mTable.updateRegistered(
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -366,7 +366,13 @@
 
     /** Returns the answer to a probe. It carries the configuration if the peer has an older one. */
     Presence.Builder answerProbe(Presence presence) {
+        boolean isRestored =
+                PresenceMessages.status(presence)
+                        .exists(status -> mPeers.restoreFormerPeer(status.name()));
         updatePeerStatus(presence);
+        if (isRestored) {
+            sendProbes(true);
+        }
         Presence.Builder answer = presence();
         if (presence.getConfigurationVersion() < mConfigurationVersion) {
             answer.setConfiguration(ByteString.copyFrom(mConfiguration));
