Leave servers that answer again to the leader that has used them

Change: an idle server that has just answered again is claimed only 0.7 s later.

Result: ServerRecoveryTest#testIdleServerOfAnotherLeader... failed before ("Expected: is <0L> but: was <7168L>").

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -199,7 +199,7 @@
         boolean tracked = run != null;
         switch (result) {
             case STARTED -> {
-                mReachability.onAnswer();
+                mReachability.onAnswer(nowNanos);
                 mLease.recordGrant(command.leaseUntilMillis());
                 if (tracked) {
                     run.mMayStartLate = false;
@@ -254,7 +254,7 @@
         }
         switch (result.kind()) {
             case ANSWERED -> {
-                mReachability.onAnswer();
+                mReachability.onAnswer(nowNanos);
                 onReport(command, result.report().get(), sentNanos, nowNanos);
             }
             case FENCED -> onFenced(token, nowNanos);
@@ -399,8 +399,12 @@
         }
     }
 
+    /**
+     * Claims an idle server. One that was unresponsive may have been behind a network partition
+     * together with a leader that uses it, which is reached within a moment.
+     */
     private void onPeekReport(PollReport report, long nowNanos) {
-        if (report.running().isEmpty()) {
+        if (report.running().isEmpty() && !mReachability.hasJustRecovered(nowNanos)) {
             mClaim.raiseToken();
             sendPoll(Option.none(), 0, nowNanos);
         } else {
@@ -432,7 +436,7 @@
     private void onRestart(PollReport report, long nowNanos) {
         mIncarnationStartMillis = report.startedMillis();
         mLease.reset(report.clockMillis(), nowNanos);
-        mReachability.onAnswer();
+        mReachability.onAnswer(nowNanos);
         mPolls.clear();
         mClaim.release();
         mUnfencedAfterRestart = true;
--- /dev/null
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerRecoveryTest.java
@@ -0,0 +1,54 @@
+package org.wagtailproxy.scheduling;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+/** Tests the claim of backend servers that answer again after a network partition. */
+class ServerRecoveryTest {
+
+    /** Time in which the leader on the other side of the partition is reached again. */
+    private static final long PEERS_REACHED_MILLIS = 600;
+
+    private final ServerSimulation mSimulation = new ServerSimulation();
+
+    @Test
+    void testIdleServerOfAnotherLeaderIsNotClaimedAtOnceWhenAPartitionHeals() {
+        var server = unreachableServer(ClaimMode.IF_UNUSED);
+        long token = server.mToken;
+        server.mUnresponsive = false;
+        mSimulation.run(PEERS_REACHED_MILLIS);
+        assertThat(server.mToken, is(token));
+        assertThat(heldServers(), is(0));
+    }
+
+    @Test
+    void testIdleServerThatAnswersAgainIsClaimedIfNoOtherLeaderAppears() {
+        var server = unreachableServer(ClaimMode.IF_UNUSED);
+        server.mUnresponsive = false;
+        mSimulation.run(2000);
+        assertThat(heldServers(), is(1));
+    }
+
+    @Test
+    void testServerWithPriorityIsClaimedAtOnceWhenItAnswersAgain() {
+        var server = unreachableServer(ClaimMode.FIRST);
+        server.mUnresponsive = false;
+        mSimulation.run(PEERS_REACHED_MILLIS);
+        assertThat(heldServers(), is(1));
+    }
+
+    private ServerSimulation.SimulatedServer unreachableServer(ClaimMode mode) {
+        var server = mSimulation.add("s0", 1, 32_000);
+        server.mClaim = mode;
+        server.mUnresponsive = true;
+        mSimulation.list();
+        mSimulation.run(3000);
+        return server;
+    }
+
+    private int heldServers() {
+        return mSimulation.mScheduler.state(mSimulation.nowNanos()).heldServers();
+    }
+}
