Let another instance lead while the leader cannot keep up

Change: OverloadDetector decides from late ticks that an instance cannot keep up. It reports so in its presence, and another instance of its size leads, as in a planned stop, with the jobs handed over. Not while code is loaded, after the start and a change of leader.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/Leadership.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/Leadership.java
@@ -163,7 +163,8 @@
 
     /**
      * Checks whether one instance is preferred to another as the leader. A draining instance leads
-     * only if all are draining, one that cannot reach the store only if none can.
+     * only if all are draining, one that cannot reach the store only if none can, and one that
+     * cannot keep up with its work only if no other one of its size can.
      */
     private boolean isPreferred(Peer one, Peer other) {
         if (one.draining() != other.draining()) {
@@ -175,6 +176,9 @@
         if (isLarge(one) != isLarge(other)) {
             return isLarge(one);
         }
+        if (one.overloaded() != other.overloaded()) {
+            return other.overloaded();
+        }
         return one.seniority() != other.seniority()
                 ? one.seniority() < other.seniority()
                 : one.name().compareTo(other.name()) < 0;
--- a/decisions/src/main/java/org/wagtailproxy/leadership/Peer.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/Peer.java
@@ -16,6 +16,7 @@
  * @param reachable true if it answers liveness probes
  * @param draining true if it is about to stop
  * @param storeUnreachable true if stored jobs are in use and it cannot reach the store
+ * @param overloaded true if it cannot keep up with its work
  * @param follows the leader that it reported to follow, none if it has reported none
  */
 public record Peer(
@@ -27,6 +28,7 @@
         boolean reachable,
         boolean draining,
         boolean storeUnreachable,
+        boolean overloaded,
         Option<InstanceName> follows) {
 
     /** Validates the components. */
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
@@ -30,6 +30,7 @@
     boolean mPartitioned;
     boolean mCoordinatesStoredJobs;
     boolean mStoreUnreachable;
+    boolean mOverloaded;
     boolean mProbedRarely;
 
     /** True if the last answer may be older than that of a peer that is probed in every tick. */
@@ -85,6 +86,7 @@
                 mReachable,
                 mDraining,
                 mStoreUnreachable,
+                mOverloaded,
                 mFollows);
     }
 
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerStatus.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerStatus.java
@@ -12,6 +12,7 @@
  * @param follows the leader that it follows, none if it has none
  * @param draining true if it is about to stop
  * @param storeUnreachable true if stored jobs are in use and it cannot reach the store
+ * @param overloaded true if it cannot keep up with its work
  * @param coordinatesStoredJobs true if it coordinates the stored jobs
  * @param scope the data centres on whose backend servers it starts tasks while it leads, not null
  * @param clockNanos its monotonic clock in nanoseconds, {@link MessageAge#UNKNOWN_CLOCK_NANOS} if
@@ -23,6 +24,7 @@
         Option<InstanceName> follows,
         boolean draining,
         boolean storeUnreachable,
+        boolean overloaded,
         boolean coordinatesStoredJobs,
         DataCentreScope scope,
         long clockNanos) {
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -321,6 +321,7 @@
         boolean changed =
                 state.mDraining != status.draining()
                         || state.mStoreUnreachable != status.storeUnreachable()
+                        || state.mOverloaded != status.overloaded()
                         || !state.mFollows.equals(status.follows());
         state.mStatusNanos = nowNanos;
         state.mSeniority = status.seniority();
@@ -328,6 +329,7 @@
         state.mFollows = status.follows();
         state.mCoordinatesStoredJobs = status.coordinatesStoredJobs();
         state.mStoreUnreachable = status.storeUnreachable();
+        state.mOverloaded = status.overloaded();
         state.mScope = status.scope();
         state.mClockNanos = status.clockNanos();
         return changed;
--- a/decisions/src/test/java/org/wagtailproxy/leadership/LeadershipTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/LeadershipTest.java
@@ -34,6 +34,7 @@
                 reachable,
                 false,
                 false,
+                false,
                 follows.isEmpty() ? Option.none() : Option.some(InstanceName.of(follows)));
     }
 
@@ -47,6 +48,7 @@
                 peer.reachable(),
                 true,
                 peer.storeUnreachable(),
+                peer.overloaded(),
                 peer.follows());
     }
 
@@ -60,6 +62,7 @@
                 peer.reachable(),
                 peer.draining(),
                 true,
+                peer.overloaded(),
                 peer.follows());
     }
 
@@ -119,9 +122,34 @@
                 peer.reachable(),
                 peer.draining(),
                 peer.storeUnreachable(),
+                peer.overloaded(),
+                peer.follows());
+    }
+
+    private static Peer overloaded(Peer peer) {
+        return new Peer(
+                peer.name(),
+                peer.dataCentre(),
+                peer.address(),
+                peer.processorMillis(),
+                peer.seniority(),
+                peer.reachable(),
+                peer.draining(),
+                peer.storeUnreachable(),
+                true,
                 peer.follows());
     }
 
+    @Test
+    void testOverloadedLeaderYieldsUnlessAllOthersAreOverloadedOrSmall() {
+        Peer self = overloaded(peer(A, 10, true, "a"));
+        Peer other = peer(B, 20, true, "");
+        Peer small = sized(peer(C, 30, true, ""), 400);
+        assertThat(leaderAmongLarge(self, other, small), is(B));
+        assertThat(leaderAmongLarge(self, overloaded(other), small), is(A));
+        assertThat(leaderAmongLarge(self, small), is(A));
+    }
+
     @Test
     void testDrainingLeaderYieldsUnlessItIsAlone() {
         Peer self = draining(peer(A, 10, true, "a"));
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
@@ -215,7 +215,15 @@
         fill(1);
         mTable.updateStatus(
                 new PeerStatus(
-                        name(1), 1, Option.none(), false, false, false, DataCentreScope.ALL, 0),
+                        name(1),
+                        1,
+                        Option.none(),
+                        false,
+                        false,
+                        false,
+                        false,
+                        DataCentreScope.ALL,
+                        0),
                 0);
         mTable.markUnreachable(name(1));
         PeerProbe probe = mTable.dueProbes(true, Option.none(), mNowNanos).get(0);
@@ -246,6 +254,7 @@
                         false,
                         false,
                         false,
+                        false,
                         DataCentreScope.ALL,
                         0);
         return mTable.followsOutsidePool(status, name(5));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -21,6 +21,7 @@
 import org.wagtailproxy.leadership.Leadership;
 import org.wagtailproxy.leadership.Majority;
 import org.wagtailproxy.leadership.MessageAge;
+import org.wagtailproxy.leadership.OverloadDetector;
 import org.wagtailproxy.leadership.Peer;
 import org.wagtailproxy.leadership.PeerProbe;
 import org.wagtailproxy.leadership.PeerStatus;
@@ -99,6 +100,9 @@
     private DataCentreScope mScope = DataCentreScope.ALL;
     private boolean mDraining;
     private boolean mStoreUnreachable;
+    private final OverloadDetector mOverloadDetector;
+    private boolean mOverloaded;
+    private long mTickDueNanos = Long.MAX_VALUE;
 
     private Option<Peer> mLeader = Option.none();
     private Set<InstanceName> mGroup = Set.of();
@@ -122,6 +126,7 @@
         mTokens = tokens;
         mLog = log;
         mListener = listener;
+        mOverloadDetector = new OverloadDetector(loop.nowNanos());
     }
 
     /**
@@ -358,12 +363,27 @@
      * due.
      */
     void tick() {
+        detectOverload();
         mPeers.unresponsivePeers(mLoop.nowNanos())
                 .forEach(name -> markUnreachable(name, "silent", true));
         electLeader();
         sendProbes(isLeader());
     }
 
+    private void detectOverload() {
+        long nowNanos = mLoop.nowNanos();
+        boolean overloaded = mOverloadDetector.onTick(mTickDueNanos, nowNanos);
+        mTickDueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS);
+        if (overloaded == mOverloaded) {
+            return;
+        }
+        mOverloaded = overloaded;
+        mLog.event(EventName.INSTANCE_OVERLOADED)
+                .with(EventField.OUTCOME, overloaded ? "overloaded" : "recovered")
+                .warn();
+        sendProbes(true);
+    }
+
     /** Returns the answer to a probe. It carries the configuration if the peer has an older one. */
     Presence.Builder answerProbe(Presence presence) {
         boolean isRestored =
@@ -480,6 +500,7 @@
             return;
         }
         if (leaderChanged) {
+            mOverloadDetector.onWorkChanged(mLoop.nowNanos());
             mLog.event(EventName.LEADER_FOLLOWED)
                     .with(EventField.PEER, leader.name())
                     .with(EventField.COUNT, group.size())
@@ -516,6 +537,7 @@
                 true,
                 mDraining,
                 mStoreUnreachable,
+                mOverloaded,
                 mLeader.map(Peer::name));
     }
 
@@ -529,6 +551,7 @@
                 .setFollows(mLeader.map(leader -> leader.name().value()).getOrElse(""))
                 .setDraining(mDraining)
                 .setStoreless(mStoreUnreachable)
+                .setOverloaded(mOverloaded)
                 .setScope(WorkMessages.scope(mScope))
                 .setClockNanos(mLoop.nowNanos())
                 .setHighestToken(mTokens.highest())
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
@@ -22,6 +22,7 @@
                                         name(presence.getFollows()),
                                         presence.getDraining(),
                                         presence.getStoreless(),
+                                        presence.getOverloaded(),
                                         presence.getKeepsJobs(),
                                         WorkMessages.scope(presence.getScope()),
                                         presence.getClockNanos()));
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
@@ -88,6 +88,8 @@
     SERVER_RELEASED,
     /** This instance follows another instance as its leader. */
     LEADER_FOLLOWED,
+    /** This instance cannot keep up with its work, or can again. */
+    INSTANCE_OVERLOADED,
     /** A version of the configuration has become active ("in force"). */
     CONFIGURATION_IN_FORCE,
     /** An entry of the store cannot be read and is ignored. */
--- a/wire/src/main/java/org/wagtailproxy/wire/Presence.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Presence.java
@@ -394,6 +394,21 @@
     return clockNanos_;
   }
 
+  public static final int OVERLOADED_FIELD_NUMBER = 16;
+  private boolean overloaded_ = false;
+  /**
+   * <pre>
+   * The sender cannot keep up with its work.
+   * </pre>
+   *
+   * <code>bool overloaded = 16;</code>
+   * @return The overloaded.
+   */
+  @java.lang.Override
+  public boolean getOverloaded() {
+    return overloaded_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -453,6 +468,9 @@
     if (clockNanos_ != 0L) {
       output.writeSFixed64(15, clockNanos_);
     }
+    if (overloaded_ != false) {
+      output.writeBool(16, overloaded_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -513,6 +531,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeSFixed64Size(15, clockNanos_);
     }
+    if (overloaded_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(16, overloaded_);
+    }
     return size;
   }
   @java.lang.Override
@@ -570,6 +592,8 @@
     }
     if (getClockNanos()
         != other.getClockNanos()) return false;
+    if (getOverloaded()
+        != other.getOverloaded()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -622,6 +646,9 @@
     hash = (37 * hash) + CLOCK_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getClockNanos());
+    hash = (37 * hash) + OVERLOADED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getOverloaded());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -782,6 +809,7 @@
         scopeBuilder_ = null;
       }
       clockNanos_ = 0L;
+      overloaded_ = false;
       return this;
     }
 
@@ -864,6 +892,9 @@
       if (((from_bitField0_ & 0x00004000) != 0)) {
         result.clockNanos_ = clockNanos_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.overloaded_ = overloaded_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -932,6 +963,9 @@
       if (other.getClockNanos() != 0L) {
         setClockNanos(other.getClockNanos());
       }
+      if (other.getOverloaded() != false) {
+        setOverloaded(other.getOverloaded());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1033,6 +1067,11 @@
               bitField0_ |= 0x00004000;
               break;
             } // case 121
+            case 128: {
+              overloaded_ = input.readBool();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 128
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1905,6 +1944,50 @@
       return this;
     }
 
+    private boolean overloaded_ ;
+    /**
+     * <pre>
+     * The sender cannot keep up with its work.
+     * </pre>
+     *
+     * <code>bool overloaded = 16;</code>
+     * @return The overloaded.
+     */
+    @java.lang.Override
+    public boolean getOverloaded() {
+      return overloaded_;
+    }
+    /**
+     * <pre>
+     * The sender cannot keep up with its work.
+     * </pre>
+     *
+     * <code>bool overloaded = 16;</code>
+     * @param value The overloaded to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOverloaded(boolean value) {
+
+      overloaded_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender cannot keep up with its work.
+     * </pre>
+     *
+     * <code>bool overloaded = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOverloaded() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      overloaded_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wagtailproxy.wire.Presence)
   }
 
--- a/wire/src/main/java/org/wagtailproxy/wire/PresenceOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/PresenceOrBuilder.java
@@ -176,4 +176,14 @@
    * @return The clockNanos.
    */
   long getClockNanos();
+
+  /**
+   * <pre>
+   * The sender cannot keep up with its work.
+   * </pre>
+   *
+   * <code>bool overloaded = 16;</code>
+   * @return The overloaded.
+   */
+  boolean getOverloaded();
 }
