Poll servers that were unresponsive without fencing their leader

Cause: a leader that was cut off polls the servers on the other side with the highest token that it knows, to learn whether they are idle.

Change: a server that was unresponsive is first polled with the lowest token. Its answer, a refusal too, shows only that it answers again; after 0.7 s, in which the other leader is reached if there is one, it is polled as before. Replaces the delay after the poll.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -25,6 +25,12 @@
  */
 final class BackendServer {
 
+    /**
+     * Time after an unresponsive server has answered again in which other instances behind the same
+     * network partition may not have been reached yet: two probes, each with its timeout and tick.
+     */
+    private static final long PARTITION_RECOVERY_MILLIS = 700;
+
     /** Added to the end of a lease before its runs are ended, because timers fire late. */
     private static final long LEASE_MARGIN_MILLIS = 30;
 
@@ -199,7 +205,7 @@
         boolean tracked = run != null;
         switch (result) {
             case STARTED -> {
-                mReachability.onAnswer(nowNanos);
+                mReachability.onAnswer();
                 mLease.recordGrant(command.leaseUntilMillis());
                 if (tracked) {
                     run.mMayStartLate = false;
@@ -248,13 +254,17 @@
     void onPollResult(ServerCommand.Poll command, PollResult result, long nowNanos) {
         Long sentNanos = mPolls.close(command.number());
         long token = command.target().fencingToken();
+        if (sentNanos != null && mClaim.phase() == ServerClaim.Phase.KNOCKING) {
+            onKnockResult(result, sentNanos, nowNanos);
+            return;
+        }
         if (sentNanos == null
                 || (token != mClaim.token() && mClaim.phase() != ServerClaim.Phase.PEEKING)) {
             return;
         }
         switch (result.kind()) {
             case ANSWERED -> {
-                mReachability.onAnswer(nowNanos);
+                mReachability.onAnswer();
                 onReport(command, result.report().get(), sentNanos, nowNanos);
             }
             case FENCED -> onFenced(token, nowNanos);
@@ -266,16 +276,38 @@
             case UNANSWERED -> onPollUnanswered(sentNanos, nowNanos);
             default -> {
                 mReachability.onUnreachable();
-                mClaim.pause(mReachability.nextPauseMillis(), nowNanos);
+                pauseClaim(nowNanos);
             }
         }
     }
 
+    /**
+     * Processes the result of a poll that shows only whether the server answers again. It may have
+     * been behind a network partition together with a leader that uses it and that is reached
+     * within a moment, so it is left alone until then.
+     */
+    private void onKnockResult(PollResult result, long sentNanos, long nowNanos) {
+        switch (result.kind()) {
+            case ANSWERED, FENCED -> {
+                mReachability.onAnswer();
+                mClaim.release();
+                mClaim.pause(PARTITION_RECOVERY_MILLIS, nowNanos);
+            }
+            case UNANSWERED -> onPollUnanswered(sentNanos, nowNanos);
+            default -> pauseClaim(nowNanos);
+        }
+    }
+
+    private void pauseClaim(long nowNanos) {
+        mClaim.onUnresponsive();
+        mClaim.pause(mReachability.nextPauseMillis(), nowNanos);
+    }
+
     private void onPollUnanswered(long sentNanos, long nowNanos) {
         if (!mReachability.onPollUnanswered(nowNanos)) {
             return;
         }
-        mClaim.pause(mReachability.nextPauseMillis(), nowNanos);
+        pauseClaim(nowNanos);
         if (!mRuns.isEmpty()) {
             mHealth.recordFailure(sentNanos, nowNanos);
         }
@@ -315,7 +347,7 @@
 
     private void beginClaim(long nowNanos) {
         mPolls.clear();
-        mClaim.begin(nowNanos);
+        mClaim.begin(mReachability.isUnresponsive(), nowNanos);
         sendPoll(Option.none(), 0, nowNanos);
     }
 
@@ -399,12 +431,8 @@
         }
     }
 
-    /**
-     * Claims an idle server. One that was unresponsive may have been behind a network partition
-     * together with a leader that uses it, which is reached within a moment.
-     */
     private void onPeekReport(PollReport report, long nowNanos) {
-        if (report.running().isEmpty() && !mReachability.hasJustRecovered(nowNanos)) {
+        if (report.running().isEmpty()) {
             mClaim.raiseToken();
             sendPoll(Option.none(), 0, nowNanos);
         } else {
@@ -436,7 +464,7 @@
     private void onRestart(PollReport report, long nowNanos) {
         mIncarnationStartMillis = report.startedMillis();
         mLease.reset(report.clockMillis(), nowNanos);
-        mReachability.onAnswer(nowNanos);
+        mReachability.onAnswer();
         mPolls.clear();
         mClaim.release();
         mUnfencedAfterRestart = true;
@@ -480,6 +508,8 @@
     }
 
     private CommandTarget target() {
-        return new CommandTarget(entry().id(), entry().address(), mClaim.token());
+        boolean isKnocking = mClaim.phase() == ServerClaim.Phase.KNOCKING;
+        long token = isKnocking ? ServerClaim.LOWEST_TOKEN : mClaim.token();
+        return new CommandTarget(entry().id(), entry().address(), token);
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerClaim.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerClaim.java
@@ -7,18 +7,24 @@
  *
  * <p>In the mode {@link ClaimMode#FIRST} the token is raised until the server accepts it. In the
  * mode {@link ClaimMode#IF_UNUSED} the server is polled with the highest known token, and is
- * claimed only if it reports no runs.
+ * claimed only if it reports no runs. Such a poll already fences the instance that holds the server
+ * with a lower token, so a server that was unresponsive is first polled with the lowest token, to
+ * learn whether it answers again.
  */
 final class ServerClaim {
 
     /** The phases of a claim. */
     enum Phase {
         UNCLAIMED,
+        KNOCKING,
         PEEKING,
         CLAIMING,
         HELD
     }
 
+    /** The token of a poll that fences no instance. */
+    static final long LOWEST_TOKEN = 0;
+
     /** Pause before a claim is retried after an instance with priority has raised the token. */
     private static final long YIELD_PAUSE_MILLIS = 1500;
 
@@ -59,7 +65,7 @@
     void updateMode(ClaimMode mode) {
         if (mode == ClaimMode.FIRST && mMode != ClaimMode.FIRST) {
             mPausedUntilNanos = 0;
-            if (mPhase == Phase.PEEKING) {
+            if (mPhase == Phase.PEEKING || mPhase == Phase.KNOCKING) {
                 // The server is claimed at once, whatever runs on it.
                 mPhase = Phase.UNCLAIMED;
             }
@@ -89,17 +95,30 @@
                 && nowNanos - mClaimStartNanos < millis * NANOS_PER_MILLI;
     }
 
-    /** Begins the claim. The caller must then send a poll with the token. */
-    void begin(long nowNanos) {
+    /**
+     * Begins the claim. The caller must then send a poll with the token.
+     *
+     * @param unresponsive true if the server did not answer lately
+     */
+    void begin(boolean unresponsive, long nowNanos) {
         mClaimStartNanos = nowNanos;
         if (mMode == ClaimMode.FIRST) {
             raiseToken();
+        } else if (unresponsive) {
+            mPhase = Phase.KNOCKING;
         } else {
             mToken = Math.max(mToken, mTokens.highest());
             mPhase = Phase.PEEKING;
         }
     }
 
+    /** Records that the server does not answer; it is not polled with a high token any more. */
+    void onUnresponsive() {
+        if (mPhase == Phase.PEEKING) {
+            mPhase = Phase.UNCLAIMED;
+        }
+    }
+
     /** Enters the claiming phase with a token above all known ones. */
     void raiseToken() {
         mToken = mTokens.next(mToken);
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerReachability.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerReachability.java
@@ -30,14 +30,7 @@
     /** Longest such pause, which bounds the time until a recovered server is used again. */
     private static final long MAX_PAUSE_MILLIS = 500;
 
-    /**
-     * Time after an unresponsive server has answered again in which other instances behind the same
-     * network partition may not have been reached yet: two probes, each with its timeout and tick.
-     */
-    private static final long RECOVERY_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-
     private final LeaseTiming mTiming;
-    private long mRecoveredNanos = Long.MIN_VALUE / 2;
     private long mLossyUntilNanos;
     private boolean mEverLostAnswer;
     private int mUnanswered;
@@ -53,20 +46,12 @@
         return mUnresponsive;
     }
 
-    void onAnswer(long nowNanos) {
-        if (mUnresponsive) {
-            mRecoveredNanos = nowNanos;
-        }
+    void onAnswer() {
         mUnresponsive = false;
         mUnanswered = 0;
         mPauseMillis = INITIAL_PAUSE_MILLIS;
     }
 
-    /** Checks whether the server has been unresponsive until a short time ago. */
-    boolean hasJustRecovered(long nowNanos) {
-        return nowNanos - mRecoveredNanos < RECOVERY_NANOS;
-    }
-
     /** Requests a poll, which shows whether a start command without an answer was executed. */
     void onStartUnanswered(long nowNanos) {
         recordLostAnswer(nowNanos);
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -187,6 +187,7 @@
         boolean mUnresponsive;
         ClaimMode mClaim = ClaimMode.FIRST;
         long mToken;
+        int mPolls;
         long mIncarnationStartMillis = 5;
         long mWorkMillis = 60;
 
@@ -384,6 +385,7 @@
                 later(200, () -> onPollResult(poll, PollResult.of(PollResult.Kind.UNANSWERED)));
                 return;
             }
+            mPolls++;
             if (poll.target().fencingToken() < mToken) {
                 later(1, () -> onPollResult(poll, PollResult.of(PollResult.Kind.FENCED)));
                 return;
