Answer callers whose jobs outlast a planned stop

Change: the open jobs are withdrawn and answered as abandoned (504) before the process ends.

Result: NodeTest#testCallerWhoseJobOutlastsThePlannedStopIsAnswered failed before ("HTTP/1.1 header parser received no bytes").

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -443,6 +443,14 @@
         mElection.startDraining();
     }
 
+    /**
+     * Answers the callers whose jobs have no outcome yet, because the process is about to end.
+     * Their jobs count as abandoned, since tasks may have run.
+     */
+    public void abandonJobs() {
+        mJobRelay.abandonAll();
+    }
+
     @Override
     public void close() throws IOException {
         mCloser.close();
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -159,6 +159,14 @@
         return true;
     }
 
+    /** Withdraws all jobs because this process ends; their callers receive "abandoned". */
+    void abandonAll() {
+        for (HomeJob job : List.copyOf(mJobs.values())) {
+            withdrawFromLeader(job);
+            finish(job, WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "process ends"));
+        }
+    }
+
     boolean isOpen(JobId id) {
         return mJobs.containsKey(id);
     }
