Answer submissions of other instances that cannot be read

A submission whose step follows a step that does not exist, or with more tasks than fit into memory, or with unreadable progress, ended in an exception on the event loop. The loop goes on and callers are served, but the sender got no answer and waited until its job was out of time.

Change: WorkSpec and TaskId check these values, so the submission is refused as unreadable; progress that cannot be read counts as "may run anywhere".

Serving was not affected before either.

--- a/decisions/src/main/java/org/wagtailproxy/workload/TaskId.java
+++ b/decisions/src/main/java/org/wagtailproxy/workload/TaskId.java
@@ -14,6 +14,9 @@
     /** Validates the components. */
     public TaskId {
         Objects.requireNonNull(job, "job");
+        if (step < 0 || index < 0) {
+            throw new IllegalArgumentException("step and index must not be negative");
+        }
     }
 
     /**
--- a/decisions/src/main/java/org/wagtailproxy/workload/WorkSpec.java
+++ b/decisions/src/main/java/org/wagtailproxy/workload/WorkSpec.java
@@ -26,6 +26,9 @@
         String storedIn,
         boolean longRunning) {
 
+    /** Bound of the tasks of a job; each takes memory as long as the job lasts. */
+    public static final int MAX_TASKS = 100_000;
+
     /** Validates the components. */
     public WorkSpec {
         Objects.requireNonNull(id, "id");
@@ -37,6 +40,18 @@
         if (steps.isEmpty()) {
             throw new IllegalArgumentException("a job needs a step");
         }
+        long tasks = 0;
+        for (int position = 0; position < steps.size(); position++) {
+            tasks += steps.get(position).tasks();
+            for (int predecessor : steps.get(position).after()) {
+                if (predecessor < 0 || predecessor >= position) {
+                    throw new IllegalArgumentException("a step may only follow earlier steps");
+                }
+            }
+        }
+        if (tasks > MAX_TASKS) {
+            throw new IllegalArgumentException("more than " + MAX_TASKS + " tasks");
+        }
     }
 
     /**
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/WorkMessages.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/WorkMessages.java
@@ -114,7 +114,20 @@
         return message.build();
     }
 
+    /**
+     * Converts a message to the progress of a job. Tasks of one that cannot be read may have been
+     * started on any server.
+     */
     static WorkProgress progress(JobId job, org.wagtailproxy.wire.WorkProgress message) {
+        try {
+            return readProgress(job, message);
+        } catch (IllegalArgumentException unreadable) {
+            return WorkProgress.of(List.of(), Math.max(1, message.getHighestAttempt()));
+        }
+    }
+
+    private static WorkProgress readProgress(
+            JobId job, org.wagtailproxy.wire.WorkProgress message) {
         List<TaskId> done = new ArrayList<>();
         for (int position = 0; position + 1 < message.getDoneCount(); position += 2) {
             done.add(TaskId.of(job, message.getDone(position), message.getDone(position + 1)));
