Notice an overload at the second late tick

Cause: with three late ticks a leader that is 7.3 times slower reported its overload 1.1 s after it began, as its ticks come 0.4 s apart by then; its followers had found it silent after 0.7 s.

Change: two late ticks in a row suffice; a pause of the process delays only one.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/OverloadDetector.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/OverloadDetector.java
@@ -17,7 +17,7 @@
     private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** Late ticks in a row that show an overload. A pause of the process delays only one. */
-    private static final int OVERLOAD_TICKS = 3;
+    private static final int OVERLOAD_TICKS = 2;
 
     /** Time without a late tick that ends the first overload. */
     private static final long MIN_RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(10);
--- a/decisions/src/test/java/org/wagtailproxy/leadership/OverloadDetectorTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/OverloadDetectorTest.java
@@ -16,7 +16,7 @@
     @Test
     void testLateTicksInARowShowAnOverload() {
         tick(100, 0);
-        assertThat(tick(2, 300), is(false));
+        assertThat(tick(1, 300), is(false));
         assertThat(tick(1, 300), is(true));
     }
 
@@ -25,9 +25,9 @@
         tick(100, 0);
         assertThat(tick(1, 4000), is(false));
         assertThat(tick(100, 0), is(false));
-        assertThat(tick(2, 150), is(false));
+        assertThat(tick(1, 150), is(false));
         assertThat(tick(1, 20), is(false));
-        assertThat(tick(2, 150), is(false));
+        assertThat(tick(1, 150), is(false));
     }
 
     @Test
