Read the input once more before a call counts as unanswered

Cause: a loop that is busy for longer than a timeout (120 ms for commands) runs the timers before it reads the answers that have arrived meanwhile.

--- a/proxy/src/main/java/org/wagtailproxy/peer/PeerClient.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/PeerClient.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -83,19 +84,27 @@
         Either<Failure, Envelope> late =
                 failed(FailureKind.PEER_UNREACHABLE, "no answer from " + address);
         // Uses the event loop as the timer: a separate timer thread would wake up for every call.
+        EventLoop loop = mBootstrap.config().group().next();
         Future<?> timer =
-                mBootstrap
-                        .config()
-                        .group()
-                        .next()
-                        .schedule(
-                                () -> answer.complete(late),
-                                timeout.toMillis(),
-                                TimeUnit.MILLISECONDS);
+                loop.schedule(
+                        () -> completeAfterInput(loop, answer, late),
+                        timeout.toMillis(),
+                        TimeUnit.MILLISECONDS);
         answer.whenComplete((value, thrown) -> timer.cancel(false));
         return answer;
     }
 
+    /**
+     * Completes a call after its timeout, once the loop has read its input: after it was busy, the
+     * answer may be there already.
+     */
+    private static void completeAfterInput(
+            EventLoop loop,
+            CompletableFuture<Either<Failure, Envelope>> answer,
+            Either<Failure, Envelope> late) {
+        loop.schedule(() -> answer.complete(late), 0, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Closes the connection to an instance, which may be unresponsive; its pending calls fail.
      *
