--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d review/target/classes ] && [ -f target/platform/classes.jsa ] || exit 2
-exec java -Xmx256m -cp review/target/classes review.CancelAtAnotherMachine review/5/record.txt
+exec java -Xmx256m -cp review/target/classes review.PendingAfterLeader review/5/record.txt
