Keep a fleet in one pool while there may be stored jobs

Cause: the fleet was divided by data centre from the number of instances alone, and no instance of a divided fleet coordinates stored jobs. A fleet that was started anew with 20 instances did not read the records of before either.

Change: the guard in the store says whether there may be stored jobs, before the first one is written. Each instance reads and watches it (StoredJobsMonitor), and the fleet is divided only while it says that there are none; PoolMembership takes this part out of Dispatcher. A large fleet in one pool chooses its leader and probes its peers as a divided one does.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -17,10 +17,9 @@
 /**
  * Tracks the state of the other instances of the pool and schedules the liveness probes to them.
  *
- * <p>Detects dead, paused and partitioned peers within half a second. In a large fleet, which is
- * divided, only the leader and its successor candidates are probed in every tick, so that the
- * number of probes does not grow with the square of the pool size. Not thread-safe; confined to one
- * thread.
+ * <p>Detects dead, paused and partitioned peers within half a second. In a large fleet only the
+ * leader and its successor candidates are probed in every tick, so that the number of probes does
+ * not grow with the square of the pool size. Not thread-safe; confined to one thread.
  */
 public final class PeerTable {
 
@@ -35,12 +34,10 @@
      */
     private static final int TIMEOUTS_BEFORE_RECONNECT = 2;
 
-    /**
-     * Number of the most senior reachable peers that are probed in every tick of a divided fleet.
-     */
+    /** Number of the most senior reachable peers that are probed in every tick of a large fleet. */
     private static final int MAX_SUCCESSOR_CANDIDATES = 2;
 
-    /** Interval between probes to the other peers of a divided fleet; a few ticks. */
+    /** Interval between probes to the other peers of a large fleet; a few ticks. */
     static final long RARE_PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
 
     /**
@@ -58,6 +55,7 @@
     private final UntrackedInstances mUntrackedInstances = new UntrackedInstances();
     private int mSuspensions;
     private boolean mDivided;
+    private boolean mLarge;
     private Predicate<DataCentre> mIsPooled = dataCentre -> true;
 
     /** How an answer changes the reachability of a peer. */
@@ -105,6 +103,15 @@
         mIsPooled = isPooled;
     }
 
+    /**
+     * Sets whether the fleet is large although it is not divided.
+     *
+     * @param large true if most peers are to be probed less frequently
+     */
+    public void setLarge(boolean large) {
+        mLarge = large;
+    }
+
     /**
      * Makes a former peer a peer again, since it has sent a probe and hence is alive. Its
      * registration may have run out in a network partition that has just healed; until it is
@@ -142,7 +149,7 @@
      */
     public List<PeerProbe> dueProbes(boolean all, Option<InstanceName> leader, long nowNanos) {
         Set<InstanceName> frequentlyProbed =
-                all || !mDivided ? Set.of() : leaderAndSuccessorCandidates(leader);
+                all || !(mLarge || mDivided) ? Set.of() : leaderAndSuccessorCandidates(leader);
         List<PeerProbe> probes = new ArrayList<>();
         for (PeerState state : mPeers.values()) {
             state.mProbedRarely =
--- a/decisions/src/main/java/org/wagtailproxy/leadership/Pool.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/Pool.java
@@ -6,15 +6,18 @@
 import org.wagtailproxy.workload.DataCentreScope;
 
 /**
- * Decides from the number of instances whether one leader serves all data centres or each data
- * centre has its own leader.
+ * Decides from the number of instances, and from whether there may be stored jobs, whether one
+ * leader serves all data centres or each data centre has its own leader.
  *
  * <p>Designed for jobs of eight and more tasks on data centres of a dozen servers: one queue for
  * all data centres fits jobs that would wait in a queue for a single one. A fleet that is too large
  * for one leader is divided by data centre. A change of the decision moves jobs between leaders
  * that control different backend servers, and registrations lapse together when the store loses
- * them, so a divided fleet is merged only after it has been small for a long time. Not thread-safe;
- * confined to one thread.
+ * them, so a divided fleet is merged only after it has been small for a long time.
+ *
+ * <p>Stored jobs have one coordinator, whose tasks may run on all backend servers, so a fleet is
+ * not divided, and a divided one is merged at once, while there may be stored jobs. Not
+ * thread-safe; confined to one thread.
  */
 public final class Pool {
 
@@ -38,6 +41,7 @@
     private static final long MIN_SMALL_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     private boolean mSpansDataCentres = true;
+    private boolean mLarge;
     private boolean mMergePending;
     private long mSmallSinceNanos;
 
@@ -48,12 +52,16 @@
      * Updates the decision for a number of instances.
      *
      * @param instances the number of instances that are registered or answer probes
+     * @param storedJobsPossible false only if it is known that there are no stored jobs
      * @param nowNanos the monotonic time in nanoseconds
      * @return true if the decision has changed
      */
-    public boolean update(int instances, long nowNanos) {
+    public boolean update(int instances, boolean storedJobsPossible, long nowNanos) {
         boolean spannedDataCentres = mSpansDataCentres;
-        if (instances >= MIN_DIVIDED_INSTANCES) {
+        mLarge = isDivisible(instances) || (mLarge && instances > MAX_POOLED_INSTANCES);
+        if (storedJobsPossible) {
+            mSpansDataCentres = true;
+        } else if (isDivisible(instances)) {
             mSpansDataCentres = false;
         }
         if (mSpansDataCentres || instances > MAX_POOLED_INSTANCES) {
@@ -68,6 +76,16 @@
         return mSpansDataCentres != spannedDataCentres;
     }
 
+    /**
+     * Checks whether a fleet is divided, if there are no stored jobs, because of its size alone.
+     *
+     * @param instances the number of instances
+     * @return true if the size requires to know whether there may be stored jobs
+     */
+    public static boolean isDivisible(int instances) {
+        return instances >= MIN_DIVIDED_INSTANCES;
+    }
+
     /**
      * Checks whether the decision may change without a change of the number of instances.
      *
@@ -86,6 +104,16 @@
         return mSpansDataCentres;
     }
 
+    /**
+     * Checks whether the fleet has so many instances that an instance cannot probe all others
+     * frequently, and that small instances should not lead.
+     *
+     * @return true if the fleet is large or divided
+     */
+    public boolean isLarge() {
+        return mLarge || !mSpansDataCentres;
+    }
+
     /**
      * Checks whether two data centres belong to the same pool.
      *
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PoolTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PoolTest.java
@@ -19,7 +19,7 @@
     @Test
     void testSmallFleetIsOnePool() {
         Pool pool = new Pool();
-        assertThat(pool.update(9, mNowNanos), is(false));
+        assertThat(pool.update(9, false, mNowNanos), is(false));
         assertThat(pool.isSamePool(HERE, THERE), is(true));
         assertThat(pool.scope(HERE), is(DataCentreScope.ALL));
     }
@@ -27,7 +27,7 @@
     @Test
     void testLargeFleetHasAPoolForEachDataCentre() {
         Pool pool = new Pool();
-        assertThat(pool.update(40, mNowNanos), is(true));
+        assertThat(pool.update(40, false, mNowNanos), is(true));
         assertThat(pool.isSamePool(HERE, THERE), is(false));
         assertThat(pool.isSamePool(HERE, HERE), is(true));
         assertThat(pool.scope(HERE), is(DataCentreScope.of(Set.of(HERE))));
@@ -36,11 +36,11 @@
     @Test
     void testDecisionStaysWhileTheSizeIsBetweenTheLimits() {
         Pool pool = new Pool();
-        pool.update(40, mNowNanos);
+        pool.update(40, false, mNowNanos);
         passSeconds(100);
-        pool.update(18, mNowNanos);
+        pool.update(18, false, mNowNanos);
         passSeconds(100);
-        assertThat(pool.update(18, mNowNanos), is(false));
+        assertThat(pool.update(18, false, mNowNanos), is(false));
         assertThat(pool.isSamePool(HERE, THERE), is(false));
         assertThat(pool.isMergePending(), is(false));
     }
@@ -48,12 +48,12 @@
     @Test
     void testRegistrationsThatLapseTogetherDoNotMergeADividedFleet() {
         Pool pool = new Pool();
-        pool.update(40, mNowNanos);
+        pool.update(40, false, mNowNanos);
         for (int outage = 0; outage < 10; outage++) {
-            pool.update(0, mNowNanos);
+            pool.update(0, false, mNowNanos);
             passSeconds(5);
-            assertThat(pool.update(16, mNowNanos), is(false));
-            pool.update(17, mNowNanos);
+            assertThat(pool.update(16, false, mNowNanos), is(false));
+            pool.update(17, false, mNowNanos);
         }
         assertThat(pool.spansDataCentres(), is(false));
     }
@@ -61,17 +61,59 @@
     @Test
     void testDividedFleetThatStaysSmallIsMerged() {
         Pool pool = new Pool();
-        pool.update(40, mNowNanos);
-        pool.update(16, mNowNanos);
+        pool.update(40, false, mNowNanos);
+        pool.update(16, false, mNowNanos);
         passSeconds(29);
-        assertThat(pool.update(16, mNowNanos), is(false));
+        assertThat(pool.update(16, false, mNowNanos), is(false));
         assertThat(pool.isMergePending(), is(true));
         passSeconds(1);
-        assertThat(pool.update(16, mNowNanos), is(true));
+        assertThat(pool.update(16, false, mNowNanos), is(true));
         assertThat(pool.isSamePool(HERE, THERE), is(true));
         assertThat(pool.isMergePending(), is(false));
     }
 
+    /** Guards against dividing a fleet whose accepted jobs then have no coordinator. */
+    @Test
+    void testFleetWithStoredJobsIsOnePoolWhateverItsSize() {
+        Pool pool = new Pool();
+        pool.update(16, true, mNowNanos);
+        assertThat(pool.update(20, true, mNowNanos), is(false));
+        assertThat(pool.update(300, true, mNowNanos), is(false));
+        assertThat(pool.isSamePool(HERE, THERE), is(true));
+        assertThat(pool.scope(HERE), is(DataCentreScope.ALL));
+        assertThat(pool.isLarge(), is(true));
+    }
+
+    @Test
+    void testLargeFleetIsDividedOnceItHasNoStoredJobs() {
+        Pool pool = new Pool();
+        pool.update(40, true, mNowNanos);
+        assertThat(pool.update(40, false, mNowNanos), is(true));
+        assertThat(pool.isSamePool(HERE, THERE), is(false));
+    }
+
+    @Test
+    void testDividedFleetIsMergedAtOnceForStoredJobs() {
+        Pool pool = new Pool();
+        pool.update(40, false, mNowNanos);
+        assertThat(pool.update(40, true, mNowNanos), is(true));
+        assertThat(pool.isSamePool(HERE, THERE), is(true));
+        assertThat(pool.isLarge(), is(true));
+    }
+
+    @Test
+    void testSmallFleetIsNotLarge() {
+        Pool pool = new Pool();
+        pool.update(19, false, mNowNanos);
+        assertThat(pool.isLarge(), is(false));
+        pool.update(40, false, mNowNanos);
+        pool.update(16, false, mNowNanos);
+        assertThat(pool.isLarge(), is(true));
+        passSeconds(30);
+        pool.update(16, false, mNowNanos);
+        assertThat(pool.isLarge(), is(false));
+    }
+
     private void passSeconds(long seconds) {
         mNowNanos += TimeUnit.SECONDS.toNanos(seconds);
     }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/CoordinatorTerm.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/CoordinatorTerm.java
@@ -1,6 +1,7 @@
 package org.wagtailproxy.dispatcher;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -24,11 +25,14 @@
  * starts by writing the guard, so that no write of an earlier coordinator can succeed after the
  * jobs have been read. After a write without an answer, the guard is written again, so that the
  * unanswered write cannot take effect later.
+ *
+ * <p>The guard also records whether there may be stored jobs: it says so before the first job is
+ * written, so that every instance that has read it knows whether a coordinator is needed.
  */
 final class CoordinatorTerm {
 
     /** Key of the guard, the item whose revision conditions all writes of stored jobs. */
-    private static final String GUARD_KEY = "keeper";
+    static final String GUARD_KEY = "keeper";
 
     private static final String JOBS_PREFIX = "jobs/";
 
@@ -43,8 +47,16 @@
     private final List<StoredJob> mJobs = new ArrayList<>();
     private long mGuardRevision;
     private long mGeneration;
+
+    /** What the guard says of the stored jobs, or will say once the outstanding write succeeds. */
+    private KeeperRecord.Jobs mRecordedJobs = KeeperRecord.Jobs.UNKNOWN;
+
+    private boolean mRecordingJobs;
     private boolean mEnded;
 
+    /** The commit that waits until the guard has been written. */
+    private Option<Runnable> mWaitingCommit = Option.none();
+
     /** Notified of the start of the term, the results of writes and the loss of the term. */
     interface Listener {
 
@@ -94,8 +106,45 @@
         mEnded = true;
     }
 
-    /** Writes and removes jobs in one transaction; the listener is notified of the result. */
+    /**
+     * Writes and removes jobs in one transaction; the listener is notified of the result. Call only
+     * after the result of the previous one.
+     */
     void commit(Map<String, byte[]> writes, List<String> removed) {
+        recordJobs(KeeperRecord.Jobs.POSSIBLE, () -> writeJobs(writes, removed));
+    }
+
+    /** Records that no job is stored. Call only if all of them have been removed. */
+    void recordNoJobs() {
+        if (!mRecordingJobs) {
+            recordJobs(KeeperRecord.Jobs.NONE, () -> {});
+        }
+    }
+
+    /** Changes what the guard says of the stored jobs if necessary, then runs an action. */
+    private void recordJobs(KeeperRecord.Jobs jobs, Runnable next) {
+        if (mRecordingJobs) {
+            mWaitingCommit = Option.some(() -> recordJobs(jobs, next));
+            return;
+        }
+        if (mRecordedJobs == jobs) {
+            next.run();
+            return;
+        }
+        mRecordedJobs = jobs;
+        mRecordingJobs = true;
+        Runnable onWritten =
+                () -> {
+                    mRecordingJobs = false;
+                    next.run();
+                    Option<Runnable> waitingCommit = mWaitingCommit;
+                    mWaitingCommit = Option.none();
+                    waitingCommit.forEach(Runnable::run);
+                };
+        writeGuard(mGuardRevision, onWritten, () -> renewGuard(onWritten));
+    }
+
+    private void writeJobs(Map<String, byte[]> writes, List<String> removed) {
         mStore.commit(
                 new StoreTransaction(GUARD_KEY, mGuardRevision, writes, removed),
                 unlessEnded(
@@ -114,14 +163,18 @@
             mListener.onCommitFailed();
             return;
         }
-        readGuard(this::renewGuard);
+        renewGuard(mListener::onCommitFailed);
     }
 
     /**
      * Writes the guard again after a write without an answer, unless another instance has claimed
      * it. A delayed write of the guard by this instance may have changed its revision.
      */
-    private void renewGuard(long revision, KeeperRecord holder) {
+    private void renewGuard(Runnable onWritten) {
+        readGuard((revision, holder) -> renewGuard(revision, holder, onWritten));
+    }
+
+    private void renewGuard(long revision, KeeperRecord holder, Runnable onWritten) {
         boolean isOwn =
                 holder.getIncarnation().equals(mSelf.getIncarnation())
                         && holder.getGeneration() == mGeneration;
@@ -129,7 +182,7 @@
             mListener.onTermLost();
             return;
         }
-        writeGuard(revision, () -> mListener.onCommitFailed(), () -> readGuard(this::renewGuard));
+        writeGuard(revision, onWritten, () -> renewGuard(onWritten));
     }
 
     private void readGuard(GuardHandler handler) {
@@ -159,11 +212,18 @@
 
     private void claimGuard(long revision, KeeperRecord holder) {
         mGeneration = holder.getGeneration() + 1;
+        // Jobs are written only after the guard, so there are none without it.
+        mRecordedJobs = revision == 0 ? KeeperRecord.Jobs.NONE : holder.getJobs();
         writeGuard(revision, () -> readJobs(""), () -> readGuard(this::claimGuard));
     }
 
     private void writeGuard(long revision, Runnable onWritten, Runnable onFailure) {
-        byte[] value = mSelf.toBuilder().setGeneration(mGeneration).build().toByteArray();
+        byte[] value =
+                mSelf.toBuilder()
+                        .setGeneration(mGeneration)
+                        .setJobs(mRecordedJobs)
+                        .build()
+                        .toByteArray();
         mStore.commit(
                 new StoreTransaction(GUARD_KEY, revision, Map.of(GUARD_KEY, value), List.of()),
                 unlessEnded(
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
@@ -250,6 +250,19 @@
                 .info();
     }
 
+    /**
+     * Logs that the fleet is divided into a pool for each data centre from now on, or no longer.
+     *
+     * @param instances the number of instances that are registered or answer probes
+     */
+    void poolChanged(boolean spansDataCentres, int instances, boolean storedJobsPossible) {
+        mLog.event(EventName.POOL_CHANGED)
+                .with(EventField.OUTCOME, spansDataCentres ? "merged" : "divided")
+                .with(EventField.COUNT, instances)
+                .with(EventField.REASON, storedJobsPossible ? "stored-jobs" : "size")
+                .info();
+    }
+
     void serverClaimChanged(ServerId server, boolean held, long token) {
         mLog.event(held ? EventName.SERVER_HELD : EventName.SERVER_RELEASED)
                 .with(EventField.SERVER, server)
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -10,17 +10,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wagtailproxy.fleet.ServerEntry;
-import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.InstanceRecord;
-import org.wagtailproxy.leadership.Pool;
 import org.wagtailproxy.observe.DispatchState;
 import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.MetricsRecorder;
@@ -88,6 +85,7 @@
     private final EventLoop mLoop;
     private final Listener mListener;
     private final FencingTokenSource mTokens;
+    private final DecisionLog mDecisions;
     private final LeaderElection mElection;
     private final PeerClient mClient;
     private final RemoteLeaders mRemote;
@@ -95,8 +93,7 @@
     private final LeaderScheduler mLeaderScheduler;
     private final JobRelay mJobRelay;
     private final StoredJobClient mStoredJobClient;
-    private final Pool mPool = new Pool();
-    private Collection<InstanceRecord> mInstances = List.of();
+    private final PoolMembership mPool;
     private Collection<ServerEntry> mServers = List.of();
     private boolean mStoreReachable;
     private long mStoreChangedNanos;
@@ -114,7 +111,7 @@
         mListener = listener;
         String host = settings.peerAddress().host();
         PeerClient client = mCloser.register(PeerClient.of(host, context.group(), context.bytes()));
-        DecisionLog decisions = new DecisionLog(log, metrics);
+        mDecisions = new DecisionLog(log, metrics);
         mElection = new LeaderElection(settings, loop, client, mTokens, log, new ElectionEvents());
         SpillOver spillOver = new SpillOver();
         mRemote = new RemoteLeaders(loop, client, spillOver);
@@ -126,7 +123,7 @@
                         client,
                         mRemote,
                         spillOver,
-                        decisions,
+                        mDecisions,
                         withdrawals,
                         this::notifyHome);
         mLeaderScheduler =
@@ -135,13 +132,13 @@
                         loop,
                         context.commandTransport(),
                         mTokens,
-                        decisions,
+                        mDecisions,
                         mForwarder,
                         mElection,
                         schedulers -> newCoordinator(context, log, schedulers));
         mClient = client;
-        mStoredJobClient =
-                new StoredJobClient(loop, mElection, client, mLeaderScheduler.coordinator());
+        mStoredJobClient = newStoredJobClient(context);
+        mPool = newPoolMembership();
         mJobRelay =
                 new JobRelay(
                         settings,
@@ -150,7 +147,7 @@
                         client,
                         mLeaderScheduler,
                         withdrawals,
-                        decisions);
+                        mDecisions);
         startPeerServer(context);
     }
 
@@ -160,6 +157,22 @@
                 mLoop, context.store(), log, coordinatorRecord(mSettings), schedulers);
     }
 
+    private PoolMembership newPoolMembership() {
+        return new PoolMembership(
+                mSettings.dataCentre(),
+                mLoop,
+                mElection::reachableInstances,
+                mStoredJobClient::mayHaveStoredJobs,
+                new PoolEvents());
+    }
+
+    private StoredJobClient newStoredJobClient(DispatcherContext context) {
+        StoredJobsMonitor monitor =
+                StoredJobsMonitor.start(mLoop, context.store(), () -> mPool.onGuardRead());
+        return new StoredJobClient(
+                mLoop, mElection, mClient, mLeaderScheduler.coordinator(), monitor);
+    }
+
     private void startPeerServer(DispatcherContext context) {
         PeerRequestHandler handler =
                 new PeerRequestHandler(
@@ -169,7 +182,7 @@
                         mLeaderScheduler,
                         mJobRelay,
                         mStoredJobClient,
-                        this::isInSamePool);
+                        mPool::isInPool);
         mCloser.register(
                 PeerServer.start(
                         mSettings.peerAddress(),
@@ -206,36 +219,7 @@
      * @param instances those of all data centres, not null
      */
     public void updateInstances(Collection<InstanceRecord> instances) {
-        mInstances = List.copyOf(instances);
-        updatePool();
-        applyInstances();
-    }
-
-    /** Decides anew whether the fleet is divided. Returns true if the decision has changed. */
-    private boolean updatePool() {
-        Set<InstanceName> names = mElection.reachableInstances();
-        mInstances.forEach(record -> names.add(record.name()));
-        boolean changed = mPool.update(names.size(), mLoop.nowNanos());
-        if (changed) {
-            mLeaderScheduler.onPoolChanged();
-        }
-        return changed;
-    }
-
-    private void applyInstances() {
-        List<InstanceRecord> pool = new ArrayList<>();
-        List<InstanceRecord> others = new ArrayList<>();
-        for (InstanceRecord record : mInstances) {
-            (isInSamePool(record.dataCentre()) ? pool : others).add(record);
-        }
-        DataCentreScope scope = mPool.scope(mSettings.dataCentre());
-        mElection.updateInstances(pool, this::isInSamePool, scope);
-        mLeaderScheduler.updateScope(scope);
-        mRemote.updateInstances(others);
-        updateSchedulerServers();
-        if (mElection.isLeader()) {
-            mLeaderScheduler.updateClaims(this::claimMode, true);
-        }
+        mPool.updateInstances(instances);
     }
 
     /**
@@ -243,7 +227,7 @@
      * leader, also those that this instance held before the fleet was divided.
      */
     private ClaimMode claimMode(ServerEntry server) {
-        return isInSamePool(server.dataCentre()) ? mElection.claimMode(server) : ClaimMode.NONE;
+        return mPool.isInPool(server.dataCentre()) ? mElection.claimMode(server) : ClaimMode.NONE;
     }
 
     /**
@@ -284,14 +268,10 @@
         mLeaderScheduler.recordServersTrackedSince(nanos);
     }
 
-    private boolean isInSamePool(DataCentre dataCentre) {
-        return mPool.isSamePool(mSettings.dataCentre(), dataCentre);
-    }
-
     private void updateSchedulerServers() {
         List<ServerEntry> poolServers = new ArrayList<>();
         for (ServerEntry entry : mServers) {
-            if (isInSamePool(entry.dataCentre())) {
+            if (mPool.isInPool(entry.dataCentre())) {
                 poolServers.add(entry);
             }
         }
@@ -470,22 +450,20 @@
 
     private boolean isStoreUnreachable() {
         boolean timeoutPassed = mLoop.nowNanos() - mStoreChangedNanos > STORE_UNREACHABLE_NANOS;
-        return mStoredJobClient.hasSeenStoredJobs() && !mStoreReachable && timeoutPassed;
+        return mStoredJobClient.hasSignOfStoredJobs() && !mStoreReachable && timeoutPassed;
     }
 
     private void tick() {
         mLoop.schedule(LeaderElection.TICK_MILLIS, this::tick);
         mLeaderScheduler.detectSuspension();
         mElection.updateStoreUnreachable(isStoreUnreachable());
-        if (mPool.isMergePending() && updatePool()) {
-            applyInstances();
-        }
+        mPool.tick();
         mElection.tick();
         mLeaderScheduler.handOverJobsOfLostHomes(this::isHomeAlive);
         mForwarder.withdrawJobsOfLostHomes(this::isWaitingForForwardedJob);
         mLeaderScheduler.updateCoordination(
                 mPool.spansDataCentres() && mElection.isLeaderOfMajority(),
-                mStoredJobClient.hasSeenStoredJobs());
+                mStoredJobClient.mayHaveStoredJobs());
         boolean mayPlace = mElection.isLeader() && !mElection.hasUnconfirmedPeers();
         if (mayPlace || mForwarder.openJobs() > 0) {
             // A remote leader withdraws the jobs of an instance that no longer probes it.
@@ -545,6 +523,29 @@
                 && answer.getWorkAnswer().getReason().equals(mSettings.name().value());
     }
 
+    /** Applies the instances of the pool to the other parts of the dispatcher. */
+    private final class PoolEvents implements PoolMembership.Listener {
+
+        @Override
+        public void onPoolChanged(
+                boolean spansDataCentres, int instances, boolean storedJobsPossible) {
+            mDecisions.poolChanged(spansDataCentres, instances, storedJobsPossible);
+            mLeaderScheduler.onPoolChanged();
+        }
+
+        @Override
+        public void onInstancesChanged(List<InstanceRecord> pool, List<InstanceRecord> others) {
+            DataCentreScope scope = mPool.scope();
+            mElection.updateInstances(pool, mPool::isInPool, scope, mPool.isLargeFleet());
+            mLeaderScheduler.updateScope(scope);
+            mRemote.updateInstances(others);
+            updateSchedulerServers();
+            if (mElection.isLeader()) {
+                mLeaderScheduler.updateClaims(Dispatcher.this::claimMode, true);
+            }
+        }
+    }
+
     /** Applies the results of the leader election to the other parts of the dispatcher. */
     private final class ElectionEvents implements LeaderElection.Listener {
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -98,6 +98,7 @@
     private long mInstancesKnownNanos;
     private boolean mInstancesKnown;
     private DataCentreScope mScope = DataCentreScope.ALL;
+    private boolean mLarge;
     private boolean mDraining;
     private boolean mStoreUnreachable;
     private final OverloadDetector mOverloadDetector;
@@ -135,11 +136,13 @@
      * @param samePool tests whether a data centre belongs to the pool
      * @param scope the data centres of the pool; not all of them if the fleet is divided into
      *     several pools because of its size
+     * @param large true if the fleet is large, divided or not
      */
     void updateInstances(
             Collection<InstanceRecord> records,
             Predicate<DataCentre> samePool,
-            DataCentreScope scope) {
+            DataCentreScope scope,
+            boolean large) {
         if (!mInstancesKnown) {
             mInstancesKnown = true;
             mInstancesKnownNanos = mLoop.nowNanos();
@@ -147,6 +150,8 @@
         List<InstanceRecord> others = new ArrayList<>(records);
         others.removeIf(record -> record.name().equals(mSettings.name()));
         mScope = scope;
+        mLarge = large;
+        mPeers.setLarge(large);
         mPeers.updateRegistered(others, samePool, hasMultiplePools());
         if (mLeader.exists(leader -> !isSelf(leader) && mPeers.find(leader.name()).isEmpty())) {
             electLeader();
@@ -476,7 +481,7 @@
         boolean probesCompleted = hasCompletedInitialProbes();
         List<Peer> peers = mPeers.peers();
         Leadership leadership = Leadership.of(self());
-        if (hasMultiplePools()) {
+        if (mLarge) {
             leadership = leadership.preferringLargeInstances(peers);
         }
         Peer leader = leadership.chooseLeader(peers);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -126,16 +126,16 @@
      * Starts or abandons the coordination of the stored jobs.
      *
      * @param mayCoordinate true if this instance leads a majority
-     * @param storedJobsSeen true if any leader is known to have coordinated a stored job
+     * @param storedJobsPossible false only if it is known that there are no stored jobs
      */
-    void updateCoordination(boolean mayCoordinate, boolean storedJobsSeen) {
+    void updateCoordination(boolean mayCoordinate, boolean storedJobsPossible) {
         if (mayCoordinate) {
             mCoordinator.startTerm();
         } else {
             mCoordinator.abandon();
         }
         mCoordinator.tick();
-        mUnreadJobsPossible = storedJobsSeen || mCoordinator.isReading();
+        mUnreadJobsPossible = storedJobsPossible || mCoordinator.isReading();
         for (ServiceScheduler scheduler : mSchedulers.values()) {
             scheduler.storedJobs().setUnreadJobsPossible(mUnreadJobsPossible, now());
         }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobClient.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobClient.java
@@ -33,26 +33,37 @@
     private final LeaderElection mElection;
     private final PeerClient mClient;
     private final StoredJobCoordinator mCoordinator;
-
-    private boolean mStoredJobsSeen;
+    private final StoredJobsMonitor mMonitor;
 
     StoredJobClient(
             EventLoop loop,
             LeaderElection election,
             PeerClient client,
-            StoredJobCoordinator coordinator) {
+            StoredJobCoordinator coordinator,
+            StoredJobsMonitor monitor) {
         mLoop = loop;
         mElection = election;
         mClient = client;
         mCoordinator = coordinator;
+        mMonitor = monitor;
+    }
+
+    /**
+     * Checks whether there may be stored jobs. Their absence is known only from the store's record;
+     * a leader's report that it coordinates some may come earlier.
+     */
+    boolean mayHaveStoredJobs() {
+        return mMonitor.areJobsPossible()
+                || mElection.leaderCoordinatesStoredJobs()
+                || mCoordinator.hasJobs();
     }
 
     /**
-     * Checks whether this instance or a leader that it followed has ever coordinated a stored job.
+     * Checks whether something shows that there may be stored jobs, as opposed to {@link
+     * #mayHaveStoredJobs} while nothing has been read.
      */
-    boolean hasSeenStoredJobs() {
-        mStoredJobsSeen |= mElection.leaderCoordinatesStoredJobs() || mCoordinator.hasJobs();
-        return mStoredJobsSeen;
+    boolean hasSignOfStoredJobs() {
+        return mMonitor.isRead() && mayHaveStoredJobs();
     }
 
     void condition(JobId job, Consumer<JobCondition> answer) {
@@ -67,7 +78,7 @@
 
     /** Counts the unstarted jobs of a queue; none if the leader does not answer. */
     void countPending(String queue, Consumer<Option<Integer>> answer) {
-        if (!hasSeenStoredJobs()) {
+        if (!mayHaveStoredJobs()) {
             answer.accept(Option.some(0));
             return;
         }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
@@ -321,6 +321,9 @@
             }
         }
         writePending();
+        if (mJobsRead && mEntries.isEmpty()) {
+            mTerm.forEach(CoordinatorTerm::recordNoJobs);
+        }
     }
 
     private static Either<WorkProgress, WorkOutcome> acceptedOutcome() {
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
@@ -88,6 +88,8 @@
     SERVER_RELEASED,
     /** This instance follows another instance as its leader. */
     LEADER_FOLLOWED,
+    /** The fleet was divided into a pool for each data centre, or merged. */
+    POOL_CHANGED,
     /** This instance cannot keep up with its work, or can again. */
     INSTANCE_OVERLOADED,
     /** A version of the configuration has become active ("in force"). */
--- a/wire/src/main/java/org/wagtailproxy/wire/Peer.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Peer.java
@@ -300,10 +300,12 @@
       "e\030\002 \001(\0162\".wagtailproxy.wire.JobRecord.St" +
       "ate\022\014\n\004done\030\003 \003(\r\022\020\n\010failures\030\004 \003(\r\":\n\005S" +
       "tate\022\010\n\004OPEN\020\000\022\014\n\010COMPLETE\020\001\022\n\n\006FAILED\020\002" +
-      "\022\r\n\tCANCELLED\020\003\"E\n\014KeeperRecord\022\014\n\004name\030" +
-      "\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\022\n\ngeneration" +
-      "\030\003 \001(\004B\033\n\025org.wagtailproxy.wireH\001P\001b\006pro" +
-      "to3"
+      "\022\r\n\tCANCELLED\020\003\"\246\001\n\014KeeperRecord\022\014\n\004name" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\022\n\ngeneratio" +
+      "n\030\003 \001(\004\0222\n\004jobs\030\004 \001(\0162$.wagtailproxy.wir" +
+      "e.KeeperRecord.Jobs\"+\n\004Jobs\022\013\n\007UNKNOWN\020\000" +
+      "\022\010\n\004NONE\020\001\022\014\n\010POSSIBLE\020\002B\033\n\025org.wagtailp" +
+      "roxy.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -482,7 +484,7 @@
     internal_static_wagtailproxy_wire_KeeperRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wagtailproxy_wire_KeeperRecord_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Generation", });
+        new java.lang.String[] { "Name", "Incarnation", "Generation", "Jobs", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
