Keep ends of stored jobs listed until the jobs have been read

Cause: a new leader acknowledged ends of unknown jobs unless it had heard of a leader that coordinates stored jobs. Not having heard of one proves nothing: probes that the leader sent reset the flag that its answers had set.

Change: the number of an attempt tells that a run belongs to a stored job (StoredAttempts). Ends of such runs stay listed, and the runs go on, until the leader has read the jobs, whatever it knows of others; ends of other jobs need neither store nor peers, also in the first 0.4 s of a term, which isReading() covered before. The presence of a leader carries the flag in each message.

testEndsOfUnknownJobsAreAcknowledgedWhenNoJobsAreStored stated the fault: it asked a leader that believes that there are no stored jobs to acknowledge the ends of one. It is replaced by three tests: ends of stored jobs are retained by such a leader, ends of other jobs are acknowledged before anything is read, and ends of runs that a build before this one started are retained while stored jobs are possible.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/JobRegistry.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/JobRegistry.java
@@ -71,8 +71,8 @@
     }
 
     /**
-     * Sets whether stored jobs may exist that were not read yet. Returns true if that has just
-     * ceased to be possible.
+     * Sets whether stored jobs may exist whose attempts are numbered like others. Returns true if
+     * that has just ceased to be possible.
      */
     boolean setUnreadJobsPossible(boolean possible) {
         boolean ceased = mUnreadJobsPossible && !possible;
@@ -80,9 +80,9 @@
         return ceased;
     }
 
-    /** Checks whether an unknown job may be a stored job that was not read yet. */
-    boolean mayBeUnread(JobId id) {
-        return mUnreadJobsPossible
+    /** Checks whether a run belongs to an unknown job that may be stored and was not read yet. */
+    boolean mayBeUnread(JobId id, int attempt) {
+        return (mUnreadJobsPossible || StoredAttempts.isStored(attempt))
                 && !mStoredJobsRead
                 && !mJobs.containsKey(id)
                 && !mCompletedNanos.containsKey(id);
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
@@ -85,10 +85,12 @@
     }
 
     @Override
-    public Option<Long> unsavedChange(JobId id) {
+    public Option<Long> unsavedChange(JobId id, int attempt) {
         ScheduledJob job = mJobs.get(id);
         if (job == null) {
-            return mJobs.mayBeUnread(id) ? Option.some(EndAcknowledgements.UNREAD) : Option.none();
+            return mJobs.mayBeUnread(id, attempt)
+                    ? Option.some(EndAcknowledgements.UNREAD)
+                    : Option.none();
         }
         boolean hasUnsaved = job.mSpec.isStored() && job.hasUnsavedChanges();
         return hasUnsaved ? Option.some(job.changeCount()) : Option.none();
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
@@ -40,14 +40,15 @@
     void checkpointReported(TaskId task, String checkpoint);
 
     /**
-     * Returns the change of a stored job that has to be saved before the ends of its runs may be
-     * acknowledged.
+     * Returns the change of a stored job that has to be saved before the end of one of its runs may
+     * be acknowledged.
      *
      * @param job the job, not null
-     * @return the number of the change, {@link EndAcknowledgements#UNREAD} if it is not known yet
-     *     whether the job is a stored one, none if nothing has to be saved
+     * @param attempt the number of the run's attempt
+     * @return the number of the change, {@link EndAcknowledgements#UNREAD} if the job may be a
+     *     stored one that has not been read yet, none if nothing has to be saved
      */
-    Option<Long> unsavedChange(JobId job);
+    Option<Long> unsavedChange(JobId job, int attempt);
 
     /**
      * Adopts an orphaned run if its job is known here and accepts it.
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
@@ -144,7 +144,8 @@
      * Creates the tracker of a stored job.
      *
      * @param job the job
-     * @param highestAttempt an upper bound of the attempts of earlier leaders, 0 if there was none
+     * @param highestAttempt an upper bound of the number of attempts that earlier leaders have made
+     *     at a task, 0 if there was no earlier leader
      * @param nowNanos the monotonic time in nanoseconds
      */
     static ScheduledJob ofStoredJob(StoredJob job, int highestAttempt, long nowNanos) {
@@ -156,6 +157,9 @@
                         NEVER_NANOS,
                         nowNanos,
                         0);
+        for (int[] attempts : scheduledJob.mAttempts) {
+            Arrays.fill(attempts, StoredAttempts.number(highestAttempt));
+        }
         job.failures()
                 .forEach(
                         (task, failures) -> {
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
@@ -237,7 +237,9 @@
 
     /** Checks whether it is known if the job of a run is a stored one. */
     private boolean isJobKindKnown(RunReport run) {
-        return !mListener.unsavedChange(run.task().job()).contains(EndAcknowledgements.UNREAD);
+        return !mListener
+                .unsavedChange(run.task().job(), run.attempt())
+                .contains(EndAcknowledgements.UNREAD);
     }
 
     private void onEnd(EndReport end, long nowNanos) {
@@ -262,7 +264,7 @@
         }
         end(run, toRunEnd(end.kind()), nowNanos);
         mListener
-                .unsavedChange(end.task().job())
+                .unsavedChange(end.task().job(), end.attempt())
                 .filter(change -> run.mStored || change != EndAcknowledgements.UNREAD)
                 .forEach(number -> mEnds.retain(end, number));
     }
@@ -273,7 +275,9 @@
      */
     private void onInheritedEnd(EndReport end, long nowNanos) {
         mListener.inheritedRunEnded(mServer, end.task(), toRunEnd(end.kind()), nowNanos);
-        mListener.unsavedChange(end.task().job()).forEach(number -> mEnds.retain(end, number));
+        mListener
+                .unsavedChange(end.task().job(), end.attempt())
+                .forEach(number -> mEnds.retain(end, number));
     }
 
     private void onCheckpoint(TaskId task, String checkpoint) {
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/StoredJobScheduling.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/StoredJobScheduling.java
@@ -13,7 +13,9 @@
  *
  * <p>A backend server lists the end (the final result) of a task until it is acknowledged. Ends of
  * stored jobs are acknowledged only after they have been saved, so that the next coordinator can
- * read those that were not. All methods run under the scheduler's lock.
+ * read those that were not. The number of its attempt shows that an end belongs to a stored job
+ * ({@link StoredAttempts}), so a leader that has not read the stored jobs acknowledges none of
+ * their ends, whatever it knows of them. All methods run under the scheduler's lock.
  */
 public final class StoredJobScheduling {
 
@@ -53,7 +55,8 @@
      * Adds a stored job.
      *
      * @param job the job, open, not null
-     * @param highestAttempt an upper bound of the attempts of earlier leaders, 0 if there was none
+     * @param highestAttempt an upper bound of the number of attempts that earlier leaders have made
+     *     at a task, 0 if there was no earlier leader
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void add(StoredJob job, int highestAttempt, long nowNanos) {
@@ -81,10 +84,12 @@
     }
 
     /**
-     * Sets whether unknown jobs may be stored ones. If so, ends of their tasks are not
-     * acknowledged, and stay listed at the servers, until all stored jobs have been added.
+     * Sets whether unknown jobs may be stored ones although the numbers of their attempts do not
+     * show it, because a build that numbered all attempts alike has started them. If so, ends of
+     * their tasks are not acknowledged, and stay listed at the servers, until all stored jobs have
+     * been added.
      *
-     * @param possible false if it is known that no job is stored
+     * @param possible false if no job is known to be stored
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void setUnreadJobsPossible(boolean possible, long nowNanos) {
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
@@ -14,6 +14,7 @@
 import org.wagtailproxy.workload.StepSpec;
 import org.wagtailproxy.workload.StoredJob;
 import org.wagtailproxy.workload.TaskId;
+import org.wagtailproxy.workload.WorkProgress;
 import org.wagtailproxy.workload.WorkSpec;
 
 /**
@@ -273,21 +274,77 @@
         return mSimulation.mServers.values().stream().mapToInt(s -> s.mRunning.size()).sum();
     }
 
+    /** Guards against a new leader that acknowledges ends of jobs that it has not heard of. */
     @Test
-    void testEndsOfUnknownJobsAreAcknowledgedWhenNoJobsAreStored() {
-        addServers(1, 60);
-        StoredJob job = job(StepSpec.of(2, DEMAND, 60));
+    void testEndsOfStoredJobsAreRetainedByLeaderThatKnowsOfNoStoredJob() {
+        addServers(3, 60);
+        StoredJob job = job(StepSpec.of(4, DEMAND, 60));
         mSimulation.mSaves = false;
         addStoredJob(job, 0);
         mSimulation.run(40);
+        for (int loss = 0; loss < 2; loss++) {
+            mSimulation.mScheduler.stepDown();
+            mSimulation.list();
+            mSimulation
+                    .mScheduler
+                    .storedJobs()
+                    .setUnreadJobsPossible(false, mSimulation.nowNanos());
+            mSimulation.run(400);
+        }
+        assertThat(listedEnds(), is(4));
+        mSimulation.mSaves = true;
+        addStoredJob(job, 64);
+        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation.run(4000);
+        assertThat(savedJob(job).state(), is(StoredJob.State.COMPLETE));
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(mSimulation.mStarts, is(4));
+        assertThat(listedEnds(), is(0));
+    }
+
+    /** Stored jobs must not cost fleets that have none: their ends need no store. */
+    @Test
+    void testEndsOfOtherJobsAreAcknowledgedBeforeStoredJobsAreRead() {
+        addServers(1, 60);
+        WorkSpec spec =
+                WorkSpec.of(
+                        new JobId(String.format("%016x", ++mJobs)),
+                        ServerSimulation.SERVICE,
+                        "text",
+                        List.of(StepSpec.of(2, DEMAND, 60)),
+                        QueueTerms.of(0, 1.6, 60, 2));
+        long nowNanos = mSimulation.nowNanos();
+        long deadlineNanos = nowNanos + 5000 * ServerSimulation.NANOS_PER_MILLI;
+        mSimulation.mScheduler.submit(spec, WorkProgress.NONE, nowNanos, deadlineNanos, nowNanos);
+        mSimulation.flush();
+        mSimulation.run(40);
+        assertThat(mSimulation.mStarts, is(2));
         mSimulation.mScheduler.stepDown();
         mSimulation.list();
-        mSimulation.run(300);
+        mSimulation.mScheduler.storedJobs().setUnreadJobsPossible(false, mSimulation.nowNanos());
+        mSimulation.run(400);
+        assertThat(mSimulation.mDone.values(), hasSize(2));
+        assertThat(listedEnds(), is(0));
+    }
+
+    /** Attempts of a build that numbered them alike are told apart only by what is known. */
+    @Test
+    void testEndsOfUnknownJobsAreRetainedWhileStoredJobsArePossible() {
+        addServers(1, 60);
+        JobId id = job(StepSpec.of(2, DEMAND, 60)).spec().id();
         var server = mSimulation.mServers.values().iterator().next();
-        assertThat(server.listedEnds(), greaterThan(0));
+        mSimulation.mScheduler.stepDown();
+        mSimulation.list();
+        server.addRunOfEarlierLeader(server.mToken, id, 1);
+        mSimulation.run(300);
+        assertThat(listedEnds(), is(2));
         mSimulation.mScheduler.storedJobs().setUnreadJobsPossible(false, mSimulation.nowNanos());
         mSimulation.run(100);
-        assertThat(server.listedEnds(), is(0));
+        assertThat(listedEnds(), is(0));
+    }
+
+    private int listedEnds() {
+        return mSimulation.mServers.values().stream().mapToInt(s -> s.listedEnds()).sum();
     }
 
     @Test
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -457,6 +457,7 @@
         mLoop.schedule(LeaderElection.TICK_MILLIS, this::tick);
         mLeaderScheduler.detectSuspension();
         mElection.updateStoreUnreachable(isStoreUnreachable());
+        mElection.updateCoordinatesStoredJobs(mLeaderScheduler.coordinator().hasJobs());
         mPool.tick();
         mElection.tick();
         mLeaderScheduler.handOverJobsOfLostHomes(this::isHomeAlive);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -101,6 +101,7 @@
     private boolean mLarge;
     private boolean mDraining;
     private boolean mStoreUnreachable;
+    private boolean mCoordinatesStoredJobs;
     private final OverloadDetector mOverloadDetector;
     private boolean mOverloaded;
     private long mTickDueNanos = Long.MAX_VALUE;
@@ -181,6 +182,11 @@
         }
     }
 
+    /** Updates whether this instance coordinates stored jobs. */
+    void updateCoordinatesStoredJobs(boolean coordinatesStoredJobs) {
+        mCoordinatesStoredJobs = coordinatesStoredJobs;
+    }
+
     void updateConfiguration(long version, byte[] document) {
         mConfigurationVersion = version;
         mConfiguration = document;
@@ -556,6 +562,7 @@
                 .setFollows(mLeader.map(leader -> leader.name().value()).getOrElse(""))
                 .setDraining(mDraining)
                 .setStoreless(mStoreUnreachable)
+                .setKeepsJobs(mCoordinatesStoredJobs)
                 .setOverloaded(mOverloaded)
                 .setScope(WorkMessages.scope(mScope))
                 .setClockNanos(mLoop.nowNanos())
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -135,7 +135,7 @@
             mCoordinator.abandon();
         }
         mCoordinator.tick();
-        mUnreadJobsPossible = storedJobsPossible || mCoordinator.isReading();
+        mUnreadJobsPossible = storedJobsPossible;
         for (ServiceScheduler scheduler : mSchedulers.values()) {
             scheduler.storedJobs().setUnreadJobsPossible(mUnreadJobsPossible, now());
         }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -97,8 +97,7 @@
         if (isRemote) {
             mRemoteLeaders.onProbeReceived(InstanceName.of(probe.getName()));
         }
-        Presence.Builder presence =
-                mElection.answerProbe(probe).setKeepsJobs(mLeaderScheduler.coordinator().hasJobs());
+        Presence.Builder presence = mElection.answerProbe(probe);
         if (isRemote && mElection.isLeader()) {
             presence.setFreeCpuMillis(mLeaderScheduler.freeCpuMillis())
                     .setQueueMillis(mLeaderScheduler.maxEstimatedWaitMillis());
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
@@ -39,14 +39,11 @@
      * Attempts that may be made at a task within one term; attempt numbers of the next term are
      * higher.
      */
-    private static final int MAX_ATTEMPTS_PER_TERM = 64;
+    private static final int MAX_ATTEMPTS_PER_TERM = 256;
 
     /** Time for which an ended job can be queried; above the two minutes promised to callers. */
     private static final long ENDED_JOB_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(150);
 
-    /** Time in which a reachable store answers the three calls that start a term. */
-    private static final long FIRST_READ_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-
     /**
      * Time for which a submission waits until the stored jobs are read; it is refused after that.
      */
@@ -79,7 +76,6 @@
     private final Map<JobId, StoredJobEntry> mEntries = new HashMap<>();
     private final List<EarlySubmission> mEarlySubmissions = new ArrayList<>();
     private Option<CoordinatorTerm> mTerm = Option.none();
-    private long mTermStartNanos;
     private boolean mJobsRead;
     private boolean mWriteScheduled;
 
@@ -120,15 +116,6 @@
         return mJobsRead;
     }
 
-    /**
-     * Checks whether the current term has started recently and the stored jobs are still being
-     * read.
-     */
-    boolean isReading() {
-        boolean isRecent = mLoop.nowNanos() - mTermStartNanos < FIRST_READ_NANOS;
-        return mTerm.isDefined() && !mJobsRead && isRecent;
-    }
-
     boolean hasJobs() {
         return mJobsRead && !mEntries.isEmpty();
     }
@@ -136,7 +123,6 @@
     /** Starts a term unless one has started. */
     void startTerm() {
         if (mTerm.isEmpty()) {
-            mTermStartNanos = mLoop.nowNanos();
             mTerm =
                     Option.some(
                             CoordinatorTerm.start(mLoop, mStore, mLog, mSelf, new TermListener()));
