Acknowledge ends only to the incarnation that has numbered them

Cause: each incarnation of a server numbers its ends from 1, and a poll acknowledged ends by the number of the incarnation that was seen last. The first poll after a restart that nobody had noticed let the new incarnation forget ends that nobody had seen. Trace: placed on i-24 at 19.048 s, done there at 19.11 s, the poll that renews the lease at 19.412 s finds nothing, INTERRUPTED, placed again at 19.414 s.

--- a/decisions/src/main/java/org/wagtailproxy/fleet/ServerCommand.java
+++ b/decisions/src/main/java/org/wagtailproxy/fleet/ServerCommand.java
@@ -48,7 +48,8 @@
      *
      * @param target the target of the command, not null
      * @param number the sequence number among the polls of this backend server, to match the answer
-     * @param acknowledged the number up to which ends are acknowledged and need not be listed again
+     * @param acknowledgement the ends that need not be listed again; it is sent only if the backend
+     *     server is certain to be in the same incarnation, not null
      * @param leaseUntilMillis when the lease of all runs on the backend server ends, in
      *     milliseconds of its clock; none leaves the lease as it is
      * @param waitMillis how long the backend server may wait for an end before it answers, in
@@ -57,7 +58,7 @@
     record Poll(
             CommandTarget target,
             long number,
-            long acknowledged,
+            EndAcknowledgement acknowledgement,
             Option<Long> leaseUntilMillis,
             long waitMillis)
             implements ServerCommand {}
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.wagtailproxy.fleet.CommandTarget;
+import org.wagtailproxy.fleet.EndAcknowledgement;
 import org.wagtailproxy.fleet.PollReport;
 import org.wagtailproxy.fleet.PollResult;
 import org.wagtailproxy.fleet.ServerCommand;
@@ -394,9 +395,9 @@
 
     private void sendPoll(Option<Long> lease, long waitMillis, long nowNanos) {
         long number = mPolls.open(nowNanos);
-        mCommands.add(
-                new ServerCommand.Poll(
-                        target(), number, mRuns.ends().acknowledgedUpTo(), lease, waitMillis));
+        EndAcknowledgement acknowledgement =
+                new EndAcknowledgement(mIncarnationStartMillis, mRuns.ends().acknowledgedUpTo());
+        mCommands.add(new ServerCommand.Poll(target(), number, acknowledgement, lease, waitMillis));
     }
 
     private void onReport(
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.wagtailproxy.fleet.EndAcknowledgement;
 import org.wagtailproxy.fleet.EndKind;
 import org.wagtailproxy.fleet.EndReport;
 import org.wagtailproxy.fleet.PollReport;
@@ -391,7 +392,7 @@
                 return;
             }
             mToken = poll.target().fencingToken();
-            mEnds.removeIf(end -> end.number() <= poll.acknowledged());
+            acknowledgeEnds(poll.acknowledgement());
             poll.leaseUntilMillis().forEach(until -> mLeaseMillis = Math.max(mLeaseMillis, until));
             if (mEnds.isEmpty() && poll.waitMillis() > 0) {
                 mWaiting.add(new WaitingPoll(poll, mNowMillis + poll.waitMillis()));
@@ -400,6 +401,13 @@
             }
         }
 
+        /** A transport delivers no acknowledgement to another incarnation. */
+        private void acknowledgeEnds(EndAcknowledgement acknowledgement) {
+            if (acknowledgement.incarnationStartMillis() == mIncarnationStartMillis) {
+                mEnds.removeIf(end -> end.number() <= acknowledgement.lastNumber());
+            }
+        }
+
         private void report(ServerCommand.Poll poll) {
             if (mUnresponsive) {
                 later(200, () -> onPollResult(poll, PollResult.of(PollResult.Kind.UNANSWERED)));
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/UnreliableServer.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/UnreliableServer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.wagtailproxy.fleet.EndAcknowledgement;
 import org.wagtailproxy.fleet.EndKind;
 import org.wagtailproxy.fleet.EndReport;
 import org.wagtailproxy.fleet.PollReport;
@@ -380,7 +381,7 @@
             return;
         }
         mToken = poll.target().fencingToken();
-        mEnds.removeIf(end -> end.number() <= poll.acknowledged());
+        acknowledgeEnds(poll.acknowledgement());
         poll.leaseUntilMillis().forEach(this::extendLease);
         Waiting waiting = new Waiting(leader, poll, answered);
         if (!mEnds.isEmpty() || poll.waitMillis() == 0) {
@@ -397,6 +398,13 @@
                 });
     }
 
+    /** A transport delivers no acknowledgement to another incarnation. */
+    private void acknowledgeEnds(EndAcknowledgement acknowledgement) {
+        if (acknowledgement.incarnationStartMillis() == mBornMillis) {
+            mEnds.removeIf(end -> end.number() <= acknowledgement.lastNumber());
+        }
+    }
+
     private void report(Waiting waiting) {
         List<RunReport> running = new ArrayList<>();
         mRunning.forEach(
