Record which attempts of a task have failed

Cause: the record held the number of failures only. An end that was saved, but not acknowledged when the coordinator was lost, was found by the next one in the server's list and counted again; a term that was given up and begun again did the same.

Change: the record names the failed attempts, so that an end that is found again changes nothing. The number is still written for builds before this one, and read from their records as that many first attempts.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
@@ -50,16 +50,18 @@
             return;
         }
         long previousChange = job.changeCount();
-        boolean failed = job.runEnded(run.mTask, end, id, ATTEMPT_INCREMENT);
+        boolean failed = job.runEnded(run.mTask, run.mAttempt, end, id, ATTEMPT_INCREMENT);
         onTaskEnded(job, failed, previousChange, nowNanos);
     }
 
     @Override
-    public void inheritedRunEnded(BackendServer server, TaskId task, RunEnd end, long nowNanos) {
+    public void inheritedRunEnded(
+            BackendServer server, TaskId task, int attempt, RunEnd end, long nowNanos) {
         ScheduledJob job = mJobs.get(task.job());
         if (job != null && !job.isEnded()) {
             long previousChange = job.changeCount();
-            onTaskEnded(job, job.inheritedRunEnded(task, end), previousChange, nowNanos);
+            boolean failed = job.inheritedRunEnded(task, attempt, end);
+            onTaskEnded(job, failed, previousChange, nowNanos);
         }
     }
 
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
@@ -26,10 +26,12 @@
      *
      * @param server the server that ran it, not null
      * @param task the task, not null
+     * @param attempt the number of the run's attempt
      * @param end how the run ended, not null
      * @param nowNanos the monotonic time in nanoseconds
      */
-    void inheritedRunEnded(BackendServer server, TaskId task, RunEnd end, long nowNanos);
+    void inheritedRunEnded(
+            BackendServer server, TaskId task, int attempt, RunEnd end, long nowNanos);
 
     /**
      * Records the checkpoint from which a task can be resumed after its run has ended.
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
@@ -51,7 +51,10 @@
     final long mUsefulUntilNanos;
     private final TaskState[][] mTaskStates;
     private final int[][] mAttempts;
-    private final int[][] mFailures;
+
+    /** The attempts that have failed by task, each counted once however often it is reported. */
+    private final Map<TaskId, Set<Integer>> mFailedAttempts = new HashMap<>();
+
     private final List<Map<ServerId, Integer>> mTasksPerServer = new ArrayList<>();
     private final Map<TaskId, String> mCheckpoints = new HashMap<>();
     private int mWaitingTasks;
@@ -115,12 +118,10 @@
         int steps = spec.steps().size();
         mTaskStates = new TaskState[steps][];
         mAttempts = new int[steps][];
-        mFailures = new int[steps][];
         for (int step = 0; step < steps; step++) {
             int tasks = spec.steps().get(step).tasks();
             mTaskStates[step] = new TaskState[tasks];
             mAttempts[step] = new int[tasks];
-            mFailures[step] = new int[tasks];
             Arrays.fill(mTaskStates[step], TaskState.WAITING);
             Arrays.fill(mAttempts[step], progress.highestAttempt());
             mTasksPerServer.add(new HashMap<>());
@@ -160,28 +161,16 @@
         for (int[] attempts : scheduledJob.mAttempts) {
             Arrays.fill(attempts, StoredAttempts.number(highestAttempt));
         }
-        job.failures()
+        job.failedAttempts()
                 .forEach(
-                        (task, failures) -> {
-                            if (scheduledJob.contains(task)) {
-                                scheduledJob.mFailures[task.step()][task.index()] = failures;
-                            }
-                        });
+                        (task, attempts) ->
+                                scheduledJob.mFailedAttempts.put(task, new HashSet<>(attempts)));
         return scheduledJob;
     }
 
     /** Returns the state of a stored job in the form in which it is saved. */
     StoredJob storedJob() {
-        Map<TaskId, Integer> failures = new HashMap<>();
-        for (int step = 0; step < mFailures.length; step++) {
-            for (int index = 0; index < mFailures[step].length; index++) {
-                if (mFailures[step][index] > 0) {
-                    TaskId task = TaskId.of(mSpec.id(), step, index);
-                    failures.put(task, mFailures[step][index]);
-                }
-            }
-        }
-        return new StoredJob(mSpec, mState, progress().done(), failures);
+        return new StoredJob(mSpec, mState, progress().done(), mFailedAttempts);
     }
 
     /** Checks whether the job may still be refused: it is unstarted and not stored. */
@@ -407,7 +396,7 @@
      * Updates a task whose run has ended. Returns true if the task has reached its maximum number
      * of failures. A done task of a long-running job is started again.
      */
-    boolean runEnded(TaskId task, RunEnd end, ServerId server, int attemptJump) {
+    boolean runEnded(TaskId task, int attempt, RunEnd end, ServerId server, int attemptJump) {
         int step = task.step();
         int index = task.index();
         if (mTaskStates[step][index] != TaskState.PLACED) {
@@ -427,32 +416,39 @@
         if (end == RunEnd.ATTEMPT_TOO_LOW) {
             mAttempts[step][index] += attemptJump;
         }
-        return end == RunEnd.FAILED && recordFailure(task);
+        return end == RunEnd.FAILED && recordFailure(task, attempt);
     }
 
     /**
-     * Updates a task whose run, started by an earlier leader, has ended. Returns the same as {@link
-     * #runEnded}.
+     * Updates a task of which a run has ended that is not tracked: an earlier leader started it, or
+     * it was given up. Returns the same as {@link #runEnded}.
      */
-    boolean inheritedRunEnded(TaskId task, RunEnd end) {
+    boolean inheritedRunEnded(TaskId task, int attempt, RunEnd end) {
         if (!contains(task) || mTaskStates[task.step()][task.index()] != TaskState.WAITING) {
             return false;
         }
+        if (end == RunEnd.FAILED) {
+            return recordFailure(task, attempt);
+        }
         if (end == RunEnd.DONE && !mSpec.longRunning()) {
             mTaskStates[task.step()][task.index()] = TaskState.DONE;
             mWaitingTasks--;
             mDoneTasks++;
             mChangeCount++;
         }
-        return end == RunEnd.FAILED && recordFailure(task);
+        return false;
     }
 
-    private boolean recordFailure(TaskId task) {
+    private boolean recordFailure(TaskId task, int attempt) {
         if (mSpec.longRunning()) {
             return false;
         }
+        Set<Integer> failed = mFailedAttempts.computeIfAbsent(task, key -> new HashSet<>());
+        if (!failed.add(attempt)) {
+            return false;
+        }
         mChangeCount++;
-        return ++mFailures[task.step()][task.index()] >= mSpec.terms().maxFailures();
+        return failed.size() >= mSpec.terms().maxFailures();
     }
 
     /** Returns the CPU demand of the smallest task, in thousandths of a core. */
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
@@ -274,7 +274,8 @@
      * saved first.
      */
     private void onInheritedEnd(EndReport end, long nowNanos) {
-        mListener.inheritedRunEnded(mServer, end.task(), toRunEnd(end.kind()), nowNanos);
+        mListener.inheritedRunEnded(
+                mServer, end.task(), end.attempt(), toRunEnd(end.kind()), nowNanos);
         mListener
                 .unsavedChange(end.task().job(), end.attempt())
                 .forEach(number -> mEnds.retain(end, number));
--- a/decisions/src/main/java/org/wagtailproxy/workload/StoredJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/workload/StoredJob.java
@@ -1,19 +1,25 @@
 package org.wagtailproxy.workload;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 
 /**
  * Represents a job that is saved in the store, with its progress.
  *
+ * <p>It names the runs that are counted in it, so that a coordinator that finds the end of a run
+ * can tell whether an earlier one has counted it already.
+ *
  * @param spec the job, not null
  * @param state its state, not null
  * @param done the tasks that are done, not null
- * @param failures the number of failures by task, without tasks that have not failed; not null
+ * @param failedAttempts the attempts that have failed by task, without tasks that have not failed;
+ *     not null
  */
 public record StoredJob(
-        WorkSpec spec, State state, List<TaskId> done, Map<TaskId, Integer> failures) {
+        WorkSpec spec, State state, List<TaskId> done, Map<TaskId, Set<Integer>> failedAttempts) {
 
     /** State of a stored job. */
     public enum State {
@@ -32,7 +38,9 @@
         Objects.requireNonNull(spec, "spec");
         Objects.requireNonNull(state, "state");
         done = List.copyOf(done);
-        failures = Map.copyOf(failures);
+        Map<TaskId, Set<Integer>> copy = new HashMap<>();
+        failedAttempts.forEach((task, attempts) -> copy.put(task, Set.copyOf(attempts)));
+        failedAttempts = Map.copyOf(copy);
     }
 
     /**
@@ -52,7 +60,7 @@
      * @return the changed job, never null
      */
     public StoredJob withState(State next) {
-        return new StoredJob(spec, next, done, failures);
+        return new StoredJob(spec, next, done, failedAttempts);
     }
 
     /**
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
@@ -355,13 +355,56 @@
         addStoredJob(job, 0);
         mSimulation.run(75);
         StoredJob saved = savedJob(job);
-        assertThat(saved.failures().values().iterator().next(), is(1));
+        assertThat(saved.failedAttempts().values().iterator().next(), hasSize(1));
         changeCoordinator(saved);
         mSimulation.run(3000);
         assertThat(savedJob(job).state(), is(StoredJob.State.FAILED));
         assertThat(mSimulation.mStarts, is(2));
     }
 
+    /** Guards against counting a failure again that is saved, but whose end is still listed. */
+    @Test
+    void testSavedFailureIsNotCountedAgainByNextCoordinators() {
+        addServers(2, 60);
+        mSimulation.mServers.values().forEach(server -> server.mFails = true);
+        StoredJob job = job(StepSpec.of(1, DEMAND, 60));
+        mSimulation.mSaves = false;
+        addStoredJob(job, 0);
+        mSimulation.run(63);
+        StoredJob saved = savedJob(job);
+        assertThat(saved.failedAttempts().values().iterator().next(), hasSize(1));
+        mSimulation.mServers.values().forEach(server -> server.mFails = false);
+        changeCoordinator(saved);
+        mSimulation.run(30);
+        changeCoordinator(saved);
+        mSimulation.mSaves = true;
+        mSimulation.run(6000);
+        assertThat(savedJob(job).state(), is(StoredJob.State.COMPLETE));
+        assertThat(savedJob(job).failedAttempts().values().iterator().next(), hasSize(1));
+        assertThat(mSimulation.mViolations, is(empty()));
+    }
+
+    @Test
+    void testSavedFailureIsNotCountedAgainAfterTermIsGivenUpAndBegunAgain() {
+        addServers(2, 60);
+        mSimulation.mServers.values().forEach(server -> server.mFails = true);
+        StoredJob job = job(StepSpec.of(1, DEMAND, 60));
+        mSimulation.mSaves = false;
+        addStoredJob(job, 0);
+        mSimulation.run(63);
+        StoredJob saved = savedJob(job);
+        mSimulation.mServers.values().forEach(server -> server.mFails = false);
+        mSimulation.mScheduler.storedJobs().abandonAll(mSimulation.nowNanos());
+        mSimulation.flush();
+        mSimulation.run(100);
+        mSimulation.mSaves = true;
+        addStoredJob(saved, 64);
+        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation.run(6000);
+        assertThat(savedJob(job).state(), is(StoredJob.State.COMPLETE));
+        assertThat(savedJob(job).failedAttempts().values().iterator().next(), hasSize(1));
+    }
+
     @Test
     void testCancelledJobIsStoppedAndNothingMoreIsStarted() {
         addServers(2, 900);
@@ -399,7 +442,7 @@
                         job.spec(),
                         StoredJob.State.OPEN,
                         List.of(TaskId.of(id, 0, 0), TaskId.of(id, 0, 2)),
-                        job.failures());
+                        job.failedAttempts());
         addStoredJob(partlyDone, 64);
         mSimulation.run(4000);
         assertThat(mSimulation.mStarts, is(1));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRecords.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRecords.java
@@ -4,8 +4,10 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.failure.FailureKind;
 import org.wagtailproxy.wire.JobRecord;
@@ -28,15 +30,20 @@
         for (TaskId task : job.done()) {
             record.addDone(task.step()).addDone(task.index());
         }
-        job.failures()
-                .forEach(
-                        (task, failures) ->
-                                record.addFailures(task.step())
-                                        .addFailures(task.index())
-                                        .addFailures(failures));
+        job.failedAttempts().forEach((task, attempts) -> addFailedAttempts(record, task, attempts));
         return record.build().toByteArray();
     }
 
+    private static void addFailedAttempts(
+            JobRecord.Builder record, TaskId task, Set<Integer> attempts) {
+        record.addFailures(task.step()).addFailures(task.index()).addFailures(attempts.size());
+        for (int attempt : attempts) {
+            record.addFailedAttempts(task.step())
+                    .addFailedAttempts(task.index())
+                    .addFailedAttempts(attempt);
+        }
+    }
+
     static Either<Failure, StoredJob> decode(byte[] value) {
         try {
             JobRecord record = JobRecord.parseFrom(value);
@@ -52,13 +59,28 @@
             int step = record.getDone(position);
             done.add(TaskId.of(spec.id(), step, record.getDone(position + 1)));
         }
-        Map<TaskId, Integer> failures = new HashMap<>();
+        return new StoredJob(spec, state(record.getState()), done, failedAttempts(spec, record));
+    }
+
+    private static Map<TaskId, Set<Integer>> failedAttempts(WorkSpec spec, JobRecord record) {
+        Map<TaskId, Set<Integer>> failed = new HashMap<>();
+        for (int position = 0; position + 2 < record.getFailedAttemptsCount(); position += 3) {
+            int step = record.getFailedAttempts(position);
+            TaskId task = TaskId.of(spec.id(), step, record.getFailedAttempts(position + 1));
+            failed.computeIfAbsent(task, key -> new HashSet<>())
+                    .add(record.getFailedAttempts(position + 2));
+        }
         for (int position = 0; position + 2 < record.getFailuresCount(); position += 3) {
             int step = record.getFailures(position);
             TaskId task = TaskId.of(spec.id(), step, record.getFailures(position + 1));
-            failures.put(task, record.getFailures(position + 2));
+            int failures = record.getFailures(position + 2);
+            Set<Integer> attempts = failed.computeIfAbsent(task, key -> new HashSet<>());
+            // An earlier build records only the number; its first attempts are numbered from 1.
+            for (int attempt = 1; attempts.size() < failures; attempt++) {
+                attempts.add(attempt);
+            }
         }
-        return new StoredJob(spec, state(record.getState()), done, failures);
+        return failed;
     }
 
     static Either<Failure, KeeperRecord> decodeKeeper(byte[] value) {
--- a/wire/src/main/java/org/wagtailproxy/wire/Peer.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Peer.java
@@ -295,17 +295,18 @@
       ".Condition\022\017\n\007pending\030\002 \001(\r\"h\n\tCondition" +
       "\022\017\n\013UNAVAILABLE\020\000\022\010\n\004GONE\020\001\022\n\n\006QUEUED\020\002\022" +
       "\013\n\007RUNNING\020\003\022\014\n\010COMPLETE\020\004\022\n\n\006FAILED\020\005\022\r" +
-      "\n\tCANCELLED\020\006\"\307\001\n\tJobRecord\022+\n\004work\030\001 \001(" +
+      "\n\tCANCELLED\020\006\"\340\001\n\tJobRecord\022+\n\004work\030\001 \001(" +
       "\0132\035.wagtailproxy.wire.SubmitWork\0221\n\005stat" +
       "e\030\002 \001(\0162\".wagtailproxy.wire.JobRecord.St" +
-      "ate\022\014\n\004done\030\003 \003(\r\022\020\n\010failures\030\004 \003(\r\":\n\005S" +
-      "tate\022\010\n\004OPEN\020\000\022\014\n\010COMPLETE\020\001\022\n\n\006FAILED\020\002" +
-      "\022\r\n\tCANCELLED\020\003\"\246\001\n\014KeeperRecord\022\014\n\004name" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\022\n\ngeneratio" +
-      "n\030\003 \001(\004\0222\n\004jobs\030\004 \001(\0162$.wagtailproxy.wir" +
-      "e.KeeperRecord.Jobs\"+\n\004Jobs\022\013\n\007UNKNOWN\020\000" +
-      "\022\010\n\004NONE\020\001\022\014\n\010POSSIBLE\020\002B\033\n\025org.wagtailp" +
-      "roxy.wireH\001P\001b\006proto3"
+      "ate\022\014\n\004done\030\003 \003(\r\022\020\n\010failures\030\004 \003(\r\022\027\n\017f" +
+      "ailed_attempts\030\005 \003(\r\":\n\005State\022\010\n\004OPEN\020\000\022" +
+      "\014\n\010COMPLETE\020\001\022\n\n\006FAILED\020\002\022\r\n\tCANCELLED\020\003" +
+      "\"\246\001\n\014KeeperRecord\022\014\n\004name\030\001 \001(\t\022\023\n\013incar" +
+      "nation\030\002 \001(\t\022\022\n\ngeneration\030\003 \001(\004\0222\n\004jobs" +
+      "\030\004 \001(\0162$.wagtailproxy.wire.KeeperRecord." +
+      "Jobs\"+\n\004Jobs\022\013\n\007UNKNOWN\020\000\022\010\n\004NONE\020\001\022\014\n\010P" +
+      "OSSIBLE\020\002B\033\n\025org.wagtailproxy.wireH\001P\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -478,7 +479,7 @@
     internal_static_wagtailproxy_wire_JobRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wagtailproxy_wire_JobRecord_descriptor,
-        new java.lang.String[] { "Work", "State", "Done", "Failures", });
+        new java.lang.String[] { "Work", "State", "Done", "Failures", "FailedAttempts", });
     internal_static_wagtailproxy_wire_KeeperRecord_descriptor =
       getDescriptor().getMessageType(28);
     internal_static_wagtailproxy_wire_KeeperRecord_fieldAccessorTable = new
