Count failures that are reported after the task was placed elsewhere

Callers could see a task started once more than their queue permits: a server that had been silent listed a failed run after the task had been placed on another one; the end was acknowledged, but not counted.

Cause: ends of runs that are not tracked counted only while their task waited.

Change: a failure counts whatever the state of its task, unless that is done. Found while looking for paths related to failures that were counted twice.

Result: testFailureThatIsReportedAfterTheTaskWasPlacedElsewhereCounts fails without the change (the job stays open and goes on, instead of FAILED after two runs) and passes.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
@@ -424,12 +424,15 @@
      * it was given up. Returns the same as {@link #runEnded}.
      */
     boolean inheritedRunEnded(TaskId task, int attempt, RunEnd end) {
-        if (!contains(task) || mTaskStates[task.step()][task.index()] != TaskState.WAITING) {
+        if (!contains(task) || mTaskStates[task.step()][task.index()] == TaskState.DONE) {
             return false;
         }
         if (end == RunEnd.FAILED) {
             return recordFailure(task, attempt);
         }
+        if (mTaskStates[task.step()][task.index()] == TaskState.PLACED) {
+            return false;
+        }
         if (end == RunEnd.DONE && !mSpec.longRunning()) {
             mTaskStates[task.step()][task.index()] = TaskState.DONE;
             mWaitingTasks--;
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
@@ -405,6 +405,30 @@
         assertThat(savedJob(job).failedAttempts().values().iterator().next(), hasSize(1));
     }
 
+    /** Guards against a start after the last permitted failure, found late on a silent server. */
+    @Test
+    void testFailureThatIsReportedAfterTheTaskWasPlacedElsewhereCounts() {
+        addServers(2, 60);
+        mSimulation.mServers.values().forEach(server -> server.mFails = true);
+        StoredJob job = job(StepSpec.of(1, DEMAND, 3000));
+        addStoredJob(job, 0);
+        mSimulation.run(20);
+        var silent =
+                mSimulation.mServers.values().stream()
+                        .filter(server -> !server.mRunning.isEmpty())
+                        .findFirst()
+                        .get();
+        silent.mUnresponsive = true;
+        mSimulation.mServers.values().forEach(server -> server.mWorkMillis = 3000);
+        for (int millis = 0; millis < 5000 && mSimulation.mStarts < 2; millis++) {
+            mSimulation.run(1);
+        }
+        silent.mUnresponsive = false;
+        mSimulation.run(5000);
+        assertThat(savedJob(job).state(), is(StoredJob.State.FAILED));
+        assertThat(mSimulation.mStarts, is(2));
+    }
+
     @Test
     void testCancelledJobIsStoppedAndNothingMoreIsStarted() {
         addServers(2, 900);
