Count a job as begun only if a run of it is known

Cause: each job that a coordinator reads from the store counted as begun, since an earlier leader may have started it.

Change: it counts as begun once its record, a server's list or a placement shows a run.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
@@ -165,6 +165,8 @@
                 .forEach(
                         (task, attempts) ->
                                 scheduledJob.mFailedAttempts.put(task, new HashSet<>(attempts)));
+        // Runs of an earlier leader that are not in the record are listed by their servers.
+        scheduledJob.mStarted = !job.done().isEmpty() || !job.failedAttempts().isEmpty();
         return scheduledJob;
     }
 
@@ -427,6 +429,7 @@
         if (!contains(task) || mTaskStates[task.step()][task.index()] == TaskState.DONE) {
             return false;
         }
+        mStarted = true;
         if (end == RunEnd.FAILED) {
             return recordFailure(task, attempt);
         }
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
@@ -343,6 +343,28 @@
         assertThat(listedEnds(), is(0));
     }
 
+    /** Guards against counting every job of an earlier coordinator as begun. */
+    @Test
+    void testJobThatNoCoordinatorHasBegunIsWaiting() {
+        addServers(1, 60_000);
+        StoredJob begun = job(StepSpec.of(2, DEMAND, 60_000));
+        StoredJob waiting = job(StepSpec.of(1, DEMAND, 60_000));
+        addStoredJob(begun, 0);
+        addStoredJob(waiting, 0);
+        mSimulation.run(100);
+        assertThat(phase(waiting), is(JobPhase.WAITING));
+        changeCoordinator(begun);
+        addStoredJob(waiting, 64);
+        mSimulation.run(4000);
+        assertThat(phase(begun), is(JobPhase.ENDING));
+        assertThat(phase(waiting), is(JobPhase.WAITING));
+        assertThat(mSimulation.mStarts, is(2));
+    }
+
+    private JobPhase phase(StoredJob job) {
+        return mSimulation.mScheduler.phase(job.spec().id());
+    }
+
     private int listedEnds() {
         return mSimulation.mServers.values().stream().mapToInt(s -> s.listedEnds()).sum();
     }
