Cancel jobs whose callers wait at another instance

Callers saw: DELETE of a job that is not stored was answered 410 at any instance but the one where its caller waits, and its tasks ran on.

Cause: other instances asked the coordinator of the stored jobs only.

Change: the leader is asked, which knows all jobs of its pool and those that it has forwarded; it stops the runs and the caller is answered 504, as at its own instance.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -169,8 +169,7 @@
     private StoredJobClient newStoredJobClient(DispatcherContext context) {
         StoredJobsMonitor monitor =
                 StoredJobsMonitor.start(mLoop, context.store(), () -> mPool.onGuardRead());
-        return new StoredJobClient(
-                mLoop, mElection, mClient, mLeaderScheduler.coordinator(), monitor);
+        return new StoredJobClient(mLoop, mElection, mClient, mLeaderScheduler, monitor);
     }
 
     private void startPeerServer(DispatcherContext context) {
@@ -312,7 +311,8 @@
     }
 
     /**
-     * Cancels a job that was submitted to this instance and is not a stored job.
+     * Cancels a job that was submitted to this instance and is not a stored job. One that was
+     * submitted to another instance is cancelled by {@link #cancelAnywhere}.
      *
      * @param job the job's id, not null
      * @return true if it was open here
@@ -342,12 +342,13 @@
     }
 
     /**
-     * Cancels a stored job.
+     * Cancels a stored job, or a job that was submitted to another instance.
      *
      * @param job the job's id, not null
-     * @param answer receives the condition of the job once the cancellation is stored, not null
+     * @param answer receives the condition of the job once it is cancelled, for a stored job once
+     *     that is stored; not null
      */
-    public void cancelStored(JobId job, Consumer<JobCondition> answer) {
+    public void cancelAnywhere(JobId job, Consumer<JobCondition> answer) {
         mStoredJobClient.cancel(job, answer);
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobForwarder.java
@@ -34,4 +34,11 @@
 
     /** Withdraws a job for one home instance; the job is stopped if no other one waits for it. */
     void withdraw(JobId job, InstanceName home);
+
+    /**
+     * Cancels a forwarded job. Its home instances receive the outcome "abandoned".
+     *
+     * @return false if the job was not forwarded
+     */
+    boolean cancel(JobId job);
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -322,6 +322,25 @@
         }
     }
 
+    /**
+     * Cancels a job that is not stored, whichever home instances wait for it. They receive the
+     * outcome "abandoned".
+     *
+     * @return false if the job is not known here
+     */
+    boolean cancel(JobId job) {
+        PendingJob pendingJob = mPendingJobs.remove(job);
+        if (pendingJob == null) {
+            return mForwarder.cancel(job);
+        }
+        scheduler(pendingJob.service()).withdraw(job, now());
+        sendCommands();
+        WorkOutcome outcome = WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "cancelled");
+        mLog.jobEnded(job, outcome, true);
+        pendingJob.homes().values().forEach(home -> home.accept(Either.right(outcome)));
+        return true;
+    }
+
     /**
      * Hands over the jobs of home instances that are no longer alive or follow another leader, and
      * stops their runs.
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -250,6 +250,19 @@
         }
     }
 
+    @Override
+    public boolean cancel(JobId id) {
+        ForwardedJob job = mForwardedJobs.get(id);
+        if (job == null) {
+            return false;
+        }
+        if (job.mSubmitted) {
+            mWithdrawals.withdraw(job.mLeader, id, job.mDeadlineNanos);
+        }
+        abandon(job, "cancelled");
+        return true;
+    }
+
     /** Withdraws and abandons the jobs of home instances that no longer wait for them. */
     void withdrawJobsOfLostHomes(Predicate<InstanceName> isWaiting) {
         for (Map.Entry<JobId, ForwardedJob> each : List.copyOf(mForwardedJobs.entrySet())) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobClient.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobClient.java
@@ -32,6 +32,7 @@
     private final EventLoop mLoop;
     private final LeaderElection mElection;
     private final PeerClient mClient;
+    private final LeaderScheduler mLeaderScheduler;
     private final StoredJobCoordinator mCoordinator;
     private final StoredJobsMonitor mMonitor;
 
@@ -39,12 +40,13 @@
             EventLoop loop,
             LeaderElection election,
             PeerClient client,
-            StoredJobCoordinator coordinator,
+            LeaderScheduler leaderScheduler,
             StoredJobsMonitor monitor) {
         mLoop = loop;
         mElection = election;
         mClient = client;
-        mCoordinator = coordinator;
+        mLeaderScheduler = leaderScheduler;
+        mCoordinator = leaderScheduler.coordinator();
         mMonitor = monitor;
     }
 
@@ -108,6 +110,8 @@
         Option<JobId> job = JobId.parse(query.getJob());
         if (job.isEmpty()) {
             conditionAnswer.accept(JobCondition.GONE);
+        } else if (query.getCancel() && mLeaderScheduler.cancel(job.get())) {
+            conditionAnswer.accept(JobCondition.CANCELLED);
         } else if (query.getCancel()) {
             mCoordinator.cancel(job.get(), conditionAnswer);
         } else {
