Log ends that a new leader finds, and restarts of servers

The logs could not tell which ends of stored jobs a new leader had acknowledged or counted, nor when it noticed the restart of a server; both had to be inferred from later lines. end-found says of each end of a stored job that is not tracked whether it is retained unread, counted or already known, and server-restarted names the incarnation.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -470,6 +470,7 @@
         mClaim.release();
         mUnfencedAfterRestart = true;
         mLease.assumeLongest(nowNanos);
+        mListener.restarted(this, mIncarnationStartMillis);
         mRuns.onRestart(nowNanos);
     }
 
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
@@ -58,11 +58,26 @@
     public void inheritedRunEnded(
             BackendServer server, TaskId task, int attempt, RunEnd end, long nowNanos) {
         ScheduledJob job = mJobs.get(task.job());
+        FoundEndTreatment treatment =
+                job == null && mJobs.mayBeUnread(task.job(), attempt)
+                        ? FoundEndTreatment.RETAINED_UNREAD
+                        : FoundEndTreatment.ALREADY_KNOWN;
         if (job != null && !job.isEnded()) {
             long previousChange = job.changeCount();
             boolean failed = job.inheritedRunEnded(task, attempt, end);
+            if (job.changeCount() > previousChange) {
+                treatment = FoundEndTreatment.COUNTED;
+            }
             onTaskEnded(job, failed, previousChange, nowNanos);
         }
+        if (StoredAttempts.isStored(attempt)) {
+            mListener.storedRunEndFound(task, attempt, server.entry().id(), end, treatment);
+        }
+    }
+
+    @Override
+    public void restarted(BackendServer server, long startedMillis) {
+        mListener.serverRestarted(server.entry().id(), startedMillis);
     }
 
     @Override
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
@@ -63,6 +63,14 @@
      */
     ServerRun adopt(BackendServer server, RunReport report, long reportedNanos, long nowNanos);
 
+    /**
+     * Called when the server is found to have started again under its id.
+     *
+     * @param server the server, not null
+     * @param startedMillis when its new incarnation started, in Unix milliseconds
+     */
+    void restarted(BackendServer server, long startedMillis);
+
     /**
      * Called when the claim is lost: another instance has sent commands with a higher fencing
      * token.
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/SchedulerListener.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/SchedulerListener.java
@@ -67,6 +67,27 @@
             long tookMillis,
             long estimateMillis);
 
+    /**
+     * Called when a backend server lists the end of a stored job's run that is not tracked here,
+     * since an earlier leader started it.
+     *
+     * @param task the task, not null
+     * @param attempt the number of the attempt
+     * @param server the backend server, not null
+     * @param end how the run ended, not null
+     * @param treatment what is done with the end, not null
+     */
+    default void storedRunEndFound(
+            TaskId task, int attempt, ServerId server, RunEnd end, FoundEndTreatment treatment) {}
+
+    /**
+     * Called when a backend server is found to have started again under its id.
+     *
+     * @param server the backend server, not null
+     * @param startedMillis when its new incarnation started, in Unix milliseconds
+     */
+    default void serverRestarted(ServerId server, long startedMillis) {}
+
     /**
      * Called when this instance has gained or lost control of a backend server.
      *
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
@@ -12,6 +12,7 @@
 import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.EventName;
 import org.wagtailproxy.observe.MetricsRecorder;
+import org.wagtailproxy.scheduling.FoundEndTreatment;
 import org.wagtailproxy.scheduling.InheritedJobEvidence;
 import org.wagtailproxy.scheduling.RunEnd;
 import org.wagtailproxy.workload.JobId;
@@ -263,6 +264,26 @@
                 .info();
     }
 
+    /** Logs the end of a stored job's run that an earlier leader started. */
+    void storedRunEndFound(
+            TaskId task, int attempt, ServerId server, RunEnd end, FoundEndTreatment treatment) {
+        mLog.event(EventName.END_FOUND)
+                .with(EventField.JOB, task.job())
+                .with(EventField.TASK, task)
+                .with(EventField.ATTEMPT, attempt)
+                .with(EventField.SERVER, server)
+                .with(EventField.OUTCOME, end)
+                .with(EventField.REASON, toSlug(treatment))
+                .info();
+    }
+
+    void serverRestarted(ServerId server, long startedMillis) {
+        mLog.event(EventName.SERVER_RESTARTED)
+                .with(EventField.SERVER, server)
+                .with(EventField.VERSION, startedMillis)
+                .info();
+    }
+
     void serverClaimChanged(ServerId server, boolean held, long token) {
         mLog.event(held ? EventName.SERVER_HELD : EventName.SERVER_RELEASED)
                 .with(EventField.SERVER, server)
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -19,6 +19,7 @@
 import org.wagtailproxy.leadership.SuspensionDetector;
 import org.wagtailproxy.scheduling.ClaimMode;
 import org.wagtailproxy.scheduling.FencingTokenSource;
+import org.wagtailproxy.scheduling.FoundEndTreatment;
 import org.wagtailproxy.scheduling.InheritedJobEvidence;
 import org.wagtailproxy.scheduling.JobPhase;
 import org.wagtailproxy.scheduling.RunEnd;
@@ -538,6 +539,21 @@
             mLog.runEnded(task, attempt, server, end, tookMillis, estimateMillis, endLogged);
         }
 
+        @Override
+        public void storedRunEndFound(
+                TaskId task,
+                int attempt,
+                ServerId server,
+                RunEnd end,
+                FoundEndTreatment treatment) {
+            mLog.storedRunEndFound(task, attempt, server, end, treatment);
+        }
+
+        @Override
+        public void serverRestarted(ServerId server, long startedMillis) {
+            mLog.serverRestarted(server, startedMillis);
+        }
+
         @Override
         public void serverClaimChanged(ServerId server, boolean held, long token) {
             mLog.serverClaimChanged(server, held, token);
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventField.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventField.java
@@ -21,8 +21,9 @@
     /** The kind and name of a resource, or the key or key prefix of entries of the store. */
     RESOURCE("resource"),
     /**
-     * The version of a resource or of the configuration, or the generation of the coordinator of
-     * the stored jobs.
+     * The version of a resource or of the configuration, the time in Unix milliseconds at which an
+     * incarnation of a backend server started, or the generation of the coordinator of the stored
+     * jobs.
      */
     VERSION("version"),
     /** A count of the items that the event concerns. */
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
@@ -82,6 +82,10 @@
     START_FAILED,
     /** A poll ("look") of a backend server failed. */
     LOOK_FAILED,
+    /** A backend server lists the end of a stored job's run that an earlier leader started. */
+    END_FOUND,
+    /** A backend server has started again under its id. */
+    SERVER_RESTARTED,
     /** A backend server has accepted the fencing token of this instance. */
     SERVER_HELD,
     /** This instance no longer sends commands to a backend server. */
