Notice a restart by the clock in the answer to a start

Callers saw: a task that a restarted server had done was taken note of up to 0.45 s late, when the poll that renews the lease was due, as the poll under way hung on a connection of the former incarnation. Its slowness counted against the server, and jobs were refused.

Cause: the answer to a start carries the server's clock, which starts anew with each incarnation, and was not looked at.

Change: a clock more than a second behind the last reading requests a poll at once; answers may overtake each other by less than that.

Result: testRestartThatTheAnswerToAStartShowsIsNoticedAtOnce ends after 202 ms without the change (expected less than 100 ms) and passes.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -11,6 +11,7 @@
 import org.wagtailproxy.fleet.PollResult;
 import org.wagtailproxy.fleet.ServerCommand;
 import org.wagtailproxy.fleet.ServerEntry;
+import org.wagtailproxy.fleet.StartAnswer;
 import org.wagtailproxy.fleet.StartResult;
 import org.wagtailproxy.fleet.StopResult;
 import org.wagtailproxy.workload.ResourceAmount;
@@ -201,7 +202,14 @@
         mRuns.stop(task, nowNanos);
     }
 
-    void onStartResult(ServerCommand.Start command, StartResult result, long nowNanos) {
+    void onStartAnswer(ServerCommand.Start command, StartAnswer answer, long nowNanos) {
+        if (answer.clockMillis().exists(mLease::showsRestart)) {
+            mReachability.requestPoll();
+        }
+        onStartResult(command, answer.result(), nowNanos);
+    }
+
+    private void onStartResult(ServerCommand.Start command, StartResult result, long nowNanos) {
         ServerRun run = mRuns.find(command.task(), command.attempt());
         boolean tracked = run != null;
         switch (result) {
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerClock.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerClock.java
@@ -13,6 +13,9 @@
     /** Lowest rate of a server's clock relative to the local one; it may be 2% slow. */
     private static final double MIN_RATE = 0.98;
 
+    /** Time by which an answer may be older than one that has arrived before it. */
+    private static final long MAX_OVERTAKING_MILLIS = 1000;
+
     private boolean mKnown;
     private long mSampleMillis;
     private long mSampleNanos;
@@ -34,6 +37,13 @@
         }
     }
 
+    /**
+     * Checks whether a reading shows that the clock has started anew, as it does with the server.
+     */
+    boolean hasStartedAnew(long clockMillis) {
+        return mKnown && clockMillis + MAX_OVERTAKING_MILLIS < mSampleMillis;
+    }
+
     void reset() {
         mKnown = false;
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerLease.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerLease.java
@@ -19,6 +19,11 @@
         return mClock.isKnown();
     }
 
+    /** Checks whether a reading of the server's clock shows that the server has restarted. */
+    boolean showsRestart(long clockMillis) {
+        return mClock.hasStartedAnew(clockMillis);
+    }
+
     void sampleClock(long clockMillis, long nowNanos) {
         mClock.sample(clockMillis, nowNanos);
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -12,6 +12,7 @@
 import org.wagtailproxy.fleet.PollResult;
 import org.wagtailproxy.fleet.ServerCommand;
 import org.wagtailproxy.fleet.ServerEntry;
+import org.wagtailproxy.fleet.StartAnswer;
 import org.wagtailproxy.fleet.StartResult;
 import org.wagtailproxy.fleet.StopResult;
 import org.wagtailproxy.workload.DataCentreScope;
@@ -308,18 +309,18 @@
     }
 
     /**
-     * Updates the state of a run from the result of a start command.
+     * Updates the state of a run from the answer to a start command.
      *
      * @param command the command, not null
-     * @param result the result of the command, not null
+     * @param answer the answer, not null
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public synchronized void onStartResult(
-            ServerCommand.Start command, StartResult result, long nowNanos) {
+    public synchronized void onStartAnswer(
+            ServerCommand.Start command, StartAnswer answer, long nowNanos) {
         BackendServer server = mServers.get(command.target().server());
         if (server != null) {
-            server.onStartResult(command, result, nowNanos);
-            if (result != StartResult.STARTED) {
+            server.onStartAnswer(command, answer, nowNanos);
+            if (answer.result() != StartResult.STARTED) {
                 tickAndPlace(server, nowNanos);
             }
         }
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -17,6 +17,7 @@
 import org.wagtailproxy.fleet.ServerCommand;
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.fleet.ServerId;
+import org.wagtailproxy.fleet.StartAnswer;
 import org.wagtailproxy.fleet.StartResult;
 import org.wagtailproxy.fleet.StopResult;
 import org.wagtailproxy.identity.DataCentre;
@@ -335,7 +336,14 @@
                 later(200, () -> onStartResult(start, StartResult.UNANSWERED));
             } else {
                 StartResult result = carryOut(start, start.leaseUntilMillis());
-                later(1, () -> onStartResult(start, result));
+                long clockMillis = clock();
+                later(
+                        1,
+                        () ->
+                                mScheduler.onStartAnswer(
+                                        start,
+                                        new StartAnswer(result, Option.some(clockMillis)),
+                                        nowNanos()));
             }
         }
 
@@ -424,7 +432,7 @@
         }
 
         private void onStartResult(ServerCommand.Start command, StartResult result) {
-            mScheduler.onStartResult(command, result, nowNanos());
+            mScheduler.onStartAnswer(command, StartAnswer.of(result), nowNanos());
         }
 
         private void onStopResult(ServerCommand.Stop command, StopResult result) {
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/UnreliableServer.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/UnreliableServer.java
@@ -1,5 +1,6 @@
 package org.wagtailproxy.scheduling;
 
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -15,6 +16,7 @@
 import org.wagtailproxy.fleet.ServerCommand;
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.fleet.ServerId;
+import org.wagtailproxy.fleet.StartAnswer;
 import org.wagtailproxy.fleet.StartResult;
 import org.wagtailproxy.fleet.StopResult;
 import org.wagtailproxy.identity.DataCentre;
@@ -251,9 +253,10 @@
                 () -> {
                     long now = mSimulation.nowNanos();
                     if (command instanceof ServerCommand.Start start) {
-                        leader.mScheduler.onStartResult(
+                        leader.mScheduler.onStartAnswer(
                                 start,
-                                notSent ? StartResult.NOT_SENT : StartResult.UNANSWERED,
+                                StartAnswer.of(
+                                        notSent ? StartResult.NOT_SENT : StartResult.UNANSWERED),
                                 now);
                     } else if (command instanceof ServerCommand.Stop stop) {
                         leader.mScheduler.onStopResult(stop, StopResult.UNANSWERED, now);
@@ -275,11 +278,11 @@
             return;
         }
         if (command instanceof ServerCommand.Start start) {
-            StartResult result = start(leader, start);
+            StartAnswer result = new StartAnswer(start(leader, start), Option.some(clock()));
             answer(
                     leader,
                     answered,
-                    () -> leader.mScheduler.onStartResult(start, result, mSimulation.nowNanos()));
+                    () -> leader.mScheduler.onStartAnswer(start, result, mSimulation.nowNanos()));
         } else if (command instanceof ServerCommand.Stop stop) {
             StopResult result = stop(stop);
             answer(
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/CommandSender.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/CommandSender.java
@@ -40,9 +40,9 @@
             mTransport.start(
                     start,
                     COMMAND_TIMEOUT_MILLIS,
-                    result -> {
-                        mLog.startFinished(start, result);
-                        scheduler.onStartResult(start, result, mClock.getAsLong());
+                    answer -> {
+                        mLog.startFinished(start, answer.result());
+                        scheduler.onStartAnswer(start, answer, mClock.getAsLong());
                         mSendFollowUps.run();
                     });
         } else if (command instanceof ServerCommand.Stop stop) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/CommandTransport.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/CommandTransport.java
@@ -3,7 +3,7 @@
 import java.util.function.Consumer;
 import org.wagtailproxy.fleet.PollResult;
 import org.wagtailproxy.fleet.ServerCommand;
-import org.wagtailproxy.fleet.StartResult;
+import org.wagtailproxy.fleet.StartAnswer;
 import org.wagtailproxy.fleet.StopResult;
 
 /**
@@ -18,7 +18,7 @@
      * @param timeoutMillis the time after which it counts as unanswered, in milliseconds
      * @param answer receives the result, not null
      */
-    void start(ServerCommand.Start command, long timeoutMillis, Consumer<StartResult> answer);
+    void start(ServerCommand.Start command, long timeoutMillis, Consumer<StartAnswer> answer);
 
     /**
      * Sends the command to stop a task.
