Never use the number of a counted attempt again

A task that is refused more often than a term has numbers could get numbers that the next term uses again, and a failure under such a number would be taken for one that is counted (BUDGET).

Change: the attempts of a task begin above those that its record counts.

Result: testAttemptsBeginAboveThoseThatHaveFailed fails without the change (number 65 of the term instead of 1001) and passes.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ScheduledJob.java
@@ -161,15 +161,23 @@
         for (int[] attempts : scheduledJob.mAttempts) {
             Arrays.fill(attempts, StoredAttempts.number(highestAttempt));
         }
-        job.failedAttempts()
-                .forEach(
-                        (task, attempts) ->
-                                scheduledJob.mFailedAttempts.put(task, new HashSet<>(attempts)));
+        job.failedAttempts().forEach(scheduledJob::restoreFailedAttempts);
         // Runs of an earlier leader that are not in the record are listed by their servers.
         scheduledJob.mStarted = !job.done().isEmpty() || !job.failedAttempts().isEmpty();
         return scheduledJob;
     }
 
+    /** Restores what the record says of a task. No number that is counted is used again. */
+    private void restoreFailedAttempts(TaskId task, Set<Integer> failed) {
+        if (!contains(task)) {
+            return;
+        }
+        mFailedAttempts.put(task, new HashSet<>(failed));
+        int highestFailed = failed.stream().mapToInt(Integer::intValue).max().orElse(0);
+        int[] attempts = mAttempts[task.step()];
+        attempts[task.index()] = Math.max(attempts[task.index()], highestFailed);
+    }
+
     /** Returns the state of a stored job in the form in which it is saved. */
     StoredJob storedJob() {
         return new StoredJob(mSpec, mState, progress().done(), mFailedAttempts);
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -48,6 +48,7 @@
     final FencingTokenSource mTokens = FencingTokenSource.of("n1");
     final ServiceScheduler mScheduler;
     final Map<JobId, StoredJob> mStored = new HashMap<>();
+    final Map<TaskId, Integer> mLastAttempts = new HashMap<>();
     int mStarts;
 
     /** While false, changes of stored jobs are not saved. */
@@ -468,7 +469,9 @@
         }
 
         @Override
-        public void taskPlaced(TaskId task, int attempt, ServerId server, long expectedMillis) {}
+        public void taskPlaced(TaskId task, int attempt, ServerId server, long expectedMillis) {
+            mLastAttempts.put(task, attempt);
+        }
 
         @Override
         public void runEnded(
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
@@ -7,6 +7,8 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
@@ -427,6 +429,27 @@
         assertThat(savedJob(job).failedAttempts().values().iterator().next(), hasSize(1));
     }
 
+    /** Guards against a failure that is taken for a counted one, as its number was used before. */
+    @Test
+    void testAttemptsBeginAboveThoseThatHaveFailed() {
+        addServers(1, 60);
+        StoredJob job = job(StepSpec.of(2, DEMAND, 60));
+        TaskId failed = TaskId.of(job.spec().id(), 0, 0);
+        int attempt = StoredAttempts.number(1000);
+        StoredJob saved =
+                new StoredJob(
+                        job.spec(),
+                        StoredJob.State.OPEN,
+                        List.of(),
+                        Map.of(failed, Set.of(attempt)));
+        addStoredJob(saved, 64);
+        mSimulation.run(4000);
+        assertThat(mSimulation.mLastAttempts.get(failed), is(attempt + 1));
+        assertThat(
+                mSimulation.mLastAttempts.get(TaskId.of(job.spec().id(), 0, 1)),
+                is(StoredAttempts.number(65)));
+    }
+
     /** Guards against a start after the last permitted failure, found late on a silent server. */
     @Test
     void testFailureThatIsReportedAfterTheTaskWasPlacedElsewhereCounts() {
