Let the dispatcher reach other instances through an interface

A dispatcher made its Netty client and server itself, so that several whole dispatchers could only be played over real sockets and in real time. No change of behaviour.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -21,8 +21,7 @@
 import org.wagtailproxy.observe.DispatchState;
 import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.MetricsRecorder;
-import org.wagtailproxy.peer.PeerClient;
-import org.wagtailproxy.peer.PeerServer;
+import org.wagtailproxy.peer.PeerTransport;
 import org.wagtailproxy.scheduling.ClaimMode;
 import org.wagtailproxy.scheduling.FencingTokenSource;
 import org.wagtailproxy.scheduling.SchedulerState;
@@ -87,7 +86,7 @@
     private final FencingTokenSource mTokens;
     private final DecisionLog mDecisions;
     private final LeaderElection mElection;
-    private final PeerClient mClient;
+    private final PeerTransport mClient;
     private final RemoteLeaders mRemote;
     private final RemoteJobForwarder mForwarder;
     private final LeaderScheduler mLeaderScheduler;
@@ -109,8 +108,7 @@
         EventLoop loop = context.loop();
         mLoop = loop;
         mListener = listener;
-        String host = settings.peerAddress().host();
-        PeerClient client = mCloser.register(PeerClient.of(host, context.group(), context.bytes()));
+        PeerTransport client = mCloser.register(context.peerTransport());
         mDecisions = new DecisionLog(log, metrics);
         mElection = new LeaderElection(settings, loop, client, mTokens, log, new ElectionEvents());
         SpillOver spillOver = new SpillOver();
@@ -148,7 +146,7 @@
                         mLeaderScheduler,
                         withdrawals,
                         mDecisions);
-        startPeerServer(context);
+        startListening(client);
     }
 
     private StoredJobCoordinator newCoordinator(
@@ -172,7 +170,7 @@
         return new StoredJobClient(mLoop, mElection, mClient, mLeaderScheduler, monitor);
     }
 
-    private void startPeerServer(DispatcherContext context) {
+    private void startListening(PeerTransport transport) {
         PeerRequestHandler handler =
                 new PeerRequestHandler(
                         mLoop,
@@ -182,12 +180,7 @@
                         mJobRelay,
                         mStoredJobClient,
                         mPool::isInPool);
-        mCloser.register(
-                PeerServer.start(
-                        mSettings.peerAddress(),
-                        context.group(),
-                        handler::handle,
-                        context.bytes()));
+        transport.listen(mSettings.peerAddress(), handler::handle);
     }
 
     /**
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DispatcherContext.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DispatcherContext.java
@@ -1,33 +1,29 @@
 package org.wagtailproxy.dispatcher;
 
-import io.netty.channel.EventLoopGroup;
 import java.util.Objects;
-import org.wagtailproxy.peer.ByteCounter;
+import org.wagtailproxy.peer.PeerTransport;
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.store.VersionedStore;
 
 /**
- * The event loop, transport, store and byte counter that a dispatcher uses.
+ * The event loop, transports and store that a dispatcher uses.
  *
  * @param loop the event loop, not null
- * @param group the threads of that loop, not null
+ * @param peerTransport calls and listens to other instances, closed by the dispatcher, not null
  * @param commandTransport sends commands to backend servers, not null
  * @param store stores jobs, not null
- * @param bytes counts the bytes of the peer protocol, not null
  */
 public record DispatcherContext(
         EventLoop loop,
-        EventLoopGroup group,
+        PeerTransport peerTransport,
         CommandTransport commandTransport,
-        VersionedStore store,
-        ByteCounter bytes) {
+        VersionedStore store) {
 
     /** Checks that no component is null. */
     public DispatcherContext {
         Objects.requireNonNull(loop, "loop");
-        Objects.requireNonNull(group, "group");
+        Objects.requireNonNull(peerTransport, "peerTransport");
         Objects.requireNonNull(commandTransport, "commandTransport");
         Objects.requireNonNull(store, "store");
-        Objects.requireNonNull(bytes, "bytes");
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -12,7 +12,7 @@
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.Peer;
-import org.wagtailproxy.peer.PeerClient;
+import org.wagtailproxy.peer.PeerTransport;
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.SubmitWork;
@@ -57,7 +57,7 @@
     private final DispatcherSettings mSettings;
     private final EventLoop mLoop;
     private final LeaderElection mElection;
-    private final PeerClient mClient;
+    private final PeerTransport mClient;
     private final LeaderScheduler mLeaderScheduler;
     private final JobWithdrawals mWithdrawals;
     private final DecisionLog mLog;
@@ -96,7 +96,7 @@
             DispatcherSettings settings,
             EventLoop loop,
             LeaderElection election,
-            PeerClient client,
+            PeerTransport client,
             LeaderScheduler leaderScheduler,
             JobWithdrawals withdrawals,
             DecisionLog log) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobWithdrawals.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobWithdrawals.java
@@ -7,7 +7,7 @@
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.failure.FailureKind;
 import org.wagtailproxy.identity.HostAddress;
-import org.wagtailproxy.peer.PeerClient;
+import org.wagtailproxy.peer.PeerTransport;
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.WithdrawWork;
@@ -27,7 +27,7 @@
 
     private final DispatcherSettings mSettings;
     private final EventLoop mLoop;
-    private final PeerClient mClient;
+    private final PeerTransport mClient;
     private final Map<Target, Withdrawal> mOpen = new HashMap<>();
 
     /** A job at the leader that it is withdrawn from. */
@@ -42,7 +42,7 @@
         }
     }
 
-    JobWithdrawals(DispatcherSettings settings, EventLoop loop, PeerClient client) {
+    JobWithdrawals(DispatcherSettings settings, EventLoop loop, PeerTransport client) {
         mSettings = settings;
         mLoop = loop;
         mClient = client;
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -29,7 +29,7 @@
 import org.wagtailproxy.observe.EventField;
 import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.EventName;
-import org.wagtailproxy.peer.PeerClient;
+import org.wagtailproxy.peer.PeerTransport;
 import org.wagtailproxy.scheduling.ClaimMode;
 import org.wagtailproxy.scheduling.FencingTokenSource;
 import org.wagtailproxy.serve.EventLoop;
@@ -88,7 +88,7 @@
 
     private final DispatcherSettings mSettings;
     private final EventLoop mLoop;
-    private final PeerClient mClient;
+    private final PeerTransport mClient;
     private final FencingTokenSource mTokens;
     private final EventLog mLog;
     private final Listener mListener;
@@ -118,7 +118,7 @@
     LeaderElection(
             DispatcherSettings settings,
             EventLoop loop,
-            PeerClient client,
+            PeerTransport client,
             FencingTokenSource tokens,
             EventLog log,
             Listener listener) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -15,7 +15,7 @@
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.leadership.InstanceName;
-import org.wagtailproxy.peer.PeerClient;
+import org.wagtailproxy.peer.PeerTransport;
 import org.wagtailproxy.scheduling.SpillOver;
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.Envelope;
@@ -52,7 +52,7 @@
 
     private final DispatcherSettings mSettings;
     private final EventLoop mLoop;
-    private final PeerClient mClient;
+    private final PeerTransport mClient;
     private final RemoteLeaders mRemoteLeaders;
     private final SpillOver mSpillOver;
     private final DecisionLog mLog;
@@ -105,7 +105,7 @@
     RemoteJobForwarder(
             DispatcherSettings settings,
             EventLoop loop,
-            PeerClient client,
+            PeerTransport client,
             RemoteLeaders remoteLeaders,
             SpillOver spillOver,
             DecisionLog log,
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
@@ -16,7 +16,7 @@
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.leadership.MessageAge;
-import org.wagtailproxy.peer.PeerClient;
+import org.wagtailproxy.peer.PeerTransport;
 import org.wagtailproxy.scheduling.SpillOver;
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.Envelope;
@@ -39,7 +39,7 @@
     private static final long UNRESPONSIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(520);
 
     private final EventLoop mLoop;
-    private final PeerClient mClient;
+    private final PeerTransport mClient;
     private final SpillOver mSpillOver;
     private final Map<DataCentre, ProbeTarget> mTargets = new TreeMap<>();
     private final Map<InstanceName, Long> mLastProbeNanos = new HashMap<>();
@@ -61,7 +61,7 @@
         }
     }
 
-    RemoteLeaders(EventLoop loop, PeerClient client, SpillOver spillOver) {
+    RemoteLeaders(EventLoop loop, PeerTransport client, SpillOver spillOver) {
         mLoop = loop;
         mClient = client;
         mSpillOver = spillOver;
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobClient.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobClient.java
@@ -7,7 +7,7 @@
 import java.util.function.Consumer;
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.leadership.Peer;
-import org.wagtailproxy.peer.PeerClient;
+import org.wagtailproxy.peer.PeerTransport;
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.wire.AskJob;
 import org.wagtailproxy.wire.Envelope;
@@ -31,7 +31,7 @@
 
     private final EventLoop mLoop;
     private final LeaderElection mElection;
-    private final PeerClient mClient;
+    private final PeerTransport mClient;
     private final LeaderScheduler mLeaderScheduler;
     private final StoredJobCoordinator mCoordinator;
     private final StoredJobsMonitor mMonitor;
@@ -39,7 +39,7 @@
     StoredJobClient(
             EventLoop loop,
             LeaderElection election,
-            PeerClient client,
+            PeerTransport client,
             LeaderScheduler leaderScheduler,
             StoredJobsMonitor monitor) {
         mLoop = loop;
