Play a divided fleet of whole dispatchers on virtual time

The seeded tests played one pool and one leader after the other. None had a home, its leader, a leader of another data centre to which jobs are forwarded, and a next leader. DividedFleetDuplicateRunTest runs 21 dispatchers in three data centres, with the product's own mirrors, registrations and peer protocol, on one virtual clock. Links can be cut, one way or both; bytes of a connection stay in order, are held by a cut and arrive later, also after the sender has given up. Instances are killed, restarted and paused, leaders in series or together; the store goes away, forgets leases, or holds a guard that cannot be decoded; servers restart, lose commands and carry them out late; callers send again and leave.

Violations: two runs of a task at the same time, a refused job that has started, a caller answered twice or without all tasks of its job, a defect of a dispatcher. They carry the seed and the part of the trace that concerns them; -Dfleet.run.trace= prints all of it, or the lines with given words.

Six seeds run by default, more with -Dfleet.run.first.seed and -Dfleet.run.seeds.

--- /dev/null
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/DividedFleetDuplicateRunTest.java
@@ -0,0 +1,49 @@
+package org.wagtailproxy.dispatcher;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class DividedFleetDuplicateRunTest {
+
+    private static final long SIMULATED_MILLIS = 20_000;
+
+    private static final int FIRST_SEED = Integer.getInteger("fleet.run.first.seed", 1);
+
+    /** More seeds are run with -Dfleet.run.seeds=N. */
+    private static final int SEEDS = Integer.getInteger("fleet.run.seeds", 6);
+
+    /** Prints the whole trace of each seed, or the lines that contain one of some words. */
+    private static final String TRACE = System.getProperty("fleet.run.trace");
+
+    private static void printTrace(FleetSimulation simulation) {
+        if (TRACE != null) {
+            List<String> words = TRACE.isEmpty() ? List.of() : List.of(TRACE.split(","));
+            simulation.mTime.trace(words).forEach(System.out::println);
+        }
+    }
+
+    @Test
+    void testDividedFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
+        List<String> reports = new ArrayList<>();
+        int remoteStarts = 0;
+        for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+            FleetSimulation simulation = new FleetSimulation(seed);
+            simulation.run(SIMULATED_MILLIS);
+            printTrace(simulation);
+            if (!simulation.report().isEmpty()) {
+                reports.add("seed " + seed + " at " + simulation.report());
+            } else {
+                assertThat("seed " + seed, simulation.mStarts, is(greaterThan(20)));
+                assertThat("seed " + seed, simulation.completed(), is(greaterThan(0)));
+            }
+            remoteStarts += simulation.mRemoteStarts;
+        }
+        assertThat(String.join("\n", reports), reports.size(), is(0));
+        assertThat("starts in other data centres", remoteStarts, is(greaterThan(0)));
+    }
+}
--- /dev/null
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
@@ -0,0 +1,153 @@
+package org.wagtailproxy.dispatcher;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.wagtailproxy.fleet.EndKind;
+import org.wagtailproxy.fleet.ServerId;
+import org.wagtailproxy.workload.JobId;
+import org.wagtailproxy.workload.TaskId;
+
+/**
+ * A divided fleet of whole dispatchers with its backend servers, callers and faults, all drawn from
+ * a seed. Records a violation if a task runs twice at once, if a refused job runs, and if a caller
+ * is answered twice or without all tasks of its job.
+ */
+final class FleetSimulation implements SimulatedServer.Runs {
+
+    private static final List<String> DATA_CENTRES = List.of("pwani-a", "pwani-b", "pwani-c");
+
+    /** Makes 21 instances, above the number from which a fleet is divided. */
+    private static final int INSTANCES_PER_DATA_CENTRE = 7;
+
+    private static final int SERVERS_PER_DATA_CENTRE = 3;
+    private static final int TRACE_LINES = 150;
+
+    final VirtualTime mTime;
+    final SimulatedNetwork mNetwork;
+    final SimulatedStore mStore;
+    final Map<String, SimulatedInstance> mInstances = new LinkedHashMap<>();
+    final Map<ServerId, SimulatedServer> mServers = new TreeMap<>();
+    private final SimulatedCallers mCallers;
+    private final Set<TaskId> mDone = new HashSet<>();
+    private final Set<JobId> mStartedJobs = new HashSet<>();
+    private final List<String> mWords = new ArrayList<>();
+    int mStarts;
+    int mRemoteStarts;
+
+    FleetSimulation(long seed) {
+        mTime = new VirtualTime(seed);
+        mNetwork = new SimulatedNetwork(mTime);
+        mStore = new SimulatedStore(mTime, mNetwork);
+        for (String dataCentre : DATA_CENTRES) {
+            for (int number = 1; number <= SERVERS_PER_DATA_CENTRE; number++) {
+                String name = "server-" + dataCentre + "-" + number;
+                SimulatedServer server = new SimulatedServer(mTime, name, dataCentre, this);
+                mServers.put(server.mId, server);
+                list(server);
+            }
+        }
+        for (int number = 1; number <= INSTANCES_PER_DATA_CENTRE; number++) {
+            for (String dataCentre : DATA_CENTRES) {
+                String name = "front-" + dataCentre + "-" + number;
+                SimulatedInstance instance =
+                        new SimulatedInstance(
+                                mTime,
+                                mNetwork,
+                                mStore,
+                                mServers,
+                                mInstances,
+                                new SimulatedNetwork.Host(name, dataCentre));
+                mInstances.put(name, instance);
+                mTime.after(mTime.between(0, 1500), instance::start);
+            }
+        }
+        mCallers = new SimulatedCallers(this, DATA_CENTRES);
+        new FleetFaults(this, DATA_CENTRES).schedule();
+    }
+
+    void list(SimulatedServer server) {
+        mStore.put(
+                SimulatedInstance.SERVERS_PREFIX + server.mId,
+                server.mId.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    void run(long millis) {
+        mCallers.schedule();
+        mTime.run(millis);
+        mCallers.checkRefusals(mStartedJobs);
+    }
+
+    int completed() {
+        return mCallers.mCompleted;
+    }
+
+    boolean isDone(TaskId task) {
+        return mDone.contains(task);
+    }
+
+    List<SimulatedInstance> upInstances() {
+        return mInstances.values().stream().filter(SimulatedInstance::isUp).toList();
+    }
+
+    @Override
+    public void onStarted(TaskId task, SimulatedServer server, SimulatedServer.Run run) {
+        mStarts++;
+        mStartedJobs.add(task.job());
+        String dataCentre = server.mHost.dataCentre();
+        if (!mCallers.homesDataCentre(task.job()).equals(dataCentre)) {
+            mRemoteStarts++;
+        }
+        mTime.note(server.mId + " starts " + task + " " + run);
+        for (SimulatedServer other : mServers.values()) {
+            SimulatedServer.Run second = other.mRunning.get(task);
+            if (other != server && second != null) {
+                mWords.add(task.job().value());
+                mTime.violation(
+                        "TWICE "
+                                + task
+                                + ": "
+                                + second
+                                + " on "
+                                + other.mId
+                                + ", "
+                                + run
+                                + " on "
+                                + server.mId);
+            }
+        }
+    }
+
+    @Override
+    public void onEnded(TaskId task, SimulatedServer server, SimulatedServer.Run run, EndKind end) {
+        mTime.note(server.mId + " ends " + task + " run " + run.attempt() + " " + end);
+        if (end == EndKind.DONE) {
+            mDone.add(task);
+        }
+    }
+
+    void violation(JobId job, String text) {
+        mWords.add(job.value());
+        mTime.violation(text + " " + job);
+    }
+
+    /** Returns the violations with the part of the trace that concerns them. */
+    String report() {
+        if (mTime.mViolations.isEmpty()) {
+            return "";
+        }
+        List<String> words = new ArrayList<>(mWords);
+        words.addAll(FleetFaults.TRACED_WORDS);
+        List<String> lines = mTime.trace(words);
+        return String.join("\n", mTime.mViolations)
+                + "\n  "
+                + String.join(
+                        "\n  ",
+                        lines.subList(Math.max(0, lines.size() - TRACE_LINES), lines.size()));
+    }
+}
--- /dev/null
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCallers.java
@@ -0,0 +1,192 @@
+package org.wagtailproxy.dispatcher;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.wagtailproxy.workload.JobId;
+import org.wagtailproxy.workload.QueueTerms;
+import org.wagtailproxy.workload.StepSpec;
+import org.wagtailproxy.workload.TaskId;
+import org.wagtailproxy.workload.WorkOutcome;
+import org.wagtailproxy.workload.WorkSpec;
+
+/** Callers that send jobs, send them again after a lost answer, and leave. */
+final class SimulatedCallers {
+
+    private static final long RESUBMIT_MILLIS = 1300;
+    private static final int MAX_ATTEMPTS = 3;
+
+    int mCompleted;
+    private final FleetSimulation mFleet;
+    private final VirtualTime mTime;
+    private final List<String> mDataCentres;
+    private final Map<JobId, Job> mJobs = new HashMap<>();
+    private final long mMeanIntervalMillis;
+    private int mNextJob = 1;
+
+    /** A job of a caller, with what the attempts to hand it in have brought. */
+    private static final class Job {
+        private final WorkSpec mSpec;
+        private final long mTimeoutMillis;
+        private String mDataCentre;
+        private int mAttempts;
+        private int mRefused;
+
+        private Job(WorkSpec spec, long timeoutMillis) {
+            mSpec = spec;
+            mTimeoutMillis = timeoutMillis;
+        }
+    }
+
+    SimulatedCallers(FleetSimulation fleet, List<String> dataCentres) {
+        mFleet = fleet;
+        mTime = fleet.mTime;
+        mDataCentres = dataCentres;
+        mMeanIntervalMillis = mTime.between(15, 80);
+    }
+
+    void schedule() {
+        mTime.after(1200, this::sendNext);
+    }
+
+    String homesDataCentre(JobId job) {
+        return mJobs.get(job).mDataCentre;
+    }
+
+    private void sendNext() {
+        mTime.after(mTime.between(1, 2 * mMeanIntervalMillis), this::sendNext);
+        JobId id = new JobId(String.format("%016x", mNextJob++));
+        int tasks = Math.toIntExact(mTime.between(1, 4));
+        long estimateMillis = mTime.chance(0.5) ? 60 : mTime.between(100, 900);
+        WorkSpec spec =
+                WorkSpec.of(
+                        id,
+                        SimulatedServer.SERVICE,
+                        Long.toString(estimateMillis),
+                        List.of(StepSpec.of(tasks, SimulatedServer.DEMAND, estimateMillis)),
+                        QueueTerms.of(0, 6, 60, 3));
+        Job job = new Job(spec, mTime.chance(0.5) ? 1500 : 4000);
+        mJobs.put(id, job);
+        // Most callers are near the first data centre, whose leader forwards what does not fit.
+        job.mDataCentre = mTime.chance(0.6) ? mDataCentres.get(0) : mTime.oneOf(mDataCentres);
+        send(job);
+    }
+
+    private void send(Job job) {
+        if (job.mAttempts == MAX_ATTEMPTS) {
+            return;
+        }
+        job.mAttempts++;
+        List<SimulatedInstance> homes =
+                mFleet.mInstances.values().stream()
+                        .filter(each -> each.mHost.dataCentre().equals(job.mDataCentre))
+                        .toList();
+        SimulatedInstance home = mTime.oneOf(homes);
+        if (!home.isUp() || !home.dispatcher().hasLeader()) {
+            mTime.after(RESUBMIT_MILLIS, () -> sendElsewhere(job));
+            return;
+        }
+        new Request(job, home).send();
+    }
+
+    private void sendElsewhere(Job job) {
+        if (mTime.chance(0.6)) {
+            job.mDataCentre = mTime.oneOf(mDataCentres);
+        }
+        send(job);
+    }
+
+    void checkRefusals(Set<JobId> started) {
+        mJobs.forEach(
+                (id, job) -> {
+                    if (job.mAttempts > 0
+                            && job.mRefused == job.mAttempts
+                            && started.contains(id)) {
+                        mFleet.violation(id, "REFUSED, but started:");
+                    }
+                });
+    }
+
+    /** One request of a caller, on a connection of its own. */
+    private final class Request {
+        private final Job mJob;
+        private final SimulatedProcess mProcess;
+        private final Dispatcher mDispatcher;
+        private final String mName;
+        private boolean mOpen = true;
+        private boolean mAnswered;
+
+        private Request(Job job, SimulatedInstance home) {
+            mJob = job;
+            mProcess = home.process();
+            mDispatcher = home.dispatcher();
+            mName = job.mSpec.id() + "/" + job.mAttempts;
+        }
+
+        private void send() {
+            mTime.note("caller sends " + mName + " to " + mProcess.mHost.name());
+            mTime.afterNanos(
+                    mFleet.mNetwork.latencyNanos(),
+                    () ->
+                            mProcess.execute(
+                                    () ->
+                                            mDispatcher.submit(
+                                                    mJob.mSpec,
+                                                    mJob.mTimeoutMillis,
+                                                    mName,
+                                                    this::onOutcome)));
+            mTime.after(mJob.mTimeoutMillis, () -> leave("has waited for", true));
+            if (mTime.chance(0.06)) {
+                boolean sendsAgain = mTime.chance(0.5);
+                mTime.after(mTime.between(1, 900), () -> leave("leaves", sendsAgain));
+            }
+            mProcess.onKilled(() -> mTime.after(1, () -> leave("lost its connection for", true)));
+        }
+
+        private void leave(String reason, boolean sendsAgain) {
+            if (!mOpen) {
+                return;
+            }
+            mOpen = false;
+            mTime.note("caller " + reason + " " + mName);
+            mTime.afterNanos(
+                    mFleet.mNetwork.latencyNanos(),
+                    () -> mProcess.execute(() -> mDispatcher.withdraw(mJob.mSpec.id(), mName)));
+            if (sendsAgain) {
+                mTime.after(RESUBMIT_MILLIS, () -> sendElsewhere(mJob));
+            }
+        }
+
+        private void onOutcome(WorkOutcome outcome) {
+            if (mAnswered) {
+                mFleet.violation(mJob.mSpec.id(), "answered twice:");
+            }
+            mAnswered = true;
+            mTime.afterNanos(mFleet.mNetwork.latencyNanos(), () -> receive(outcome));
+        }
+
+        private void receive(WorkOutcome outcome) {
+            if (!mOpen) {
+                return;
+            }
+            mOpen = false;
+            mTime.note("caller receives " + mName + " " + outcome);
+            switch (outcome.kind()) {
+                case COMPLETE -> {
+                    mCompleted++;
+                    for (int index = 0; index < mJob.mSpec.steps().get(0).tasks(); index++) {
+                        if (!mFleet.isDone(TaskId.of(mJob.mSpec.id(), 0, index))) {
+                            mFleet.violation(mJob.mSpec.id(), "complete without all tasks:");
+                        }
+                    }
+                }
+                case REFUSED -> mJob.mRefused++;
+                case ABANDONED -> mTime.after(RESUBMIT_MILLIS, () -> sendElsewhere(mJob));
+                default -> {
+                    // Failed, or of no meaning for such jobs.
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
@@ -0,0 +1,274 @@
+package org.wagtailproxy.dispatcher;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.wagtailproxy.fleet.ServerEntry;
+import org.wagtailproxy.fleet.ServerId;
+import org.wagtailproxy.identity.DataCentre;
+import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.leadership.InstanceRecord;
+import org.wagtailproxy.observe.EventLog;
+import org.wagtailproxy.observe.MetricsRecorder;
+import org.wagtailproxy.scheduling.LeaseTiming;
+import org.wagtailproxy.scheduling.SchedulerTuning;
+import org.wagtailproxy.store.LeasedItem;
+import org.wagtailproxy.store.StoreItem;
+import org.wagtailproxy.store.StoreMirror;
+import org.wagtailproxy.store.VersionedStore;
+
+/** An instance whose dispatcher is fed from the store as the platform's adapter feeds it. */
+final class SimulatedInstance {
+
+    static final String INSTANCES_PREFIX = "instances/";
+    static final String SERVERS_PREFIX = "servers/";
+    private static final long SERVERS_WATCH_MILLIS = 2500;
+    private static final long INSTANCES_WATCH_MILLIS = 8000;
+    private static final long INSTANCES_BATCH_DELAY_MILLIS = 200;
+    private static final long LEADER_SERVERS_BATCH_DELAY_MILLIS = 800;
+    private static final long FOLLOWER_SERVERS_BATCH_DELAY_MILLIS = 4000;
+
+    final SimulatedNetwork.Host mHost;
+    final HostAddress mAddress;
+    private final VirtualTime mTime;
+    private final SimulatedNetwork mNetwork;
+    private final SimulatedStore mStore;
+    private final Map<ServerId, SimulatedServer> mServers;
+    private final Map<String, SimulatedInstance> mInstances;
+    private Life mLife;
+    private int mLives;
+
+    SimulatedInstance(
+            VirtualTime time,
+            SimulatedNetwork network,
+            SimulatedStore store,
+            Map<ServerId, SimulatedServer> servers,
+            Map<String, SimulatedInstance> instances,
+            SimulatedNetwork.Host host) {
+        mTime = time;
+        mNetwork = network;
+        mStore = store;
+        mServers = servers;
+        mInstances = instances;
+        mHost = host;
+        mAddress = HostAddress.of("10.1.0." + (instances.size() + 1), 7000);
+        network.addHost(mAddress, host);
+    }
+
+    boolean isUp() {
+        return mLife != null;
+    }
+
+    boolean isLeader() {
+        return isUp() && mLife.mDispatcher.isLeader();
+    }
+
+    SimulatedProcess process() {
+        return mLife.mProcess;
+    }
+
+    Dispatcher dispatcher() {
+        return mLife.mDispatcher;
+    }
+
+    void start() {
+        if (!isUp()) {
+            mLives++;
+            mTime.note(mHost.name() + " starts");
+            mLife = new Life();
+            mLife.start();
+        }
+    }
+
+    void kill() {
+        if (isUp()) {
+            mTime.note(mHost.name() + " is killed" + (isLeader() ? " as leader" : ""));
+            SimulatedProcess process = mLife.mProcess;
+            mLife = null;
+            process.kill();
+            mNetwork.onKilled(process);
+        }
+    }
+
+    private InstanceRecord instanceRecord(long seniority) {
+        return new InstanceRecord(
+                InstanceName.of(mHost.name()),
+                DataCentre.of(mHost.dataCentre()),
+                mAddress,
+                1000,
+                seniority);
+    }
+
+    /** One life of the process. */
+    private final class Life implements Dispatcher.Listener {
+        private final SimulatedProcess mProcess = new SimulatedProcess(mTime, mHost);
+        private final VersionedStore mClient = mStore.clientOf(mProcess);
+        private final Dispatcher mDispatcher = newDispatcher();
+        private final ServerDirectory mDirectory =
+                ServerDirectory.of(mProcess, mDispatcher::updateServers);
+        private LeasedItem mRegistration;
+        private StoreMirror mServersMirror;
+        private boolean mConfirming;
+        private boolean mDoubtedAgain;
+
+        private Dispatcher newDispatcher() {
+            DispatcherSettings settings =
+                    new DispatcherSettings(
+                            InstanceName.of(mHost.name()),
+                            DataCentre.of(mHost.dataCentre()),
+                            mAddress,
+                            1000,
+                            LeaseTiming.of(1000),
+                            SchedulerTuning.defaults());
+            DispatcherContext context =
+                    new DispatcherContext(
+                            mProcess,
+                            mNetwork.transport(mProcess),
+                            new SimulatedCommands(mTime, mNetwork, mProcess, mServers),
+                            mClient);
+            EventLog log =
+                    EventLog.of(
+                            mHost.name(),
+                            mHost.dataCentre(),
+                            Integer.toString(mLives),
+                            (level, message, cause) -> noteEvent(message.getData()));
+            return Dispatcher.start(settings, context, log, new MetricsRecorder(), this);
+        }
+
+        private void noteEvent(Map<String, String> event) {
+            StringBuilder line = new StringBuilder(mHost.name() + " " + event.get("event"));
+            event.forEach(
+                    (key, value) -> {
+                        if (!List.of("event", "atMillis", "instance", "dataCentre", "incarnation")
+                                .contains(key)) {
+                            line.append(' ').append(key).append('=').append(value);
+                        }
+                    });
+            mTime.note(line.toString());
+        }
+
+        private void start() {
+            mProcess.execute(
+                    () -> {
+                        mRegistration =
+                                LeasedItem.start(
+                                        mProcess,
+                                        mClient,
+                                        INSTANCES_PREFIX + mHost.name(),
+                                        mHost.name().getBytes(StandardCharsets.UTF_8),
+                                        mDispatcher::onRegistered);
+                        mServersMirror = mirror(SERVERS_PREFIX, SERVERS_WATCH_MILLIS);
+                        mirror(INSTANCES_PREFIX, INSTANCES_WATCH_MILLIS);
+                    });
+        }
+
+        private StoreMirror mirror(String prefix, long watchMillis) {
+            boolean isServers = prefix.equals(SERVERS_PREFIX);
+            LongSupplier delay =
+                    () ->
+                            !isServers
+                                    ? INSTANCES_BATCH_DELAY_MILLIS
+                                    : mDispatcher.isLeader()
+                                            ? LEADER_SERVERS_BATCH_DELAY_MILLIS
+                                            : FOLLOWER_SERVERS_BATCH_DELAY_MILLIS;
+            return StoreMirror.start(
+                    mProcess,
+                    mClient,
+                    prefix,
+                    watchMillis,
+                    delay,
+                    isServers ? new ServersListener() : new InstancesListener());
+        }
+
+        @Override
+        public void onNewerConfiguration(byte[] document) {
+            // The fleet has no configuration.
+        }
+
+        @Override
+        public void onBecameLeader() {
+            if (mServersMirror != null) {
+                mServersMirror.refreshNow();
+            }
+        }
+
+        @Override
+        public void onServerListDoubted() {
+            if (mServersMirror == null) {
+                return;
+            }
+            if (mConfirming) {
+                mDoubtedAgain = true;
+                return;
+            }
+            mConfirming = true;
+            long askedNanos = mProcess.nowNanos();
+            mServersMirror.readChanges(
+                    confirmed -> {
+                        mConfirming = false;
+                        if (confirmed) {
+                            mDispatcher.onServersConfirmed(askedNanos);
+                        }
+                        if (mDoubtedAgain) {
+                            mDoubtedAgain = false;
+                            onServerListDoubted();
+                        }
+                    });
+        }
+
+        /** Applies changes of the backend servers. */
+        private final class ServersListener implements StoreMirror.Listener {
+
+            @Override
+            public void onChanged(StoreMirror mirror) {
+                List<ServerEntry> entries = new ArrayList<>();
+                for (StoreItem item : mirror.items()) {
+                    String name = new String(item.value(), StandardCharsets.UTF_8);
+                    entries.add(mServers.get(ServerId.of(name)).entry());
+                }
+                mDirectory.updateEntries(entries);
+            }
+
+            @Override
+            public void onReachabilityChanged(StoreMirror mirror, boolean reachable) {
+                mDispatcher.updateStoreReachable(reachable);
+                mDirectory.updateStoreReachable(reachable);
+                if (reachable) {
+                    onItemsMissed(mirror);
+                }
+            }
+
+            @Override
+            public void onItemsMissed(StoreMirror mirror) {
+                mDispatcher.onServersTrackedSince(mProcess.nowNanos());
+            }
+        }
+
+        /** Applies changes of the registrations and restores the own one. */
+        private final class InstancesListener implements StoreMirror.Listener {
+
+            @Override
+            public void onChanged(StoreMirror mirror) {
+                List<InstanceRecord> records = new ArrayList<>();
+                boolean isRegistered = false;
+                for (StoreItem item : mirror.items()) {
+                    String name = new String(item.value(), StandardCharsets.UTF_8);
+                    records.add(mInstances.get(name).instanceRecord(item.revision()));
+                    isRegistered |= name.equals(mHost.name());
+                }
+                if (!isRegistered) {
+                    mRegistration.onMissing();
+                }
+                mDispatcher.updateInstances(records);
+            }
+
+            @Override
+            public void onReachabilityChanged(StoreMirror mirror, boolean reachable) {
+                // The mirror of the servers reports it.
+            }
+        }
+    }
+}
