Count homes as lost before their callers submit again

A caller could see its task run twice at once, in two data centres: its home instance falls silent, the connection breaks, and the caller submits the job again after 1.3 s. The leader gave the home up by the reachability that elects leaders, which allows 1,100 ms to a peer that may be loading its code and 450 ms more to one that was probed rarely: up to 1.65 s and a tick. On the way of a forwarded job the remote leader's 520 ms come on top if the withdrawal is lost.

Whether a home is alive no longer depends on that reachability alone: the last answered probe, counted from when it was sent, has to be at most 900 ms old, for a forwarded job 520 ms. So a job is withdrawn within 1,000 ms, and a forwarded one within 620 + 620 ms although its withdrawal is lost; a stop takes 50 ms. A leader that waits for the homes of forwarded jobs after the end of its leadership probes them in every tick. A home that was alive submits a job that was handed over again.

The three new tests of PeerTable fail if only the reachability is looked at: 'Tests run: 18, Failures: 3'. Of one run of PeerTableTest, HandOverTest and ForwardingTest at a load of 47, testLeaderKeepsJobOfHomeThatItHasNotReachedYet was red (2 tasks not started within 2 s, not traced) and the rest green; that test was green alone three times in a row afterwards.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
@@ -40,6 +40,9 @@
     long mProbedNanos = Long.MIN_VALUE / 2;
     long mAnsweredNanos;
 
+    /** When the last probe was sent that the peer has answered. */
+    long mAnsweredProbeNanos = Long.MIN_VALUE / 2;
+
     /** When the last probe was sent whose answer shows that the peer does not lead. */
     long mNotLeadingNanos = Long.MIN_VALUE;
 
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -29,6 +29,19 @@
     /** Time without an answer after which a peer that may be loading its code is unresponsive. */
     static final long WARM_UP_UNRESPONSIVE_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1100);
 
+    /**
+     * Time without a sign of life after which a home instance is lost. Its callers submit their
+     * jobs again 1,300 ms after their connections broke; a tick, the stops and their way to the
+     * backend servers have to fit in between.
+     */
+    static final long HOME_LOST_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+
+    /**
+     * The same for the home instance of a job that is forwarded to a remote leader, which has to
+     * count this instance as lost within the rest of the time if the withdrawal is lost.
+     */
+    static final long FORWARDED_HOME_LOST_AFTER_NANOS = UNRESPONSIVE_AFTER_NANOS;
+
     /**
      * Timeouts in a row after which a connection is considered broken; a busy peer may miss one.
      */
@@ -195,6 +208,7 @@
         }
         state.mProbeOutstanding = false;
         state.mAnsweredNanos = nowNanos;
+        state.mAnsweredProbeNanos = state.mProbedNanos;
         state.mRefusesConnections = false;
         state.mPartitioned = false;
         state.mConsecutiveTimeouts = 0;
@@ -373,18 +387,40 @@
     }
 
     /**
-     * Checks whether a peer is alive: it answers probes, or it has sent a request within the time
-     * after which a peer that does not answer counts as unresponsive.
+     * Checks whether a peer is alive, so that a leader may run the jobs that it is the home of.
+     * Does not depend on the time after which a peer is unreachable for the election, which is
+     * longer for peers that may be loading their code or are probed rarely.
      *
      * @param name the name of the peer, not null
      * @param nowNanos the monotonic time in nanoseconds
-     * @return true if it is
+     * @return true if it has answered a probe or sent a request within the time after which a home
+     *     instance is lost
      */
-    public boolean isAlive(InstanceName name, long nowNanos) {
+    public boolean isHomeAlive(InstanceName name, long nowNanos) {
+        return hasShownLife(name, nowNanos, HOME_LOST_AFTER_NANOS);
+    }
+
+    /**
+     * Checks whether a peer is alive, so that a remote leader may run the jobs that it is the home
+     * of.
+     *
+     * @param name the name of the peer, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return true if it has answered a probe or sent a request within the time after which the
+     *     home instance of a forwarded job is lost
+     */
+    public boolean isHomeOfForwardedJobAlive(InstanceName name, long nowNanos) {
+        return hasShownLife(name, nowNanos, FORWARDED_HOME_LOST_AFTER_NANOS);
+    }
+
+    private boolean hasShownLife(InstanceName name, long nowNanos, long lostAfterNanos) {
         PeerState state = mPeers.get(name);
-        return state != null
-                && (state.mReachable
-                        || nowNanos - state.mRequestedNanos <= UNRESPONSIVE_AFTER_NANOS);
+        if (state == null) {
+            return false;
+        }
+        boolean answers =
+                state.mReachable && nowNanos - state.mAnsweredProbeNanos <= lostAfterNanos;
+        return answers || nowNanos - state.mRequestedNanos <= UNRESPONSIVE_AFTER_NANOS;
     }
 
     /**
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
@@ -52,6 +52,39 @@
         assertThat(mTable.find(name(2)).isDefined(), is(true));
     }
 
+    @Test
+    void testHomeThatMayBeLoadingItsCodeIsLostBeforeItsCallersSubmitAgain() {
+        mTable.updateRegistered(List.of(record(1, NEAR)), any -> true, false);
+        assertThat(mTable.isHomeAlive(name(1), mNowNanos), is(false));
+        answerAll(mTable.dueProbes(true, Option.none(), mNowNanos));
+        assertThat(mTable.isHomeAlive(name(1), mNowNanos + 9 * TICK), is(true));
+        assertThat(mTable.isHomeAlive(name(1), mNowNanos + 9 * TICK + 1), is(false));
+        assertThat(mTable.isHomeOfForwardedJobAlive(name(1), mNowNanos + 6 * TICK), is(false));
+        assertThat(mTable.unresponsivePeers(mNowNanos + 9 * TICK + 1), is(empty()));
+    }
+
+    @Test
+    void testHomeThatIsProbedRarelyIsLostBeforeItsCallersSubmitAgain() {
+        mTable.updateRegistered(
+                List.of(record(1, NEAR), record(2, NEAR), record(3, NEAR)), any -> true, true);
+        answerAll(mTable.dueProbes(true, Option.none(), mNowNanos));
+        mTable.dueProbes(false, Option.none(), mNowNanos);
+        mNowNanos += 5 * TICK;
+        answerAll(mTable.dueProbes(false, Option.none(), mNowNanos));
+        assertThat(mTable.isHomeAlive(name(3), mNowNanos + 9 * TICK), is(true));
+        assertThat(mTable.isHomeAlive(name(3), mNowNanos + 9 * TICK + 1), is(false));
+    }
+
+    @Test
+    void testAnswerShowsThatHomeWasAliveWhenTheProbeWasSent() {
+        mTable.updateRegistered(List.of(record(1, NEAR)), any -> true, false);
+        List<PeerProbe> probes = mTable.dueProbes(true, Option.none(), mNowNanos);
+        long sentNanos = mNowNanos;
+        mNowNanos += 2 * TICK;
+        answerAll(probes);
+        assertThat(mTable.isHomeAlive(name(1), sentNanos + 9 * TICK + 1), is(false));
+    }
+
     @Test
     void testFormerPeerOutsideThePoolIsNotRestored() {
         mTable.updateRegistered(List.of(record(1, NEAR), record(2, FAR)), any -> true, false);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -460,7 +460,7 @@
         mElection.updateStoreUnreachable(isStoreUnreachable());
         mElection.updateCoordinatesStoredJobs(mLeaderScheduler.coordinator().hasJobs());
         mPool.tick();
-        mElection.tick();
+        mElection.tick(mForwarder.openJobs() > 0);
         mLeaderScheduler.handOverJobsOfLostHomes(this::isHomeAlive);
         mForwarder.withdrawJobsOfLostHomes(this::isWaitingForForwardedJob);
         mLeaderScheduler.updateCoordination(
@@ -482,7 +482,8 @@
      * jobs there, whether it was able to withdraw them here or not.
      */
     private boolean isHomeAlive(InstanceName home) {
-        boolean isNeighbour = mElection.isAlive(home) && !mElection.isFollowingAnotherLeader(home);
+        boolean isNeighbour =
+                mElection.isHomeAlive(home) && !mElection.isFollowingAnotherLeader(home);
         return home.equals(mSettings.name()) || isNeighbour || mRemote.hasProbedRecently(home);
     }
 
@@ -492,7 +493,9 @@
      * leader.
      */
     private boolean isWaitingForForwardedJob(InstanceName home) {
-        return isHomeAlive(home) || (!mElection.isLeader() && mElection.isReachable(home));
+        boolean hasLeft = mElection.isLeader() && mElection.isFollowingAnotherLeader(home);
+        boolean isNeighbour = mElection.isHomeOfForwardedJobAlive(home) && !hasLeft;
+        return home.equals(mSettings.name()) || isNeighbour || mRemote.hasProbedRecently(home);
     }
 
     /**
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -244,9 +244,14 @@
         return mPeers.find(name).exists(Peer::reachable);
     }
 
-    /** Checks whether a peer answers probes or has sent a request lately. */
-    boolean isAlive(InstanceName name) {
-        return mPeers.isAlive(name, mLoop.nowNanos());
+    /** Checks whether a peer is alive, so that its jobs may run here. */
+    boolean isHomeAlive(InstanceName name) {
+        return mPeers.isHomeAlive(name, mLoop.nowNanos());
+    }
+
+    /** Checks whether a peer is alive, so that its jobs may run in another data centre. */
+    boolean isHomeOfForwardedJobAlive(InstanceName name) {
+        return mPeers.isHomeOfForwardedJobAlive(name, mLoop.nowNanos());
     }
 
     /** Checks whether a peer reports that it follows a leader other than this instance. */
@@ -372,13 +377,15 @@
     /**
      * Marks unresponsive peers as unreachable, elects the leader anew and probes the peers that are
      * due.
+     *
+     * @param waitsForHomes true if all peers are to be probed although this instance does not lead
      */
-    void tick() {
+    void tick(boolean waitsForHomes) {
         detectOverload();
         mPeers.unresponsivePeers(mLoop.nowNanos())
                 .forEach(name -> markUnreachable(name, "silent", true));
         electLeader();
-        sendProbes(isLeader());
+        sendProbes(isLeader() || waitsForHomes);
     }
 
     private void detectOverload() {
