Hand over jobs of homes outside the pool that follow another leader

A caller could see its task run twice at once: a home outside the pool, which does not know the division of the fleet yet, submits a job, follows another leader and submits the job there, and its withdrawal here is lost. The leader kept the job as long as the home probed it, since the leader named in probes from outside the pool was not looked at.

The leader that such a home names now counts, as for peers. Only a leader that has forwarded a job here is alive whomever it follows, since it relays the answer also after the end of its leadership; a job therefore knows which of its homes are forwarders.

ForwardingTest#testJobOfHomeOutsideThePoolThatFollowsAnotherLeaderIsHandedOver failed before: line 311, 'Expected: is <true> but: was <false>', no hand-over within 600 ms. PeerTableTest, ForwardingTest and DividedFleetTest are green.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -94,6 +94,7 @@
     private final JobRelay mJobRelay;
     private final StoredJobClient mStoredJobClient;
     private final PoolMembership mPool;
+    private final HomeMonitor mHomes;
     private Collection<ServerEntry> mServers = List.of();
     private boolean mStoreReachable;
     private long mStoreChangedNanos;
@@ -115,6 +116,7 @@
         mElection = new LeaderElection(settings, loop, client, mTokens, log, new ElectionEvents());
         SpillOver spillOver = new SpillOver();
         mRemote = new RemoteLeaders(loop, client, spillOver);
+        mHomes = new HomeMonitor(settings.name(), mElection, mRemote);
         JobWithdrawals withdrawals = new JobWithdrawals(settings, loop, client);
         mForwarder =
                 new RemoteJobForwarder(
@@ -461,8 +463,8 @@
         mElection.updateCoordinatesStoredJobs(mLeaderScheduler.coordinator().hasJobs());
         mPool.tick();
         mElection.tick(mForwarder.openJobs() > 0);
-        mLeaderScheduler.handOverJobsOfLostHomes(this::isHomeAlive);
-        mForwarder.withdrawJobsOfLostHomes(this::isWaitingForForwardedJob);
+        mLeaderScheduler.handOverJobsOfLostHomes(mHomes::isHomeAlive, mHomes::isForwarderAlive);
+        mForwarder.withdrawJobsOfLostHomes(mHomes::isWaitingForForwardedJob);
         mLeaderScheduler.updateCoordination(
                 mPool.spansDataCentres() && mElection.isLeaderOfMajority(),
                 mStoredJobClient.mayHaveStoredJobs());
@@ -477,27 +479,6 @@
         mJobRelay.tick();
     }
 
-    /**
-     * Checks whether a home instance is alive. One that follows another leader has submitted its
-     * jobs there, whether it was able to withdraw them here or not.
-     */
-    private boolean isHomeAlive(InstanceName home) {
-        boolean isNeighbour =
-                mElection.isHomeAlive(home) && !mElection.isFollowingAnotherLeader(home);
-        return home.equals(mSettings.name()) || isNeighbour || mRemote.hasProbedRecently(home);
-    }
-
-    /**
-     * Checks whether a home instance waits for the jobs that this instance has forwarded for it.
-     * After the end of its leadership it still relays their answers to homes that follow the next
-     * leader.
-     */
-    private boolean isWaitingForForwardedJob(InstanceName home) {
-        boolean hasLeft = mElection.isLeader() && mElection.isFollowingAnotherLeader(home);
-        boolean isNeighbour = mElection.isHomeOfForwardedJobAlive(home) && !hasLeft;
-        return home.equals(mSettings.name()) || isNeighbour || mRemote.hasProbedRecently(home);
-    }
-
     /**
      * Informs the home instance of a job that the job runs in another data centre. The home answers
      * with the leader that it waits for.
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -177,7 +177,8 @@
      * Schedules a job, or adds the caller to the job with the same id.
      *
      * @param home the instance that answers the caller
-     * @param mayForward true if another data centre may run the job
+     * @param mayForward true if another data centre may run the job; false if its leader has
+     *     forwarded it here
      * @param answer receives the outcome, or the progress made so far if the job has to be
      *     submitted to another leader
      */
@@ -198,7 +199,7 @@
             return;
         }
         PendingJob pendingJob = mPendingJobs.computeIfAbsent(spec.id(), id -> new PendingJob(spec));
-        pendingJob.homes().put(home, answer);
+        pendingJob.addHome(home, !mayForward, answer);
         pendingJob.updateSubmission(arrivedNanos, deadlineNanos, mayForward);
         ServiceScheduler scheduler = scheduler(spec.service());
         scheduler.submit(spec, progress, arrivedNanos, deadlineNanos, nowNanos);
@@ -345,11 +346,16 @@
     /**
      * Hands over the jobs of home instances that are no longer alive or follow another leader, and
      * stops their runs.
+     *
+     * @param isAlive checks a home that has submitted its own job here
+     * @param isForwarderAlive checks a leader of another data centre that has forwarded a job
      */
-    void handOverJobsOfLostHomes(Predicate<InstanceName> isAlive) {
+    void handOverJobsOfLostHomes(
+            Predicate<InstanceName> isAlive, Predicate<InstanceName> isForwarderAlive) {
         for (Map.Entry<JobId, PendingJob> each : List.copyOf(mPendingJobs.entrySet())) {
             for (InstanceName home : List.copyOf(each.getValue().homes().keySet())) {
-                if (!isAlive.test(home)) {
+                boolean isForwarder = each.getValue().isForwarder(home);
+                if (!(isForwarder ? isForwarderAlive : isAlive).test(home)) {
                     handOver(each.getKey(), each.getValue(), home);
                 }
             }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -95,7 +95,9 @@
         // not count as remote.
         boolean isRemote = hasNames && !mSamePool.test(DataCentre.of(probe.getDataCentre()));
         if (isRemote) {
-            mRemoteLeaders.onProbeReceived(InstanceName.of(probe.getName()));
+            Option<InstanceName> follows =
+                    Option.of(probe.getFollows()).filter(Names::isName).map(InstanceName::of);
+            mRemoteLeaders.onProbeReceived(InstanceName.of(probe.getName()), follows);
         }
         Presence.Builder presence = mElection.answerProbe(probe);
         if (isRemote && mElection.isLeader()) {
@@ -154,6 +156,9 @@
             InstanceName home,
             Consumer<Either<WorkProgress, WorkOutcome>> answer) {
         mElection.recordFollower(home, message.getReceiverClockNanos());
+        if (!message.getForwarded()) {
+            mElection.leader().forEach(self -> mRemoteLeaders.recordFollower(home, self.name()));
+        }
         long nowNanos = mLoop.nowNanos();
         mLeaderScheduler.submit(
                 spec,
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
@@ -2,7 +2,9 @@
 
 import io.vavr.control.Either;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wagtailproxy.identity.ServiceName;
@@ -22,6 +24,7 @@
     private final long mObjectiveMillis;
     private final Map<InstanceName, Consumer<Either<WorkProgress, WorkOutcome>>> mHomes =
             new TreeMap<>();
+    private final Set<InstanceName> mForwarders = new TreeSet<>();
     private long mArrivedNanos;
     private long mDeadlineNanos;
     private boolean mMayForward;
@@ -33,6 +36,28 @@
         mObjectiveMillis = spec.objectiveMillis();
     }
 
+    /**
+     * Adds a home instance, or replaces the consumer of its outcome.
+     *
+     * @param isForwarder true if it is the leader of another data centre, which forwards the job
+     */
+    void addHome(
+            InstanceName home,
+            boolean isForwarder,
+            Consumer<Either<WorkProgress, WorkOutcome>> answer) {
+        mHomes.put(home, answer);
+        if (isForwarder) {
+            mForwarders.add(home);
+        } else {
+            mForwarders.remove(home);
+        }
+    }
+
+    /** Checks whether a home instance is a leader that forwards the job for others. */
+    boolean isForwarder(InstanceName home) {
+        return mForwarders.contains(home);
+    }
+
     /** Updates the terms of the job to those of the last submission. */
     void updateSubmission(long arrivedNanos, long deadlineNanos, boolean mayForward) {
         mArrivedNanos = arrivedNanos;
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
@@ -42,7 +42,10 @@
     private final PeerClient mClient;
     private final SpillOver mSpillOver;
     private final Map<DataCentre, ProbeTarget> mTargets = new TreeMap<>();
-    private final Map<InstanceName, Long> mLastProbeNanos = new HashMap<>();
+    private final Map<InstanceName, ReceivedProbe> mLastProbes = new HashMap<>();
+
+    /** When an instance outside the pool has probed this one, and whom it followed then. */
+    private record ReceivedProbe(long receivedNanos, Option<InstanceName> follows) {}
 
     /** The instances of another data centre and which of them is probed next. */
     private static final class ProbeTarget {
@@ -82,15 +85,38 @@
                                 instances);
     }
 
-    /** Records that an instance of another data centre has probed this one. */
-    void onProbeReceived(InstanceName name) {
-        mLastProbeNanos.put(name, mLoop.nowNanos());
+    /**
+     * Records that an instance of another data centre has probed this one.
+     *
+     * @param follows the leader that it follows, none if it has none
+     */
+    void onProbeReceived(InstanceName name, Option<InstanceName> follows) {
+        mLastProbes.put(name, new ReceivedProbe(mLoop.nowNanos(), follows));
+    }
+
+    /** Records that an instance follows a leader, since it has submitted a job to it. */
+    void recordFollower(InstanceName name, InstanceName leader) {
+        mLastProbes.computeIfPresent(
+                name,
+                (key, probe) -> new ReceivedProbe(probe.receivedNanos(), Option.some(leader)));
     }
 
     /** Checks whether an instance of another data centre has probed this one recently. */
     boolean hasProbedRecently(InstanceName name) {
-        Long lastProbeNanos = mLastProbeNanos.get(name);
-        return lastProbeNanos != null && mLoop.nowNanos() - lastProbeNanos < UNRESPONSIVE_NANOS;
+        return lastRecentProbe(name).isDefined();
+    }
+
+    /**
+     * Checks whether an instance of another data centre has probed this one recently and follows a
+     * leader.
+     */
+    boolean isFollowing(InstanceName name, InstanceName leader) {
+        return lastRecentProbe(name).exists(probe -> probe.follows().contains(leader));
+    }
+
+    private Option<ReceivedProbe> lastRecentProbe(InstanceName name) {
+        return Option.of(mLastProbes.get(name))
+                .filter(probe -> mLoop.nowNanos() - probe.receivedNanos() < UNRESPONSIVE_NANOS);
     }
 
     /** Returns the address that the leader of a data centre listens on, none if it is not known. */
@@ -124,11 +150,11 @@
     }
 
     void tick(Presence.Builder presence) {
-        mLastProbeNanos
+        mLastProbes
                 .values()
                 .removeIf(
-                        lastProbeNanos ->
-                                mLoop.nowNanos() - lastProbeNanos > 10 * UNRESPONSIVE_NANOS);
+                        probe ->
+                                mLoop.nowNanos() - probe.receivedNanos() > 10 * UNRESPONSIVE_NANOS);
         mTargets.forEach((dataCentre, target) -> sendProbe(dataCentre, target, presence));
     }
 
