Distrust the server list of a lost leader that missed the store

Cause: DuplicateRunGuard.isListComplete took the polls of all listed servers as proof 7 s after a server's entry had gone, on the premise that every other leader lacks the server by then.

What callers saw: a task of a best-effort job that runs twice at once, for up to a lease after the lost leader gave its home up.

Change: a leader says in its presence whether its list may be outdated: from the moment it notices that the directory does not answer until the servers have had time to register again (ServerDirectory). It is part of the scope that travels with a job already (DataCentreScope.unlisted), so the home passes on what it knew at the submission and at the loss of the leader, and polls are no proof for such a job; its leases have to expire. The field is additive (number 40); without it a list counts as current, as before. A rule in the next leader alone was ruled out: it may not have heard of the lost leader since the store refused that one.

--- a/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -130,6 +130,22 @@
         assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
     }
 
+    @Test
+    void testJobOfLeaderWithOutdatedListIsNotRunTwiceWhileServerRemovedLongAgoRunsIt() {
+        var servers = addServers();
+        servers.get(0).mListed = false;
+        mSimulation.list();
+        mSimulation.run(8000);
+        mSimulation.mOtherLeaderPossible = true;
+        submitLost(WorkProgress.NONE.plusAttempts(64, DataCentreScope.ALL.withUnlisted(true)));
+        mSimulation.run(DuplicateRunGuard.STEP_DOWN_MARGIN_MILLIS - 5);
+        JobId job = new JobId("00000000000000aa");
+        regain(servers.get(0), job);
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
     @Test
     void testJobStartedByTwoLeadersAtOnceIsNotRunTwiceWhenItReturnsWithFewerAttempts() {
         var servers = addServers();
--- a/decisions/src/test/java/org/wagtailproxy/workload/DataCentreScopeTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/workload/DataCentreScopeTest.java
@@ -20,6 +20,16 @@
         assertThat(one.union(DataCentreScope.of(Set.of(B))), is(DataCentreScope.of(Set.of(A, B))));
     }
 
+    @Test
+    void testUnlistedServersAreInUnionAndNotInScopeOfListedOnes() {
+        DataCentreScope one = DataCentreScope.of(Set.of(A));
+        DataCentreScope unlisted = one.withUnlisted(true);
+        assertThat(one.union(unlisted), is(unlisted));
+        assertThat(unlisted.union(DataCentreScope.ALL).unlisted(), is(true));
+        assertThat(DataCentreScope.ALL.containsAll(unlisted), is(false));
+        assertThat(unlisted.containsAll(one), is(true));
+    }
+
     @Test
     void testOnlyAllDataCentresContainUnknownOnes() {
         DataCentreScope one = DataCentreScope.of(Set.of(A));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -248,6 +248,16 @@
         updateSchedulerServers();
     }
 
+    /**
+     * Updates whether the backend servers may include some that the directory no longer lists, so
+     * that tasks may run where the next leader does not look. They may not at first.
+     *
+     * @param outdated true if the directory cannot be read, or was not for a while
+     */
+    public void updateServerListOutdated(boolean outdated) {
+        mElection.updateServerListOutdated(outdated);
+    }
+
     /**
      * Records that the backend servers are those that the directory lists at a time or later.
      *
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -98,6 +98,7 @@
     private long mInstancesKnownNanos;
     private boolean mInstancesKnown;
     private DataCentreScope mScope = DataCentreScope.ALL;
+    private boolean mServerListOutdated;
     private boolean mLarge;
     private boolean mDraining;
     private boolean mStoreUnreachable;
@@ -187,6 +188,11 @@
         mCoordinatesStoredJobs = coordinatesStoredJobs;
     }
 
+    /** Updates whether the list of backend servers may contain some that are no longer listed. */
+    void updateServerListOutdated(boolean outdated) {
+        mServerListOutdated = outdated;
+    }
+
     void updateConfiguration(long version, byte[] document) {
         mConfigurationVersion = version;
         mConfiguration = document;
@@ -299,9 +305,13 @@
         return !mScope.equals(DataCentreScope.ALL);
     }
 
-    /** Returns the data centres on whose backend servers a leader may start tasks. */
+    /** Returns the backend servers on which a leader may start tasks. */
     DataCentreScope scope(Peer leader) {
-        return isSelf(leader) ? mScope : mPeers.scope(leader.name());
+        return isSelf(leader) ? ownScope() : mPeers.scope(leader.name());
+    }
+
+    private DataCentreScope ownScope() {
+        return mScope.withUnlisted(mServerListOutdated);
     }
 
     /** Returns the address that a peer listens on, none if it is not known. */
@@ -564,7 +574,7 @@
                 .setStoreless(mStoreUnreachable)
                 .setKeepsJobs(mCoordinatesStoredJobs)
                 .setOverloaded(mOverloaded)
-                .setScope(WorkMessages.scope(mScope))
+                .setScope(WorkMessages.scope(ownScope()))
                 .setClockNanos(mLoop.nowNanos())
                 .setHighestToken(mTokens.highest())
                 .setConfigurationVersion(mConfigurationVersion);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/ServerDirectory.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/ServerDirectory.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.fleet.ServerId;
 import org.wagtailproxy.serve.EventLoop;
@@ -20,18 +19,38 @@
  */
 public final class ServerDirectory {
 
+    /** Notified of the entries. */
+    public interface Listener {
+
+        /**
+         * The entries may have changed.
+         *
+         * @param entries all entries, not null
+         */
+        void onEntriesChanged(Collection<ServerEntry> entries);
+
+        /**
+         * The entries may include some from now on that the store no longer contains, or no longer
+         * do.
+         *
+         * @param outdated true if they may
+         */
+        void onOutdatedChanged(boolean outdated);
+    }
+
     /** Time in which live servers write their entries again after an outage of the store. */
     private static final long REREGISTRATION_MILLIS = 2500;
 
     private final EventLoop mLoop;
-    private final Consumer<Collection<ServerEntry>> mListener;
+    private final Listener mListener;
     private final Map<ServerId, ServerEntry> mEntries = new HashMap<>();
     private Collection<ServerEntry> mStoreEntries = List.of();
     private boolean mStoreReachable;
     private boolean mEverReachable;
+    private boolean mOutdated;
     private long mReachableAgainNanos;
 
-    private ServerDirectory(EventLoop loop, Consumer<Collection<ServerEntry>> listener) {
+    private ServerDirectory(EventLoop loop, Listener listener) {
         mLoop = loop;
         mListener = listener;
     }
@@ -40,10 +59,10 @@
      * Creates an empty directory.
      *
      * @param loop the event loop that it is confined to, not null
-     * @param listener receives all entries after each change, not null
+     * @param listener is notified of the entries, not null
      * @return the directory, never null
      */
-    public static ServerDirectory of(EventLoop loop, Consumer<Collection<ServerEntry>> listener) {
+    public static ServerDirectory of(EventLoop loop, Listener listener) {
         Objects.requireNonNull(loop, "loop");
         return new ServerDirectory(loop, Objects.requireNonNull(listener, "listener"));
     }
@@ -60,6 +79,9 @@
         }
         mEverReachable |= reachable;
         mStoreReachable = reachable;
+        if (!reachable) {
+            updateOutdated(true);
+        }
     }
 
     /**
@@ -83,6 +105,16 @@
         for (ServerEntry entry : mStoreEntries) {
             mEntries.put(entry.id(), entry);
         }
-        mListener.accept(List.copyOf(mEntries.values()));
+        mListener.onEntriesChanged(List.copyOf(mEntries.values()));
+        if (mStoreReachable && !reregistering) {
+            updateOutdated(false);
+        }
+    }
+
+    private void updateOutdated(boolean outdated) {
+        if (outdated != mOutdated) {
+            mOutdated = outdated;
+            mListener.onOutdatedChanged(outdated);
+        }
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/WorkMessages.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/WorkMessages.java
@@ -143,7 +143,7 @@
 
     static org.wagtailproxy.wire.DataCentreScope scope(DataCentreScope scope) {
         org.wagtailproxy.wire.DataCentreScope.Builder message =
-                org.wagtailproxy.wire.DataCentreScope.newBuilder();
+                org.wagtailproxy.wire.DataCentreScope.newBuilder().setUnlisted(scope.unlisted());
         scope.dataCentres()
                 .forEach(
                         names -> {
@@ -157,9 +157,10 @@
     static DataCentreScope scope(org.wagtailproxy.wire.DataCentreScope message) {
         List<String> names = message.getDataCentresList();
         if (!message.getLimited() || !names.stream().allMatch(Names::isName)) {
-            return DataCentreScope.ALL;
+            return DataCentreScope.ALL.withUnlisted(message.getUnlisted());
         }
-        return DataCentreScope.of(names.stream().map(DataCentre::of).collect(Collectors.toSet()));
+        return DataCentreScope.of(names.stream().map(DataCentre::of).collect(Collectors.toSet()))
+                .withUnlisted(message.getUnlisted());
     }
 
     static WorkAnswer answer(WorkOutcome outcome) {
--- a/wire/src/main/java/org/wagtailproxy/wire/DataCentreScope.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/DataCentreScope.java
@@ -106,6 +106,21 @@
     return dataCentres_.getByteString(index);
   }
 
+  public static final int UNLISTED_FIELD_NUMBER = 40;
+  private boolean unlisted_ = false;
+  /**
+   * <pre>
+   * It may use backend servers that the directory no longer lists.
+   * </pre>
+   *
+   * <code>bool unlisted = 40;</code>
+   * @return The unlisted.
+   */
+  @java.lang.Override
+  public boolean getUnlisted() {
+    return unlisted_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -126,6 +141,9 @@
     for (int i = 0; i < dataCentres_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, dataCentres_.getRaw(i));
     }
+    if (unlisted_ != false) {
+      output.writeBool(40, unlisted_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -142,6 +160,10 @@
       size += dataSize;
       size += 1 * getDataCentresList().size();
     }
+    if (unlisted_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(40, unlisted_);
+    }
     return size;
   }
   @java.lang.Override
@@ -170,6 +192,8 @@
         != other.getLimited()) return false;
     if (!getDataCentresList()
         .equals(other.getDataCentresList())) return false;
+    if (getUnlisted()
+        != other.getUnlisted()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -188,6 +212,9 @@
       hash = (37 * hash) + DATA_CENTRES_FIELD_NUMBER;
       hash = (53 * hash) + getDataCentresList().hashCode();
     }
+    hash = (37 * hash) + UNLISTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getUnlisted());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -326,6 +353,7 @@
       limited_ = false;
       dataCentres_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      unlisted_ = false;
       return this;
     }
 
@@ -366,6 +394,9 @@
         dataCentres_.makeImmutable();
         result.dataCentres_ = dataCentres_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.unlisted_ = unlisted_;
+      }
     }
 
     @java.lang.Override
@@ -393,6 +424,9 @@
         }
         onChanged();
       }
+      if (other.getUnlisted() != false) {
+        setUnlisted(other.getUnlisted());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -427,6 +461,11 @@
               dataCentres_.add(input.readStringRequireUtf8());
               break;
             } // case 18
+            case 320: {
+              unlisted_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 320
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -599,6 +638,50 @@
       return this;
     }
 
+    private boolean unlisted_ ;
+    /**
+     * <pre>
+     * It may use backend servers that the directory no longer lists.
+     * </pre>
+     *
+     * <code>bool unlisted = 40;</code>
+     * @return The unlisted.
+     */
+    @java.lang.Override
+    public boolean getUnlisted() {
+      return unlisted_;
+    }
+    /**
+     * <pre>
+     * It may use backend servers that the directory no longer lists.
+     * </pre>
+     *
+     * <code>bool unlisted = 40;</code>
+     * @param value The unlisted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnlisted(boolean value) {
+
+      unlisted_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * It may use backend servers that the directory no longer lists.
+     * </pre>
+     *
+     * <code>bool unlisted = 40;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnlisted() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      unlisted_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wagtailproxy.wire.DataCentreScope)
   }
 
--- a/wire/src/main/java/org/wagtailproxy/wire/DataCentreScopeOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/DataCentreScopeOrBuilder.java
@@ -44,4 +44,14 @@
    */
   com.google.protobuf.ByteString
       getDataCentresBytes(int index);
+
+  /**
+   * <pre>
+   * It may use backend servers that the directory no longer lists.
+   * </pre>
+   *
+   * <code>bool unlisted = 40;</code>
+   * @return The unlisted.
+   */
+  boolean getUnlisted();
 }
