Refuse jobs at once while an instance does not know its pool

Cause: an instance that starts in a large fleet and cannot read the guard of the stored jobs applies no list of instances until it can (PoolMembership.updateInstances). It has no leader then; a job that reached it nevertheless waited for one until its caller's time was over.

What callers saw: 504 "no answer in time" after 3.4 s for a job that was submitted to no leader, which leaves open whether it ran, so it is sent again only later and elsewhere.

Change: while the instances are held back and there is no leader, a job that is not open here is refused at once with 429 and Retry-After of a second, "pool not known". It was passed to nobody, so the refusal is true.

Evidence: GrownFleetTest#testInstanceThatCannotReadTheGuardIsNotReady AndRefusesWhatHasNotRun, with a store that refuses to read the guard for one instance.

What remains: it does not join its pool by what its peers report.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -307,6 +307,11 @@
      */
     public void submit(
             WorkSpec spec, long callerTimeoutMillis, Object caller, Consumer<WorkOutcome> answer) {
+        if (mPool.areInstancesHeldBack() && !hasLeader() && !isOpen(spec.id())) {
+            mDecisions.jobAnswered(spec, PoolMembership.POOL_UNKNOWN, 0);
+            answer.accept(PoolMembership.POOL_UNKNOWN);
+            return;
+        }
         mJobRelay.submit(spec, callerTimeoutMillis, caller, answer);
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PoolMembership.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PoolMembership.java
@@ -12,6 +12,7 @@
 import org.wagtailproxy.leadership.Pool;
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.workload.DataCentreScope;
+import org.wagtailproxy.workload.WorkOutcome;
 
 /**
  * Tracks which data centres belong to the pool of this instance, from the registered instances and
@@ -19,6 +20,9 @@
  */
 final class PoolMembership {
 
+    /** Outcome of a job that comes while the instances are held back; other instances serve. */
+    static final WorkOutcome POOL_UNKNOWN = WorkOutcome.refused("pool not known", 1000);
+
     /** Notified of the instances of the pool. */
     interface Listener {
 
@@ -86,6 +90,11 @@
         }
     }
 
+    /** Checks whether registered instances are not applied yet, since the guard is not read. */
+    boolean areInstancesHeldBack() {
+        return mInstancesHeldBack;
+    }
+
     void tick() {
         boolean isUpdateDue =
                 mPool.isMergePending()
