--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -243,6 +243,16 @@
         updateSchedulerServers();
     }
 
+    /**
+     * Updates whether the backend servers may include some that the directory no longer lists, so
+     * that tasks may run where the next leader does not look. They may not at first.
+     *
+     * @param outdated true if the directory cannot be read, or was not for a while
+     */
+    public void updateServerListOutdated(boolean outdated) {
+        mElection.updateServerListOutdated(outdated);
+    }
+
     /**
      * Records that the backend servers are those that the directory lists at a time or later.
      *
@@ -292,6 +302,11 @@
      */
     public void submit(
             WorkSpec spec, long callerTimeoutMillis, Object caller, Consumer<WorkOutcome> answer) {
+        if (mPool.areInstancesHeldBack() && !hasLeader() && !isOpen(spec.id())) {
+            mDecisions.jobAnswered(spec, PoolMembership.POOL_UNKNOWN, 0);
+            answer.accept(PoolMembership.POOL_UNKNOWN);
+            return;
+        }
         mJobRelay.submit(spec, callerTimeoutMillis, caller, answer);
     }
 
