--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
@@ -108,7 +109,7 @@
         private final VersionedStore mClient = mStore.clientOf(mProcess);
         private final Dispatcher mDispatcher = newDispatcher();
         private final ServerDirectory mDirectory =
-                ServerDirectory.of(mProcess, mDispatcher::updateServers);
+                ServerDirectory.of(mProcess, new DirectoryListener());
         private LeasedItem mRegistration;
         private StoreMirror mServersMirror;
         private boolean mConfirming;
@@ -219,6 +220,20 @@
                     });
         }
 
+        /** Passes the backend servers on to the dispatcher. */
+        private final class DirectoryListener implements ServerDirectory.Listener {
+
+            @Override
+            public void onEntriesChanged(Collection<ServerEntry> entries) {
+                mDispatcher.updateServers(entries);
+            }
+
+            @Override
+            public void onOutdatedChanged(boolean outdated) {
+                mDispatcher.updateServerListOutdated(outdated);
+            }
+        }
+
         /** Applies changes of the backend servers. */
         private final class ServersListener implements StoreMirror.Listener {
 
