Never pass on a refusal for a forwarded job that may have run

A caller could be told with 429 that its job has not run although tasks had been started: a remote leader hands a started job over, the next leader of that data centre refuses it, and the forwarder passed the refusal on to the homes, which do not know of the attempts. The refusal of a job with attempts now counts as an abandoned job, as at the home of a job whose leader is lost.

ForwardingTest#testRefusalOfNextRemoteLeaderDoesNotSayThatStartedJobHasNotRun failed before: 'Expected: is <504> but: was <429>'. ForwardingTest is green.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -298,12 +298,20 @@
         }
         WorkOutcome outcome =
                 hasAnswer
-                        ? WorkMessages.outcome(answer.get().getWorkAnswer())
+                        ? outcomeOfAnswer(job, WorkMessages.outcome(answer.get().getWorkAnswer()))
                         : WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "remote leader lost");
         mLog.jobEnded(job.id(), outcome, false);
         answerHomes(job, Either.right(outcome));
     }
 
+    /** A refusal says that no task has run, which an earlier remote leader may have started. */
+    private static WorkOutcome outcomeOfAnswer(ForwardedJob job, WorkOutcome outcome) {
+        boolean mayHaveStarted = job.mProgress.highestAttempt() > 0;
+        return mayHaveStarted && outcome.kind() == WorkOutcome.Kind.REFUSED
+                ? WorkOutcome.of(WorkOutcome.Kind.ABANDONED, outcome.reason())
+                : outcome;
+    }
+
     /**
      * Continues a job that the remote leader no longer has. Tasks that it has started go on in that
      * data centre, where only the next leader can adopt or stop them.
