--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
@@ -20,6 +20,9 @@
                     "heals",
                     "lapsed");
 
+    /** Whether pauses stop the monotonic clock as well. */
+    private static final boolean SUSPENDS = Boolean.getBoolean("fleet.run.suspends");
+
     private final FleetSimulation mFleet;
     private final VirtualTime mTime;
     private final List<String> mDataCentres;
@@ -106,7 +109,11 @@
     private void pause(SimulatedInstance instance) {
         long millis = mTime.between(100, 2500);
         note(instance.mHost.name() + " pauses for " + millis + " ms");
-        instance.process().pause(millis);
+        if (SUSPENDS) {
+            instance.process().suspend(millis);
+        } else {
+            instance.process().pause(millis);
+        }
     }
 
     private void cut(String text, BiPredicate<SimulatedNetwork.Host, SimulatedNetwork.Host> one) {
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedProcess.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedProcess.java
@@ -12,6 +12,12 @@
     private final VirtualTime mTime;
     private final long mClockOffsetNanos;
     private long mPausedUntilNanos;
+
+    /** Time by which suspensions have put the monotonic clock back. */
+    private long mSuspendedNanos;
+
+    private long mSuspensionStartNanos;
+    private long mSuspensionEndNanos;
     private final List<Runnable> mKillListeners = new ArrayList<>();
     private boolean mAlive = true;
     private boolean mInLoop;
@@ -43,9 +49,43 @@
                         mTime.nowNanos() + TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
+    /** Pauses the process without the monotonic clock, as a suspended machine does. */
+    void suspend(long millis) {
+        if (mTime.nowNanos() < Math.max(mPausedUntilNanos, mSuspensionEndNanos)) {
+            return;
+        }
+        mSuspensionStartNanos = mTime.nowNanos();
+        mSuspensionEndNanos = mSuspensionStartNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+        mPausedUntilNanos = mSuspensionEndNanos;
+        mTime.at(mSuspensionEndNanos, () -> {});
+    }
+
+    private long lostNanos() {
+        if (mSuspensionEndNanos > 0 && mTime.nowNanos() >= mSuspensionEndNanos) {
+            mSuspendedNanos += mSuspensionEndNanos - mSuspensionStartNanos;
+            mSuspensionEndNanos = 0;
+        }
+        return mSuspendedNanos
+                + (mSuspensionEndNanos > 0 ? mTime.nowNanos() - mSuspensionStartNanos : 0);
+    }
+
     @Override
     public void schedule(long millis, Runnable work) {
-        mTime.after(millis, () -> run(work));
+        scheduleAt(nowNanos() + TimeUnit.MILLISECONDS.toNanos(millis), work);
+    }
+
+    private void scheduleAt(long dueNanos, Runnable work) {
+        mTime.afterNanos(
+                Math.max(0, dueNanos - nowNanos()),
+                () -> {
+                    if (mAlive && mTime.nowNanos() < mPausedUntilNanos) {
+                        mTime.at(mPausedUntilNanos, () -> scheduleAt(dueNanos, work));
+                    } else if (mAlive && nowNanos() < dueNanos) {
+                        scheduleAt(dueNanos, work);
+                    } else {
+                        run(work);
+                    }
+                });
     }
 
     @Override
@@ -78,7 +118,7 @@
 
     @Override
     public long nowNanos() {
-        return mTime.nowNanos() + mClockOffsetNanos;
+        return mTime.nowNanos() + mClockOffsetNanos - lostNanos();
     }
 
     @Override
