--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
@@ -23,6 +23,8 @@
     /** Whether pauses stop the monotonic clock as well. */
     private static final boolean SUSPENDS = Boolean.getBoolean("fleet.run.suspends");
 
+    private static final boolean AIMS_AT_FORWARDERS = Boolean.getBoolean("fleet.run.aims");
+
     private final FleetSimulation mFleet;
     private final VirtualTime mTime;
     private final List<String> mDataCentres;
@@ -65,9 +67,35 @@
                         this::restartServer,
                         () -> cutServer(target),
                         mFleet.mNetwork::resetOneConnection);
+        if (AIMS_AT_FORWARDERS && leaders.size() > 1 && mTime.chance(0.5)) {
+            harmForwarder(leaders);
+            return;
+        }
         mTime.oneOf(faults).run();
     }
 
+    /** Pauses one leader or two, and cuts, kills or leaves the way between them. */
+    private void harmForwarder(List<SimulatedInstance> leaders) {
+        SimulatedInstance one = mTime.oneOf(leaders);
+        SimulatedInstance other = mTime.oneOf(leaders);
+        pause(one);
+        if (mTime.chance(0.4)) {
+            mTime.after(mTime.between(0, 600), () -> cutLink(one, other));
+        }
+        if (mTime.chance(0.3)) {
+            mTime.after(mTime.between(0, 600), () -> ifUp(other, () -> pause(other)));
+        }
+        if (mTime.chance(0.3)) {
+            mTime.after(mTime.between(0, 1500), () -> ifUp(other, () -> kill(other)));
+        }
+    }
+
+    private static void ifUp(SimulatedInstance instance, Runnable fault) {
+        if (instance.isUp()) {
+            fault.run();
+        }
+    }
+
     private void note(String text) {
         mTime.note("fault: " + text);
     }
