--- a/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
@@ -266,6 +266,26 @@
         assertThat(mTable.onAnswer(probe, 9, mNowNanos), is(PeerTable.ContactChange.REACHED));
     }
 
+    @Test
+    void testListOfLostLeaderWhoseRegistrationRanOutStaysOutdated() {
+        fill(1);
+        mTable.updateStatus(
+                new PeerStatus(
+                        name(1),
+                        1,
+                        Option.some(name(1)),
+                        false,
+                        false,
+                        false,
+                        false,
+                        DataCentreScope.ALL.withUnlisted(true),
+                        0),
+                mNowNanos);
+        mTable.markUnreachable(name(1));
+        mTable.updateRegistered(List.of(), any -> true, false);
+        assertThat(mTable.scope(name(1)).unlisted(), is(true));
+    }
+
     @Test
     void testLeaderOutsideThePoolOfADividedFleetIsNoticed() {
         mTable.updateRegistered(List.of(record(1, NEAR), record(2, NEAR)), NEAR::equals, true);
