Count probes between data centres from when they were sent

What callers could see: a forwarded job whose home and forwarder are lost runs on for up to 520 ms longer than the bound for lost homes allows for, so that it may still run when its caller sends it again after 1.3 s. A probe that a partition has held counted as a sign of life of the forwarder from its receipt on.

A probe now carries the clock that its receiver has reported last and the time for which the sender has known it, and counts from the sum. One that was sent to an earlier process or before a suspension counts for nothing; one of an earlier build, without the clock, from its receipt as before. Clocks are kept by instance, so that a forwarded job no longer carries the clock of a former leader of its data centre.

ForwardingTest#testProbesThatWereHeldUpDoNotKeepJobOfTheirForwarder, with the receipt as the time of the probe: line 321, "Expected: is <true> but: was <false>". With the change it is green, as are MessageAgeTest, PeerTableTest and DividedFleetDuplicateRunTest.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -532,6 +532,19 @@
         return state == null ? MessageAge.UNKNOWN_CLOCK_NANOS : state.mClockNanos;
     }
 
+    /**
+     * Returns for how long the clock that a peer has reported last is known.
+     *
+     * @param name the name of the peer, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the time in nanoseconds, 0 if the peer has reported no clock
+     */
+    public long clockAgeNanos(InstanceName name, long nowNanos) {
+        PeerState state = mPeers.get(name);
+        boolean isKnown = state != null && state.mClockNanos != MessageAge.UNKNOWN_CLOCK_NANOS;
+        return isKnown ? nowNanos - state.mStatusNanos : 0;
+    }
+
     /**
      * Checks whether a peer reports that it coordinates the stored jobs.
      *
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -291,6 +291,12 @@
         return outdated;
     }
 
+    /** Returns a time at or before which a probe was sent, however long it was held up. */
+    long sentNanos(Presence probe) {
+        return mMessageAge.sentNanos(
+                probe.getReceiverClockNanos(), probe.getReceiverClockAgeMillis(), mLoop.nowNanos());
+    }
+
     /** Returns the clock that a peer has reported last, for the submissions to it. */
     long clockNanos(Peer peer) {
         return mPeers.clockNanos(peer.name());
@@ -431,7 +437,11 @@
     private void sendProbes(boolean includeAll) {
         Option<InstanceName> leader = mLeader.map(Peer::name);
         for (PeerProbe probe : mPeers.dueProbes(includeAll, leader, mLoop.nowNanos())) {
-            Envelope.Builder request = Envelope.newBuilder().setPresence(presence());
+            long clockNanos = mPeers.clockNanos(probe.peer());
+            long ageNanos = mPeers.clockAgeNanos(probe.peer(), mLoop.nowNanos());
+            Presence.Builder presence =
+                    PresenceMessages.setReceiverClock(presence(), clockNanos, ageNanos);
+            Envelope.Builder request = Envelope.newBuilder().setPresence(presence);
             mClient.call(probe.address(), request, PROBE_TIMEOUT)
                     .thenAccept(answer -> mLoop.execute(() -> onProbeResult(probe, answer)));
         }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -98,7 +98,7 @@
             Option<InstanceName> follows =
                     Option.of(probe.getFollows()).filter(Names::isName).map(InstanceName::of);
             InstanceName name = InstanceName.of(probe.getName());
-            if (mRemoteLeaders.onProbeReceived(name, follows)) {
+            if (mRemoteLeaders.onProbeReceived(name, follows, mElection.sentNanos(probe))) {
                 mLeaderScheduler.handOverJobsOf(name);
             }
         }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
@@ -1,6 +1,7 @@
 package org.wagtailproxy.dispatcher;
 
 import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
 import org.wagtailproxy.identity.Names;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.PeerStatus;
@@ -28,6 +29,18 @@
                                         presence.getClockNanos()));
     }
 
+    /**
+     * Adds to a probe the clock that its receiver has reported last, and returns the probe.
+     *
+     * @param clockNanos the clock, 0 if it is not known
+     * @param ageNanos the time since it was received
+     */
+    static Presence.Builder setReceiverClock(
+            Presence.Builder probe, long clockNanos, long ageNanos) {
+        return probe.setReceiverClockNanos(clockNanos)
+                .setReceiverClockAgeMillis(TimeUnit.NANOSECONDS.toMillis(ageNanos));
+    }
+
     private static Option<InstanceName> name(String text) {
         return Names.isName(text) ? Option.some(InstanceName.of(text)) : Option.none();
     }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
@@ -44,8 +44,16 @@
     private final Map<DataCentre, ProbeTarget> mTargets = new TreeMap<>();
     private final Map<InstanceName, ReceivedProbe> mLastProbes = new HashMap<>();
 
-    /** When an instance outside the pool has probed this one, and whom it followed then. */
-    private record ReceivedProbe(long receivedNanos, Option<InstanceName> follows) {}
+    private final Map<InstanceName, ReportedClock> mClocks = new HashMap<>();
+
+    /**
+     * A time at or before which an instance outside the pool has probed this one, and whom it
+     * followed then.
+     */
+    private record ReceivedProbe(long sentNanos, Option<InstanceName> follows) {}
+
+    /** The monotonic clock that an instance has reported, and when it was received. */
+    private record ReportedClock(long clockNanos, long receivedNanos) {}
 
     /** The instances of another data centre and which of them is probed next. */
     private static final class ProbeTarget {
@@ -57,8 +65,6 @@
         /** Whether the leader itself has answered the last probe, and leads. */
         private boolean mLeaderConfirmed;
 
-        private long mLeaderClockNanos = MessageAge.UNKNOWN_CLOCK_NANOS;
-
         private InstanceRecord instanceToProbe() {
             return mLeader.getOrElse(() -> mInstances.get(mNextIndex % mInstances.size()));
         }
@@ -79,6 +85,7 @@
                     .add(record);
         }
         mTargets.keySet().retainAll(byDataCentre.keySet());
+        mClocks.keySet().retainAll(records.stream().map(InstanceRecord::name).toList());
         byDataCentre.forEach(
                 (dataCentre, instances) ->
                         mTargets.computeIfAbsent(dataCentre, name -> new ProbeTarget()).mInstances =
@@ -89,20 +96,23 @@
      * Records that an instance of another data centre has probed this one.
      *
      * @param follows the leader that it follows, none if it has none
+     * @param sentNanos a time at or before which it sent the probe, in nanoseconds
      * @return true if the instance was silent for so long that it counted as lost, although this
      *     process may have been paused and not noticed it; it may have given up its jobs here
      */
-    boolean onProbeReceived(InstanceName name, Option<InstanceName> follows) {
-        boolean wasLost = mLastProbes.containsKey(name) && !hasProbedRecently(name);
-        mLastProbes.put(name, new ReceivedProbe(mLoop.nowNanos(), follows));
+    boolean onProbeReceived(InstanceName name, Option<InstanceName> follows, long sentNanos) {
+        Option<ReceivedProbe> last = Option.of(mLastProbes.get(name));
+        boolean wasLost = last.isDefined() && !hasProbedRecently(name);
+        long latestNanos =
+                last.map(probe -> Math.max(probe.sentNanos(), sentNanos)).getOrElse(sentNanos);
+        mLastProbes.put(name, new ReceivedProbe(latestNanos, follows));
         return wasLost;
     }
 
     /** Records that an instance follows a leader, since it has submitted a job to it. */
     void recordFollower(InstanceName name, InstanceName leader) {
         mLastProbes.computeIfPresent(
-                name,
-                (key, probe) -> new ReceivedProbe(probe.receivedNanos(), Option.some(leader)));
+                name, (key, probe) -> new ReceivedProbe(probe.sentNanos(), Option.some(leader)));
     }
 
     /** Checks whether an instance of another data centre has probed this one recently. */
@@ -120,7 +130,7 @@
 
     private Option<ReceivedProbe> lastRecentProbe(InstanceName name) {
         return Option.of(mLastProbes.get(name))
-                .filter(probe -> mLoop.nowNanos() - probe.receivedNanos() < UNRESPONSIVE_NANOS);
+                .filter(probe -> mLoop.nowNanos() - probe.sentNanos() < UNRESPONSIVE_NANOS);
     }
 
     /** Returns the address that the leader of a data centre listens on, none if it is not known. */
@@ -144,7 +154,9 @@
     /** Returns the clock that the leader of a data centre has reported last. */
     long leaderClockNanos(DataCentre dataCentre) {
         return Option.of(mTargets.get(dataCentre))
-                .map(target -> target.mLeaderClockNanos)
+                .flatMap(target -> target.mLeader)
+                .flatMap(leader -> Option.of(mClocks.get(leader.name())))
+                .map(ReportedClock::clockNanos)
                 .getOrElse(MessageAge.UNKNOWN_CLOCK_NANOS);
     }
 
@@ -156,9 +168,7 @@
     void tick(Presence.Builder presence) {
         mLastProbes
                 .values()
-                .removeIf(
-                        probe ->
-                                mLoop.nowNanos() - probe.receivedNanos() > 10 * UNRESPONSIVE_NANOS);
+                .removeIf(probe -> mLoop.nowNanos() - probe.sentNanos() > 10 * UNRESPONSIVE_NANOS);
         mTargets.forEach((dataCentre, target) -> sendProbe(dataCentre, target, presence));
     }
 
@@ -168,10 +178,15 @@
         }
         target.mProbeOutstanding = true;
         InstanceRecord probed = target.instanceToProbe();
-        mClient.call(
-                        probed.peerAddress(),
-                        Envelope.newBuilder().setPresence(presence),
-                        PROBE_TIMEOUT)
+        Presence.Builder probe = presence.clone();
+        Option.of(mClocks.get(probed.name()))
+                .forEach(
+                        clock ->
+                                PresenceMessages.setReceiverClock(
+                                        probe,
+                                        clock.clockNanos(),
+                                        mLoop.nowNanos() - clock.receivedNanos()));
+        mClient.call(probed.peerAddress(), Envelope.newBuilder().setPresence(probe), PROBE_TIMEOUT)
                 .thenAccept(
                         answer ->
                                 mLoop.execute(
@@ -193,10 +208,10 @@
             return;
         }
         Presence presence = answer.get().getPresence();
+        mClocks.put(probed.name(), new ReportedClock(presence.getClockNanos(), mLoop.nowNanos()));
         if (presence.getFollows().equals(presence.getName()) && !presence.getDraining()) {
             target.mLeader = Option.some(probed);
             target.mLeaderConfirmed = true;
-            target.mLeaderClockNanos = presence.getClockNanos();
             mSpillOver.updateReport(
                     dataCentre,
                     presence.getFreeCpuMillis(),
--- a/wire/src/main/java/org/wagtailproxy/wire/Presence.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Presence.java
@@ -409,6 +409,33 @@
     return overloaded_;
   }
 
+  public static final int RECEIVER_CLOCK_NANOS_FIELD_NUMBER = 50;
+  private long receiverClockNanos_ = 0L;
+  /**
+   * <pre>
+   * Of a probe: the clock that the receiver has reported last, 0 if it is not known, and the time
+   * since the sender received that report.
+   * </pre>
+   *
+   * <code>sfixed64 receiver_clock_nanos = 50;</code>
+   * @return The receiverClockNanos.
+   */
+  @java.lang.Override
+  public long getReceiverClockNanos() {
+    return receiverClockNanos_;
+  }
+
+  public static final int RECEIVER_CLOCK_AGE_MILLIS_FIELD_NUMBER = 51;
+  private long receiverClockAgeMillis_ = 0L;
+  /**
+   * <code>uint64 receiver_clock_age_millis = 51;</code>
+   * @return The receiverClockAgeMillis.
+   */
+  @java.lang.Override
+  public long getReceiverClockAgeMillis() {
+    return receiverClockAgeMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -471,6 +498,12 @@
     if (overloaded_ != false) {
       output.writeBool(16, overloaded_);
     }
+    if (receiverClockNanos_ != 0L) {
+      output.writeSFixed64(50, receiverClockNanos_);
+    }
+    if (receiverClockAgeMillis_ != 0L) {
+      output.writeUInt64(51, receiverClockAgeMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -535,6 +568,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(16, overloaded_);
     }
+    if (receiverClockNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSFixed64Size(50, receiverClockNanos_);
+    }
+    if (receiverClockAgeMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(51, receiverClockAgeMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -594,6 +635,10 @@
         != other.getClockNanos()) return false;
     if (getOverloaded()
         != other.getOverloaded()) return false;
+    if (getReceiverClockNanos()
+        != other.getReceiverClockNanos()) return false;
+    if (getReceiverClockAgeMillis()
+        != other.getReceiverClockAgeMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -649,6 +694,12 @@
     hash = (37 * hash) + OVERLOADED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getOverloaded());
+    hash = (37 * hash) + RECEIVER_CLOCK_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getReceiverClockNanos());
+    hash = (37 * hash) + RECEIVER_CLOCK_AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getReceiverClockAgeMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -810,6 +861,8 @@
       }
       clockNanos_ = 0L;
       overloaded_ = false;
+      receiverClockNanos_ = 0L;
+      receiverClockAgeMillis_ = 0L;
       return this;
     }
 
@@ -895,6 +948,12 @@
       if (((from_bitField0_ & 0x00008000) != 0)) {
         result.overloaded_ = overloaded_;
       }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.receiverClockNanos_ = receiverClockNanos_;
+      }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.receiverClockAgeMillis_ = receiverClockAgeMillis_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -966,6 +1025,12 @@
       if (other.getOverloaded() != false) {
         setOverloaded(other.getOverloaded());
       }
+      if (other.getReceiverClockNanos() != 0L) {
+        setReceiverClockNanos(other.getReceiverClockNanos());
+      }
+      if (other.getReceiverClockAgeMillis() != 0L) {
+        setReceiverClockAgeMillis(other.getReceiverClockAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1072,6 +1137,16 @@
               bitField0_ |= 0x00008000;
               break;
             } // case 128
+            case 401: {
+              receiverClockNanos_ = input.readSFixed64();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 401
+            case 408: {
+              receiverClockAgeMillis_ = input.readUInt64();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 408
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1988,6 +2063,85 @@
       return this;
     }
 
+    private long receiverClockNanos_ ;
+    /**
+     * <pre>
+     * Of a probe: the clock that the receiver has reported last, 0 if it is not known, and the time
+     * since the sender received that report.
+     * </pre>
+     *
+     * <code>sfixed64 receiver_clock_nanos = 50;</code>
+     * @return The receiverClockNanos.
+     */
+    @java.lang.Override
+    public long getReceiverClockNanos() {
+      return receiverClockNanos_;
+    }
+    /**
+     * <pre>
+     * Of a probe: the clock that the receiver has reported last, 0 if it is not known, and the time
+     * since the sender received that report.
+     * </pre>
+     *
+     * <code>sfixed64 receiver_clock_nanos = 50;</code>
+     * @param value The receiverClockNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReceiverClockNanos(long value) {
+
+      receiverClockNanos_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Of a probe: the clock that the receiver has reported last, 0 if it is not known, and the time
+     * since the sender received that report.
+     * </pre>
+     *
+     * <code>sfixed64 receiver_clock_nanos = 50;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReceiverClockNanos() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      receiverClockNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long receiverClockAgeMillis_ ;
+    /**
+     * <code>uint64 receiver_clock_age_millis = 51;</code>
+     * @return The receiverClockAgeMillis.
+     */
+    @java.lang.Override
+    public long getReceiverClockAgeMillis() {
+      return receiverClockAgeMillis_;
+    }
+    /**
+     * <code>uint64 receiver_clock_age_millis = 51;</code>
+     * @param value The receiverClockAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReceiverClockAgeMillis(long value) {
+
+      receiverClockAgeMillis_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 receiver_clock_age_millis = 51;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReceiverClockAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00020000);
+      receiverClockAgeMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wagtailproxy.wire.Presence)
   }
 
--- a/wire/src/main/java/org/wagtailproxy/wire/PresenceOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/PresenceOrBuilder.java
@@ -186,4 +186,21 @@
    * @return The overloaded.
    */
   boolean getOverloaded();
+
+  /**
+   * <pre>
+   * Of a probe: the clock that the receiver has reported last, 0 if it is not known, and the time
+   * since the sender received that report.
+   * </pre>
+   *
+   * <code>sfixed64 receiver_clock_nanos = 50;</code>
+   * @return The receiverClockNanos.
+   */
+  long getReceiverClockNanos();
+
+  /**
+   * <code>uint64 receiver_clock_age_millis = 51;</code>
+   * @return The receiverClockAgeMillis.
+   */
+  long getReceiverClockAgeMillis();
 }
