--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedProcess.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedProcess.java
@@ -1,6 +1,8 @@
 package org.wagtailproxy.dispatcher;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.wagtailproxy.serve.EventLoop;
@@ -19,6 +21,7 @@
     private long mSuspensionStartNanos;
     private long mSuspensionEndNanos;
     private final List<Runnable> mKillListeners = new ArrayList<>();
+    private final Deque<Runnable> mHeld = new ArrayDeque<>();
     private boolean mAlive = true;
     private boolean mInLoop;
 
@@ -101,10 +104,33 @@
         if (!mAlive) {
             return;
         }
+        boolean isPaused = mTime.nowNanos() < mPausedUntilNanos;
+        if (isPaused || !mHeld.isEmpty()) {
+            mHeld.add(work);
+            if (mHeld.size() == 1) {
+                mTime.at(mPausedUntilNanos, this::runHeld);
+            }
+            return;
+        }
+        runNow(work);
+    }
+
+    /** Runs the work of a pause in the order in which it has arrived. */
+    private void runHeld() {
         if (mTime.nowNanos() < mPausedUntilNanos) {
-            mTime.at(mPausedUntilNanos, () -> run(work));
+            mTime.at(mPausedUntilNanos, this::runHeld);
             return;
         }
+        while (mAlive && !mHeld.isEmpty() && mTime.nowNanos() >= mPausedUntilNanos) {
+            runNow(mHeld.peek());
+            mHeld.remove();
+        }
+        if (mAlive && !mHeld.isEmpty()) {
+            mTime.at(mPausedUntilNanos, this::runHeld);
+        }
+    }
+
+    private void runNow(Runnable work) {
         mInLoop = true;
         try {
             work.run();
