Watch the guard of the stored jobs only once the dispatcher is complete

What callers saw: nothing of an instance, for good. In a fleet of 20 instances and more it never became ready, or never noticed how the fleet had grown and so did not coordinate the stored jobs after its leader was lost; they did not go on.

The constructor of the dispatcher started the watch of the guard on the event loop before it had created the pool. If the answer of the store came before the constructor ended, as on a busy machine, the event loop called onGuardRead on null, the exception ended the watch without a line in the log, and the registered instances of a large fleet were held back for ever. The watch, the listener for other instances and the ticks now start once the object is complete.

DispatcherStartTest failed before: "NullPointerException: Cannot invoke PoolMembership.onGuardRead() because this.mPool is null". With the change it is green, as are ForwardingTest, GrownFleetTest and DividedFleetDuplicateRunTest, one run each.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -91,6 +91,7 @@
     private final RemoteJobForwarder mForwarder;
     private final LeaderScheduler mLeaderScheduler;
     private final JobRelay mJobRelay;
+    private final StoredJobsMonitor mStoredJobsMonitor;
     private final StoredJobClient mStoredJobClient;
     private final PoolMembership mPool;
     private final HomeMonitor mHomes;
@@ -137,7 +138,9 @@
                         mElection,
                         schedulers -> newCoordinator(context, log, schedulers));
         mClient = client;
-        mStoredJobClient = newStoredJobClient(context);
+        mStoredJobsMonitor = new StoredJobsMonitor(loop, context.store());
+        mStoredJobClient =
+                new StoredJobClient(loop, mElection, client, mLeaderScheduler, mStoredJobsMonitor);
         mPool = newPoolMembership();
         mJobRelay =
                 new JobRelay(
@@ -148,7 +151,13 @@
                         mLeaderScheduler,
                         withdrawals,
                         mDecisions);
-        startListening(client);
+    }
+
+    /** Starts what calls this object from the event loop; only once it is complete. */
+    private void start() {
+        startListening(mClient);
+        mStoredJobsMonitor.start(mPool::onGuardRead);
+        mLoop.schedule(LeaderElection.TICK_MILLIS, this::tick);
     }
 
     private StoredJobCoordinator newCoordinator(
@@ -166,12 +175,6 @@
                 new PoolEvents());
     }
 
-    private StoredJobClient newStoredJobClient(DispatcherContext context) {
-        StoredJobsMonitor monitor =
-                StoredJobsMonitor.start(mLoop, context.store(), () -> mPool.onGuardRead());
-        return new StoredJobClient(mLoop, mElection, mClient, mLeaderScheduler, monitor);
-    }
-
     private void startListening(PeerTransport transport) {
         PeerRequestHandler handler =
                 new PeerRequestHandler(
@@ -203,7 +206,7 @@
             Listener listener) {
         Objects.requireNonNull(listener, "listener");
         Dispatcher dispatcher = new Dispatcher(settings, context, log, metrics, listener);
-        context.loop().schedule(LeaderElection.TICK_MILLIS, dispatcher::tick);
+        dispatcher.start();
         return dispatcher;
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobsMonitor.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobsMonitor.java
@@ -23,12 +23,15 @@
     /** Pause between watches of the guard, which each new coordinator writes. */
     private static final long BATCH_DELAY_MILLIS = 200;
 
-    private final Runnable mOnRead;
+    private final EventLoop mLoop;
+    private final VersionedStore mStore;
     private boolean mRead;
     private boolean mJobsPossible = true;
 
-    private StoredJobsMonitor(Runnable onRead) {
-        mOnRead = onRead;
+    /** Creates a monitor that has read nothing. */
+    StoredJobsMonitor(EventLoop loop, VersionedStore store) {
+        mLoop = loop;
+        mStore = store;
     }
 
     /**
@@ -36,18 +39,16 @@
      *
      * @param onRead runs after the first read and after each change of the guard
      */
-    static StoredJobsMonitor start(EventLoop loop, VersionedStore store, Runnable onRead) {
-        StoredJobsMonitor monitor = new StoredJobsMonitor(onRead);
-        loop.execute(
+    void start(Runnable onRead) {
+        mLoop.execute(
                 () ->
                         StoreMirror.start(
-                                loop,
-                                store,
+                                mLoop,
+                                mStore,
                                 CoordinatorTerm.GUARD_KEY,
                                 WATCH_MILLIS,
                                 () -> BATCH_DELAY_MILLIS,
-                                monitor.new GuardListener()));
-        return monitor;
+                                new GuardListener(onRead)));
     }
 
     /** Checks whether the guard has been read, or is known not to exist. */
@@ -63,6 +64,12 @@
     /** Applies changes of the guard. */
     private final class GuardListener implements StoreMirror.Listener {
 
+        private final Runnable mOnRead;
+
+        private GuardListener(Runnable onRead) {
+            mOnRead = onRead;
+        }
+
         @Override
         public void onChanged(StoreMirror mirror) {
             mRead = true;
