Hand over the jobs of a home whose process has been replaced

What callers saw: two runs of a task at the same time. A home is killed and is back 0.2 s later. The leader finds its address refusing, but a request of it from 0.1 s before counts as a sign of life for 520 ms, and then the new process answers under the same name: the job of the former process waits on and is started when there is room, 0.02 s before its caller sends it again to another instance, 1.3 s after the kill.

A process is registered once, so a later one of the same name reports another seniority. A probe with one hands over the jobs of its sender, and withdraws those that are forwarded. That the address refused connections is still no proof: a home may submit jobs before it accepts connections (HandOverTest).

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -14,6 +14,7 @@
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.leadership.InstanceName;
@@ -115,7 +116,7 @@
         mElection = new LeaderElection(settings, loop, client, mTokens, log, new ElectionEvents());
         SpillOver spillOver = new SpillOver();
         mRemote = new RemoteLeaders(loop, client, spillOver);
-        mHomes = new HomeMonitor(settings.name(), mElection, mRemote);
+        mHomes = new HomeMonitor(settings.name(), mElection, mRemote, this::handOverJobsOf);
         JobWithdrawals withdrawals = new JobWithdrawals(settings, loop, client);
         mForwarder =
                 new RemoteJobForwarder(
@@ -180,7 +181,7 @@
                 new PeerRequestHandler(
                         mLoop,
                         mElection,
-                        mRemote,
+                        mHomes,
                         mLeaderScheduler,
                         mJobRelay,
                         mStoredJobClient,
@@ -490,6 +491,13 @@
         mJobRelay.tick();
     }
 
+    /** Hands over and withdraws the jobs of an instance that may have given them up. */
+    private void handOverJobsOf(InstanceName name) {
+        Predicate<InstanceName> isAnother = other -> !other.equals(name);
+        mLeaderScheduler.handOverJobsOfLostHomes(isAnother, isAnother);
+        mForwarder.withdrawJobsOfLostHomes(isAnother);
+    }
+
     /**
      * Informs the home instance of a job that the job runs in another data centre. The home answers
      * with the leader that it waits for.
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeMonitor.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeMonitor.java
@@ -1,6 +1,12 @@
 package org.wagtailproxy.dispatcher;
 
+import io.vavr.control.Option;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.wagtailproxy.identity.Names;
 import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.wire.Presence;
 
 /**
  * Decides from probes and requests whether the home instances of jobs are alive and still wait for
@@ -8,14 +14,73 @@
  */
 final class HomeMonitor {
 
+    /** Number of instances whose lives are told apart; those of several large pools. */
+    private static final int MAX_INSTANCES = 1000;
+
+    /** The seniority that each instance has reported last, oldest entry first. */
+    private final Map<InstanceName, Long> mSeniorities =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<InstanceName, Long> eldest) {
+                    return size() > MAX_INSTANCES;
+                }
+            };
+
     private final InstanceName mSelf;
     private final LeaderElection mElection;
     private final RemoteLeaders mRemote;
+    private final Consumer<InstanceName> mOnLost;
 
-    HomeMonitor(InstanceName self, LeaderElection election, RemoteLeaders remote) {
+    /**
+     * Creates a monitor that knows no instance.
+     *
+     * @param onLost receives instances that are alive, but may have given up their jobs here
+     */
+    HomeMonitor(
+            InstanceName self,
+            LeaderElection election,
+            RemoteLeaders remote,
+            Consumer<InstanceName> onLost) {
         mSelf = self;
         mElection = election;
         mRemote = remote;
+        mOnLost = onLost;
+    }
+
+    /**
+     * Records the probe of an instance. One whose process is not that of the probe before, or that
+     * was silent for too long, may have given up its jobs here.
+     *
+     * @param isRemote true if the instance belongs to another pool
+     */
+    void onProbeReceived(Presence probe, boolean isRemote) {
+        InstanceName name = InstanceName.of(probe.getName());
+        boolean isLost = isOfNextProcess(name, probe.getSeniority());
+        if (isRemote) {
+            Option<InstanceName> follows =
+                    Option.of(probe.getFollows()).filter(Names::isName).map(InstanceName::of);
+            isLost |= mRemote.onProbeReceived(name, follows, mElection.sentNanos(probe));
+        }
+        if (isLost) {
+            mOnLost.accept(name);
+        }
+    }
+
+    /** Checks whether a probe comes from a later process; each is registered once. */
+    private boolean isOfNextProcess(InstanceName name, long seniority) {
+        Long former = mSeniorities.remove(name);
+        mSeniorities.put(name, seniority);
+        return former != null && former != LeaderElection.UNREGISTERED && former != seniority;
+    }
+
+    /** Records that an instance follows this one, since it has submitted a job. */
+    void recordFollower(InstanceName name) {
+        mRemote.recordFollower(name, mSelf);
+    }
+
+    /** Checks whether an instance of another pool has probed this one recently. */
+    boolean hasProbedRecently(InstanceName name) {
+        return mRemote.hasProbedRecently(name);
     }
 
     /**
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -84,7 +84,7 @@
     private static final long INITIAL_PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
 
     /** Seniority of an instance that is not registered in the store yet. */
-    private static final long UNREGISTERED = Long.MAX_VALUE;
+    static final long UNREGISTERED = Long.MAX_VALUE;
 
     private final DispatcherSettings mSettings;
     private final EventLoop mLoop;
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -362,11 +362,6 @@
         }
     }
 
-    /** Hands over the jobs of an instance that may have given them up, and stops their runs. */
-    void handOverJobsOf(InstanceName home) {
-        handOverJobsOfLostHomes(name -> !name.equals(home), name -> !name.equals(home));
-    }
-
     private void handOver(JobId job, PendingJob pendingJob, InstanceName home) {
         Consumer<Either<WorkProgress, WorkOutcome>> answer = pendingJob.homes().remove(home);
         if (!pendingJob.homes().isEmpty()) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -39,7 +39,7 @@
 
     private final EventLoop mLoop;
     private final LeaderElection mElection;
-    private final RemoteLeaders mRemoteLeaders;
+    private final HomeMonitor mHomes;
     private final LeaderScheduler mLeaderScheduler;
     private final JobRelay mJobRelay;
     private final StoredJobClient mStoredJobClient;
@@ -52,14 +52,14 @@
     PeerRequestHandler(
             EventLoop loop,
             LeaderElection election,
-            RemoteLeaders remoteLeaders,
+            HomeMonitor homes,
             LeaderScheduler leaderScheduler,
             JobRelay jobRelay,
             StoredJobClient storedJobClient,
             Predicate<DataCentre> samePool) {
         mLoop = loop;
         mElection = election;
-        mRemoteLeaders = remoteLeaders;
+        mHomes = homes;
         mLeaderScheduler = leaderScheduler;
         mJobRelay = jobRelay;
         mStoredJobClient = storedJobClient;
@@ -94,13 +94,8 @@
         // An instance of the pool may have lost its registration in a network partition; it does
         // not count as remote.
         boolean isRemote = hasNames && !mSamePool.test(DataCentre.of(probe.getDataCentre()));
-        if (isRemote) {
-            Option<InstanceName> follows =
-                    Option.of(probe.getFollows()).filter(Names::isName).map(InstanceName::of);
-            InstanceName name = InstanceName.of(probe.getName());
-            if (mRemoteLeaders.onProbeReceived(name, follows, mElection.sentNanos(probe))) {
-                mLeaderScheduler.handOverJobsOf(name);
-            }
+        if (hasNames) {
+            mHomes.onProbeReceived(probe, isRemote);
         }
         Presence.Builder presence = mElection.answerProbe(probe);
         if (isRemote && mElection.isLeader()) {
@@ -135,7 +130,7 @@
                     Either.right(WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "withdrawn before")));
             return;
         }
-        boolean hasProbed = message.getForwarded() && mRemoteLeaders.hasProbedRecently(home);
+        boolean hasProbed = message.getForwarded() && mHomes.hasProbedRecently(home);
         boolean isKnown = mElection.isReachable(home) || hasProbed;
         if (!isKnown && message.getForwarded()) {
             // A leader probes before it forwards, so this message was delayed: its sender is lost,
@@ -160,7 +155,7 @@
             Consumer<Either<WorkProgress, WorkOutcome>> answer) {
         mElection.recordFollower(home, message.getReceiverClockNanos());
         if (!message.getForwarded()) {
-            mElection.leader().forEach(self -> mRemoteLeaders.recordFollower(home, self.name()));
+            mHomes.recordFollower(home);
         }
         long nowNanos = mLoop.nowNanos();
         mLeaderScheduler.submit(
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/DividedFleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/DividedFleetDuplicateRunTest.java
@@ -34,6 +34,13 @@
         assertThat(simulation.report(), is(""));
     }
 
+    @Test
+    void testJobOfKilledHomeIsNotStartedAfterTheHomeIsBack() {
+        FleetSimulation simulation = new FleetSimulation(5019);
+        simulation.run(SIMULATED_MILLIS);
+        assertThat(simulation.report(), is(""));
+    }
+
     @Test
     void testDividedFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
         List<String> reports = new ArrayList<>();
