--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -14,6 +14,7 @@
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.leadership.InstanceName;
@@ -91,6 +92,7 @@
     private final RemoteJobForwarder mForwarder;
     private final LeaderScheduler mLeaderScheduler;
     private final JobRelay mJobRelay;
+    private final StoredJobsMonitor mStoredJobsMonitor;
     private final StoredJobClient mStoredJobClient;
     private final PoolMembership mPool;
     private final HomeMonitor mHomes;
@@ -114,7 +116,7 @@
         mElection = new LeaderElection(settings, loop, client, mTokens, log, new ElectionEvents());
         SpillOver spillOver = new SpillOver();
         mRemote = new RemoteLeaders(loop, client, spillOver);
-        mHomes = new HomeMonitor(settings.name(), mElection, mRemote);
+        mHomes = new HomeMonitor(settings.name(), mElection, mRemote, this::handOverJobsOf);
         JobWithdrawals withdrawals = new JobWithdrawals(settings, loop, client);
         mForwarder =
                 new RemoteJobForwarder(
@@ -137,7 +139,9 @@
                         mElection,
                         schedulers -> newCoordinator(context, log, schedulers));
         mClient = client;
-        mStoredJobClient = newStoredJobClient(context);
+        mStoredJobsMonitor = new StoredJobsMonitor(loop, context.store());
+        mStoredJobClient =
+                new StoredJobClient(loop, mElection, client, mLeaderScheduler, mStoredJobsMonitor);
         mPool = newPoolMembership();
         mJobRelay =
                 new JobRelay(
@@ -148,7 +152,13 @@
                         mLeaderScheduler,
                         withdrawals,
                         mDecisions);
-        startListening(client);
+    }
+
+    /** Starts what calls this object from the event loop; only once it is complete. */
+    private void start() {
+        startListening(mClient);
+        mStoredJobsMonitor.start(mPool::onGuardRead);
+        mLoop.schedule(LeaderElection.TICK_MILLIS, this::tick);
     }
 
     private StoredJobCoordinator newCoordinator(
@@ -166,18 +176,12 @@
                 new PoolEvents());
     }
 
-    private StoredJobClient newStoredJobClient(DispatcherContext context) {
-        StoredJobsMonitor monitor =
-                StoredJobsMonitor.start(mLoop, context.store(), () -> mPool.onGuardRead());
-        return new StoredJobClient(mLoop, mElection, mClient, mLeaderScheduler, monitor);
-    }
-
     private void startListening(PeerTransport transport) {
         PeerRequestHandler handler =
                 new PeerRequestHandler(
                         mLoop,
                         mElection,
-                        mRemote,
+                        mHomes,
                         mLeaderScheduler,
                         mJobRelay,
                         mStoredJobClient,
@@ -203,7 +207,7 @@
             Listener listener) {
         Objects.requireNonNull(listener, "listener");
         Dispatcher dispatcher = new Dispatcher(settings, context, log, metrics, listener);
-        context.loop().schedule(LeaderElection.TICK_MILLIS, dispatcher::tick);
+        dispatcher.start();
         return dispatcher;
     }
 
@@ -487,6 +491,13 @@
         mJobRelay.tick();
     }
 
+    /** Hands over and withdraws the jobs of an instance that may have given them up. */
+    private void handOverJobsOf(InstanceName name) {
+        Predicate<InstanceName> isAnother = other -> !other.equals(name);
+        mLeaderScheduler.handOverJobsOfLostHomes(isAnother, isAnother);
+        mForwarder.withdrawJobsOfLostHomes(isAnother);
+    }
+
     /**
      * Informs the home instance of a job that the job runs in another data centre. The home answers
      * with the leader that it waits for.
