Take the list of a leader that is no longer known for outdated

What callers could see: two runs of a task. A leader that the store refuses reports that it may use servers that the directory no longer lists. Once its registration has run out and it is unreachable, it leaves the table of peers, and its scope counted as one without such servers, so that polls were taken for proof again. A scope that no peer has reported now includes servers that may not be listed.

PeerTableTest#testListOfLostLeaderWhoseRegistrationRanOutStaysOutdated failed before: line 286, "Expected: is <true> but: was <false>". The whole chain is not shown by a run. With the change PeerTableTest, LostLeaderTest, HandOverTest, ForwardingTest and DividedFleetTest are green, one run each.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
@@ -14,6 +14,9 @@
     /** Time after a peer became reachable in which it may still be loading its code. */
     private static final long WARM_UP_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    /** The scope of a peer that has not reported one. */
+    static final DataCentreScope UNKNOWN_SCOPE = DataCentreScope.ALL.withUnlisted(true);
+
     final InstanceRecord mFirstRecord;
     HostAddress mAddress;
     long mProcessorMillis;
@@ -54,7 +57,7 @@
     long mSeniorityWhenLost = -1;
     Option<InstanceName> mFollows = Option.none();
 
-    DataCentreScope mScope = DataCentreScope.ALL;
+    DataCentreScope mScope = UNKNOWN_SCOPE;
     long mClockNanos = MessageAge.UNKNOWN_CLOCK_NANOS;
 
     /** When the last status of the peer was received. */
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -498,11 +498,12 @@
      * Returns the data centres on whose backend servers a peer starts tasks while it leads.
      *
      * @param name the name of the peer, not null
-     * @return the data centres that it has reported last, all if it has reported none; never null
+     * @return the data centres that it has reported last; if it has reported none, all, with
+     *     servers that may not be listed; never null
      */
     public DataCentreScope scope(InstanceName name) {
         PeerState state = mPeers.get(name);
-        return state == null ? DataCentreScope.ALL : state.mScope;
+        return state == null ? PeerState.UNKNOWN_SCOPE : state.mScope;
     }
 
     /**
