Hand over forwarded jobs once a machine has been suspended

What callers saw: two runs of a task at the same time. A leader has a job that another data centre's leader has forwarded. The forwarder is killed or gives the job up, and the leader's machine is suspended. Its clock stands still, so when it wakes it has heard of the forwarder a moment ago. The caller has sent the job again meanwhile. As soon as its peers have answered, the leader places the tasks once more.

A suspension now makes a leader hand over all forwarded jobs before it places anything; the forwarder that still waits submits them again. The time of day shows a suspension, and a clock that is put forward looks the same; then forwarded tasks are started again for nothing.

DividedFleetDuplicateRunTest can suspend machines and aim faults at forwarders now.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -78,6 +78,10 @@
     private long mServersTrackedSinceNanos = Long.MAX_VALUE / 2;
     private long mServersIncompleteUntilNanos = Long.MIN_VALUE;
     private long mLastTickNanos;
+
+    /** Whether forwarders may have been silent while this machine was suspended. */
+    private boolean mForwardersDoubted;
+
     private final SuspensionDetector mSuspensionDetector;
     private Function<ServerEntry, ClaimMode> mClaimModes = entry -> ClaimMode.NONE;
 
@@ -163,6 +167,7 @@
      */
     void updateClaims(Function<ServerEntry, ClaimMode> claimModes, boolean isLeader) {
         mClaimModes = claimModes;
+        handOverJobsOfDoubtedForwarders();
         if (!isLeader) {
             stepDown();
         }
@@ -230,6 +235,7 @@
         if (mSuspensionDetector.mayHaveBeenSuspended(nowNanos, mLoop.wallClockMillis())) {
             mLastTickNanos = nowNanos - 2 * MAX_TICK_PAUSE_NANOS;
             mSchedulers.values().forEach(ServiceScheduler::suspendPlacement);
+            mForwardersDoubted = true;
             mListener.onPossibleSuspension();
         }
         return nowNanos;
@@ -362,6 +368,17 @@
         }
     }
 
+    /**
+     * Hands over all forwarded jobs after a suspension, before anything is placed. The clock stood
+     * still meanwhile, so it does not show for how long their forwarders were silent.
+     */
+    private void handOverJobsOfDoubtedForwarders() {
+        if (mForwardersDoubted) {
+            mForwardersDoubted = false;
+            handOverJobsOfLostHomes(home -> true, forwarder -> false);
+        }
+    }
+
     private void handOver(JobId job, PendingJob pendingJob, InstanceName home) {
         Consumer<Either<WorkProgress, WorkOutcome>> answer = pendingJob.homes().remove(home);
         if (!pendingJob.homes().isEmpty()) {
@@ -377,6 +394,7 @@
     void tick() {
         long nowNanos = now();
         mLastTickNanos = nowNanos;
+        handOverJobsOfDoubtedForwarders();
         long noOtherLeaderNanos = mListener.noOtherLeaderNanos();
         for (ServiceScheduler scheduler : mSchedulers.values()) {
             scheduler.recordNoOtherLeader(noOtherLeaderNanos);
@@ -491,6 +509,7 @@
 
         @Override
         public void sendCommands() {
+            handOverJobsOfDoubtedForwarders();
             mSchedulers.values().forEach(each -> each.tick(now()));
             LeaderScheduler.this.sendCommands();
             tickWhileBusy();
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/DividedFleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/DividedFleetDuplicateRunTest.java
@@ -17,6 +17,12 @@
     /** More seeds are run with -Dfleet.run.seeds=N. */
     private static final int SEEDS = Integer.getInteger("fleet.run.seeds", 6);
 
+    private static final FleetFaults.Options PAUSES = new FleetFaults.Options(false, false);
+
+    private static final FleetFaults.Options OPTIONS =
+            new FleetFaults.Options(
+                    Boolean.getBoolean("fleet.run.suspends"), Boolean.getBoolean("fleet.run.aims"));
+
     /** Prints the whole trace of each seed, or the lines that contain one of some words. */
     private static final String TRACE = System.getProperty("fleet.run.trace");
 
@@ -29,14 +35,29 @@
 
     @Test
     void testWokenLeaderDoesNotRunForwardedJobThatIsSentAgain() {
-        FleetSimulation simulation = new FleetSimulation(2060);
+        FleetSimulation simulation = new FleetSimulation(2060, PAUSES);
+        simulation.run(SIMULATED_MILLIS);
+        assertThat(simulation.report(), is(""));
+    }
+
+    @Test
+    void testSuspendedLeaderDoesNotRunForwardedJobThatIsSentAgain() {
+        FleetSimulation simulation =
+                new FleetSimulation(2060, new FleetFaults.Options(true, false));
+        simulation.run(SIMULATED_MILLIS);
+        assertThat(simulation.report(), is(""));
+    }
+
+    @Test
+    void testSuspendedLeaderDoesNotRunForwardedJobOfKilledForwarder() {
+        FleetSimulation simulation = new FleetSimulation(3075, new FleetFaults.Options(true, true));
         simulation.run(SIMULATED_MILLIS);
         assertThat(simulation.report(), is(""));
     }
 
     @Test
     void testJobOfKilledHomeIsNotStartedAfterTheHomeIsBack() {
-        FleetSimulation simulation = new FleetSimulation(5019);
+        FleetSimulation simulation = new FleetSimulation(5019, PAUSES);
         simulation.run(SIMULATED_MILLIS);
         assertThat(simulation.report(), is(""));
     }
@@ -46,7 +67,7 @@
         List<String> reports = new ArrayList<>();
         int remoteStarts = 0;
         for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-            FleetSimulation simulation = new FleetSimulation(seed);
+            FleetSimulation simulation = new FleetSimulation(seed, OPTIONS);
             simulation.run(SIMULATED_MILLIS);
             printTrace(simulation);
             if (!simulation.report().isEmpty()) {
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
@@ -20,18 +20,23 @@
                     "heals",
                     "lapsed");
 
-    /** Whether pauses stop the monotonic clock as well. */
-    private static final boolean SUSPENDS = Boolean.getBoolean("fleet.run.suspends");
-
-    private static final boolean AIMS_AT_FORWARDERS = Boolean.getBoolean("fleet.run.aims");
-
     private final FleetSimulation mFleet;
+    private final Options mOptions;
     private final VirtualTime mTime;
     private final List<String> mDataCentres;
     private final long mMeanIntervalMillis;
 
-    FleetFaults(FleetSimulation fleet, List<String> dataCentres) {
+    /**
+     * Determines which faults are drawn.
+     *
+     * @param suspends true if pauses stop the monotonic clock as well
+     * @param aimsAtForwarders true if leaders that forward jobs are hit more often
+     */
+    record Options(boolean suspends, boolean aimsAtForwarders) {}
+
+    FleetFaults(FleetSimulation fleet, List<String> dataCentres, Options options) {
         mFleet = fleet;
+        mOptions = options;
         mTime = fleet.mTime;
         mDataCentres = dataCentres;
         mMeanIntervalMillis = mTime.between(100, 1000);
@@ -67,7 +72,7 @@
                         this::restartServer,
                         () -> cutServer(target),
                         mFleet.mNetwork::resetOneConnection);
-        if (AIMS_AT_FORWARDERS && leaders.size() > 1 && mTime.chance(0.5)) {
+        if (mOptions.aimsAtForwarders() && leaders.size() > 1 && mTime.chance(0.5)) {
             harmForwarder(leaders);
             return;
         }
@@ -137,7 +142,7 @@
     private void pause(SimulatedInstance instance) {
         long millis = mTime.between(100, 2500);
         note(instance.mHost.name() + " pauses for " + millis + " ms");
-        if (SUSPENDS) {
+        if (mOptions.suspends()) {
             instance.process().suspend(millis);
         } else {
             instance.process().pause(millis);
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
@@ -40,7 +40,7 @@
     int mStarts;
     int mRemoteStarts;
 
-    FleetSimulation(long seed) {
+    FleetSimulation(long seed, FleetFaults.Options options) {
         mTime = new VirtualTime(seed);
         mNetwork = new SimulatedNetwork(mTime);
         mStore = new SimulatedStore(mTime, mNetwork);
@@ -68,7 +68,7 @@
             }
         }
         mCallers = new SimulatedCallers(this, DATA_CENTRES);
-        new FleetFaults(this, DATA_CENTRES).schedule();
+        new FleetFaults(this, DATA_CENTRES, options).schedule();
     }
 
     void list(SimulatedServer server) {
