Submit a job as one that may run if its leader is followed again

What callers saw: two runs of a task at the same time. A leader steps down for a moment, hands its jobs over and leads again. If a cut keeps the hand-over from a home, which has seen the change, the home waited for it for 320 ms and then submitted the job to the same leader as one that this leader still had, without its attempts. The leader started it as new, with its own run 2 going on.

The home now counts the leader as lost, as it does with any other that has not handed the job over; a leader that still has the job joins the submission to it. What does not run waits for polls or leases.

HandOverTest#testJobOfLeaderThatIsFollowedAgainIsSubmittedAsOneThatMayRun failed before: line 322, "Expected: is a value greater than <0> but: <0> was equal to <0>"; green with the change, as are HandOverTest and DividedFleetTest.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -236,12 +236,8 @@
             job.mAwaitsHandOver = false;
             return;
         }
-        if (mElection.leader().exists(next -> next.name().equals(job.mLeader.name()))) {
-            // The leader is followed again; it joins the submission to the job if it still has it.
-            job.mLeader = null;
-        } else {
-            onLeaderLost(job, "not handed over");
-        }
+        // The leader may be followed again, but may have handed the job over to nobody in between.
+        onLeaderLost(job, "not handed over");
         if (mJobs.containsKey(job.mSpec.id())) {
             submitToLeader(job);
         }
