--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -236,7 +236,7 @@
             job.mAwaitsHandOver = false;
             return;
         }
-        // The leader may be followed again, but may have handed the job over to nobody in between.
+        // Also if it is followed again: it may have handed the job over and the answer was lost.
         onLeaderLost(job, "not handed over");
         if (mJobs.containsKey(job.mSpec.id())) {
             submitToLeader(job);
