--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/DividedFleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/DividedFleetDuplicateRunTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class DividedFleetDuplicateRunTest {
@@ -62,6 +63,14 @@
         assertThat(simulation.report(), is(""));
     }
 
+    @Tag("known-red")
+    @Test
+    void testJobOfKilledHomeThatIsBackIsNotKeptByNewLeader() {
+        FleetSimulation simulation = new FleetSimulation(7001, PAUSES);
+        simulation.run(SIMULATED_MILLIS);
+        assertThat(simulation.report(), is(""));
+    }
+
     @Test
     void testDividedFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
         List<String> reports = new ArrayList<>();
