Count no sign of life of before a suspension

What callers saw: two runs of one task. A leader is suspended; its monotonic clock stands still. Meanwhile the home of a job is killed, or gives the job up, and the caller sends it again elsewhere.

Cause: the age of a sign was measured on the clock that had stood still, and whatever changed the group placed tasks before the peers had answered.

Change: after a suspected suspension only signs that are sent from then on count. The homes have the time of a probe to show one; meanwhile nothing is placed, and whatever places tasks first hands over the jobs of homes that have shown none. The clocks of the homes tell what the own one cannot: if a home has heard nothing of this leader for 900 ms by its own clock, its jobs are handed over. A step of the time of day therefore costs no job.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/LifeSigns.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/LifeSigns.java
@@ -3,7 +3,9 @@
 import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Decides from signs of life whether the process that has submitted a job still waits for it.
@@ -11,8 +13,11 @@
  * <p>The callers of a lost process submit their jobs again elsewhere, where the tasks are started
  * as new ones. So a leader may start tasks, or go on with them, only while it has recent evidence
  * that the very process that has submitted them is alive. A sign of another process of the same
- * instance is no evidence, and a sign counts from when it was sent, however late it arrives. Not
- * thread-safe; confined to one thread.
+ * instance is no evidence, and a sign counts from when it was sent, however late it arrives.
+ *
+ * <p>While this machine is suspended its clock stands still, so no sign of before counts after it.
+ * The clocks of the other processes tell how long they heard nothing of this one. Not thread-safe;
+ * confined to one thread.
  */
 public final class LifeSigns {
 
@@ -35,7 +40,11 @@
 
     private static final long NEVER_NANOS = Long.MIN_VALUE / 2;
 
+    private static final long UNKNOWN_CLOCK_NANOS = Long.MIN_VALUE;
+
+    private final Consumer<HomeProcess> mOnInterrupted;
     private final Map<HomeProcess, Signs> mSigns = new HashMap<>();
+    private long mSuspendedNanos = NEVER_NANOS;
 
     /** What one process has shown of itself. */
     private static final class Signs {
@@ -46,8 +55,11 @@
         /** The latest time at or before which a request of the process was sent. */
         private long mRequestedNanos = NEVER_NANOS;
 
+        /** When the latest sign was sent, whether it still counts or not. */
+        private long mLatestNanos = NEVER_NANOS;
+
         /** The clock of the process in the latest status that it has sent. */
-        private long mStatusClockNanos = Long.MIN_VALUE;
+        private long mStatusClockNanos = UNKNOWN_CLOCK_NANOS;
 
         private Option<InstanceName> mFollows = Option.none();
 
@@ -57,20 +69,19 @@
         }
 
         private boolean isRetained(long nowNanos) {
-            return nowNanos - Math.max(mAnsweredNanos, mRequestedNanos) <= RETENTION_NANOS;
-        }
-
-        /** A status that was overtaken by a later one on its way does not count. */
-        private void updateFollows(Option<InstanceName> follows, long clockNanos) {
-            if (clockNanos >= mStatusClockNanos) {
-                mStatusClockNanos = clockNanos;
-                mFollows = follows;
-            }
+            return nowNanos - mLatestNanos <= RETENTION_NANOS;
         }
     }
 
-    /** Creates a decision that knows of no process. */
-    public LifeSigns() {}
+    /**
+     * Creates a decision that knows of no process.
+     *
+     * @param onInterrupted receives each process that is alive, but has heard nothing of this one
+     *     for so long that it may have given up its jobs here; not null
+     */
+    public LifeSigns(Consumer<HomeProcess> onInterrupted) {
+        mOnInterrupted = Objects.requireNonNull(onInterrupted, "onInterrupted");
+    }
 
     /**
      * Records the answer of a process to a probe.
@@ -87,8 +98,11 @@
             long clockNanos,
             long probeSentNanos) {
         Signs signs = signsOf(process);
-        signs.mAnsweredNanos = Math.max(signs.mAnsweredNanos, probeSentNanos);
-        signs.updateFollows(follows, clockNanos);
+        signs.mLatestNanos = Math.max(signs.mLatestNanos, probeSentNanos);
+        if (probeSentNanos >= mSuspendedNanos) {
+            signs.mAnsweredNanos = Math.max(signs.mAnsweredNanos, probeSentNanos);
+        }
+        updateFollows(process, signs, follows, clockNanos);
     }
 
     /**
@@ -103,8 +117,8 @@
     public void recordProbe(
             HomeProcess process, Option<InstanceName> follows, long clockNanos, long sentNanos) {
         Signs signs = signsOf(process);
-        signs.mRequestedNanos = Math.max(signs.mRequestedNanos, sentNanos);
-        signs.updateFollows(follows, clockNanos);
+        recordRequest(signs, sentNanos);
+        updateFollows(process, signs, follows, clockNanos);
     }
 
     /**
@@ -116,10 +130,35 @@
      */
     public void recordSubmission(HomeProcess process, Option<InstanceName> leader, long sentNanos) {
         Signs signs = signsOf(process);
-        signs.mRequestedNanos = Math.max(signs.mRequestedNanos, sentNanos);
+        recordRequest(signs, sentNanos);
         leader.forEach(name -> signs.mFollows = Option.some(name));
     }
 
+    private void recordRequest(Signs signs, long sentNanos) {
+        signs.mLatestNanos = Math.max(signs.mLatestNanos, sentNanos);
+        if (sentNanos >= mSuspendedNanos) {
+            signs.mRequestedNanos = Math.max(signs.mRequestedNanos, sentNanos);
+        }
+    }
+
+    /**
+     * Updates whom a process follows; a status that was overtaken by a later one does not count.
+     */
+    private void updateFollows(
+            HomeProcess process, Signs signs, Option<InstanceName> follows, long clockNanos) {
+        if (clockNanos < signs.mStatusClockNanos) {
+            return;
+        }
+        boolean wasInterrupted =
+                signs.mStatusClockNanos != UNKNOWN_CLOCK_NANOS
+                        && clockNanos - signs.mStatusClockNanos > ANSWER_VALID_NANOS;
+        signs.mStatusClockNanos = clockNanos;
+        signs.mFollows = follows;
+        if (wasInterrupted) {
+            mOnInterrupted.accept(process);
+        }
+    }
+
     private Signs signsOf(HomeProcess process) {
         return mSigns.computeIfAbsent(process, key -> new Signs());
     }
@@ -139,6 +178,20 @@
                 });
     }
 
+    /**
+     * Records that this machine may have been suspended. Only signs that are sent from now on
+     * count.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onSuspension(long nowNanos) {
+        mSuspendedNanos = nowNanos;
+        for (Signs signs : mSigns.values()) {
+            signs.mAnsweredNanos = NEVER_NANOS;
+            signs.mRequestedNanos = NEVER_NANOS;
+        }
+    }
+
     /**
      * Forgets the processes that have shown no sign for long.
      *
--- a/decisions/src/test/java/org/wagtailproxy/leadership/LifeSignsTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/LifeSignsTest.java
@@ -1,9 +1,13 @@
 package org.wagtailproxy.leadership;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
 import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.wagtailproxy.identity.Incarnation;
 
@@ -15,7 +19,8 @@
     private static final HomeProcess HOME = process(1);
     private static final HomeProcess NEXT = process(2);
 
-    private final LifeSigns mSigns = new LifeSigns();
+    private final List<HomeProcess> mInterrupted = new ArrayList<>();
+    private final LifeSigns mSigns = new LifeSigns(mInterrupted::add);
     private final long mNowNanos = 50 * TICK;
 
     private static HomeProcess process(long number) {
@@ -91,6 +96,38 @@
         assertThat(mSigns.wasLost(HOME, mNowNanos + 101 * TICK), is(false));
     }
 
+    @Test
+    void testSignsOfBeforeASuspensionDoNotCount() {
+        answer(HOME, mNowNanos);
+        submit(HOME, mNowNanos);
+        mSigns.onSuspension(mNowNanos + 1);
+        assertThat(mSigns.isFollowing(HOME, SELF, mNowNanos + 1), is(false));
+        // Answered, and received, after the suspension.
+        answer(HOME, mNowNanos);
+        submit(HOME, mNowNanos);
+        assertThat(mSigns.isFollowing(HOME, SELF, mNowNanos + 1), is(false));
+        answer(HOME, mNowNanos + 1);
+        assertThat(mSigns.isFollowing(HOME, SELF, mNowNanos + 1), is(true));
+    }
+
+    @Test
+    void testHomeThatHeardNothingForLongMayHaveGivenUpItsJobsThoughTheClockHereStoodStill() {
+        answerAtClock(0, mNowNanos);
+        answerAtClock(9 * TICK, mNowNanos + 1);
+        mSigns.onSuspension(mNowNanos + 1);
+        mSigns.removeOld(mNowNanos + 2);
+        assertThat(mInterrupted, is(empty()));
+        answerAtClock(18 * TICK + 1, mNowNanos + 2);
+        assertThat(mInterrupted, contains(HOME));
+        answerAtClock(19 * TICK, mNowNanos + 3);
+        assertThat(mInterrupted, contains(HOME));
+    }
+
+    /** Records an answer with the clock of the home, in nanoseconds after its first one. */
+    private void answerAtClock(long clockNanos, long sentNanos) {
+        mSigns.recordAnswer(HOME, Option.some(SELF), 7 * TICK + clockNanos, sentNanos);
+    }
+
     /** Records an answer that shows a follower of this leader. */
     private void answer(HomeProcess process, long sentNanos) {
         mSigns.recordAnswer(process, Option.some(SELF), sentNanos, sentNanos);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -113,7 +113,7 @@
         mListener = listener;
         PeerTransport client = mCloser.register(context.peerTransport());
         mDecisions = new DecisionLog(log, metrics);
-        LifeSigns lifeSigns = new LifeSigns();
+        LifeSigns lifeSigns = new LifeSigns(this::handOverJobsOf);
         mElection =
                 new LeaderElection(
                         settings, loop, client, mTokens, log, lifeSigns, new ElectionEvents());
@@ -486,8 +486,10 @@
         mPool.tick();
         mElection.tick(mForwarder.openJobs() > 0);
         mHomes.tick();
-        mLeaderScheduler.handOverJobsOfLostHomes();
-        mForwarder.withdrawJobsOfLostHomes(mHomes::isWaitingForForwardedJob);
+        if (!mElection.awaitsPeersAfterSuspension()) {
+            mLeaderScheduler.handOverJobsOfLostHomes();
+            mForwarder.withdrawJobsOfLostHomes(mHomes::isWaitingForForwardedJob);
+        }
         mLeaderScheduler.updateCoordination(
                 mPool.spansDataCentres() && mElection.isLeaderOfMajority(),
                 mStoredJobClient.mayHaveStoredJobs());
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -99,6 +99,7 @@
     private final MessageAge mMessageAge = new MessageAge();
     private long mSeniority = UNREGISTERED;
     private long mInstancesKnownNanos;
+    private long mSuspendedNanos = Long.MIN_VALUE / 2;
     private boolean mInstancesKnown;
     private DataCentreScope mScope = DataCentreScope.ALL;
     private boolean mServerListOutdated;
@@ -347,8 +348,10 @@
      */
     @Override
     public void onPossibleSuspension() {
+        mSuspendedNanos = mLoop.nowNanos();
         mPeers.onSuspension();
-        mMessageAge.onSuspension(mLoop.nowNanos());
+        mMessageAge.onSuspension(mSuspendedNanos);
+        mLifeSigns.onSuspension(mSuspendedNanos);
         mListener.onPartitionHealed();
         sendProbes(true);
     }
@@ -365,12 +368,18 @@
         return mPeers.noPeerLedNanos(mLoop.nowNanos());
     }
 
+    @Override
+    public boolean hasUnconfirmedPeers() {
+        return mPeers.hasUnconfirmedPeers();
+    }
+
     /**
-     * Checks whether some peers have not answered a probe since this machine may have been
-     * suspended.
+     * Checks whether the peers have not had time to answer the probes that were sent since this
+     * machine may have been suspended.
      */
-    boolean hasUnconfirmedPeers() {
-        return mPeers.hasUnconfirmedPeers();
+    boolean awaitsPeersAfterSuspension() {
+        return hasUnconfirmedPeers()
+                && mLoop.nowNanos() - mSuspendedNanos <= PROBE_TIMEOUT.toNanos();
     }
 
     /**
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -152,15 +152,11 @@
      */
     void updateClaims(Function<ServerEntry, ClaimMode> claimModes, boolean isLeader) {
         mClaimModes = claimModes;
-        handOverJobsOfDoubtedForwarders();
         if (!isLeader) {
             stepDown();
         }
-        for (ServiceScheduler scheduler : mSchedulers.values()) {
-            scheduler.updateClaims(claimModes);
-            scheduler.tick(now());
-        }
-        sendCommands();
+        mSchedulers.values().forEach(scheduler -> scheduler.updateClaims(claimModes));
+        tickSchedulers();
     }
 
     /**
@@ -336,13 +332,16 @@
 
     /**
      * Hands over the jobs of homes that are not known to be alive or follow another leader, and
-     * stops their runs.
+     * stops their runs. After a suspension the clock does not show for how long forwarders were
+     * silent, so all their jobs are handed over.
      */
     void handOverJobsOfLostHomes() {
+        boolean forwardersDoubted = mForwardersDoubted;
+        mForwardersDoubted = false;
         handOverJobs(
                 (job, home) ->
                         job.isForwarder(home)
-                                ? !mHomes.isForwarderAlive(home)
+                                ? forwardersDoubted || !mHomes.isForwarderAlive(home)
                                 : !mHomes.isHomeAlive(home));
     }
 
@@ -362,14 +361,16 @@
     }
 
     /**
-     * Hands over all forwarded jobs after a suspension, before anything is placed. The clock stood
-     * still meanwhile, so it does not show for how long their forwarders were silent.
+     * Ticks the schedulers, which places tasks, unless this machine may have been suspended and
+     * another instance may lead by now.
      */
-    private void handOverJobsOfDoubtedForwarders() {
-        if (mForwardersDoubted) {
-            mForwardersDoubted = false;
-            handOverJobs(PendingJob::isForwarder);
+    private void tickSchedulers() {
+        long nowNanos = now();
+        if (!mListener.hasUnconfirmedPeers()) {
+            handOverJobsOfLostHomes();
+            mSchedulers.values().forEach(scheduler -> scheduler.tick(nowNanos));
         }
+        sendCommands();
     }
 
     private void handOver(JobId job, PendingJob pendingJob, HomeProcess home) {
@@ -387,7 +388,7 @@
     void tick() {
         long nowNanos = now();
         mLastTickNanos = nowNanos;
-        handOverJobsOfDoubtedForwarders();
+        handOverJobsOfLostHomes();
         long noOtherLeaderNanos = mListener.noOtherLeaderNanos();
         for (ServiceScheduler scheduler : mSchedulers.values()) {
             scheduler.recordNoOtherLeader(noOtherLeaderNanos);
@@ -502,9 +503,7 @@
 
         @Override
         public void sendCommands() {
-            handOverJobsOfDoubtedForwarders();
-            mSchedulers.values().forEach(each -> each.tick(now()));
-            LeaderScheduler.this.sendCommands();
+            tickSchedulers();
             tickWhileBusy();
         }
     }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeadershipDoubtListener.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeadershipDoubtListener.java
@@ -8,6 +8,12 @@
     /** This machine may have been suspended. */
     void onPossibleSuspension();
 
+    /**
+     * Checks whether some peers have not answered a probe since this machine may have been
+     * suspended, so that another instance may lead.
+     */
+    boolean hasUnconfirmedPeers();
+
     /** A backend server is no longer held, since another instance may control it. */
     void onFenced(ServerEntry server);
 
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/DividedFleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/DividedFleetDuplicateRunTest.java
@@ -35,7 +35,7 @@
 
     @Test
     void testWokenLeaderDoesNotRunForwardedJobThatIsSentAgain() {
-        FleetSimulation simulation = new FleetSimulation(2060, PAUSES);
+        FleetSimulation simulation = new FleetSimulation(2060, FleetSimulation.DIVIDED, PAUSES);
         simulation.run(SIMULATED_MILLIS);
         assertThat(simulation.report(), is(""));
     }
@@ -43,28 +43,49 @@
     @Test
     void testSuspendedLeaderDoesNotRunForwardedJobThatIsSentAgain() {
         FleetSimulation simulation =
-                new FleetSimulation(2060, new FleetFaults.Options(true, false));
+                new FleetSimulation(
+                        2060, FleetSimulation.DIVIDED, new FleetFaults.Options(true, false));
         simulation.run(SIMULATED_MILLIS);
         assertThat(simulation.report(), is(""));
     }
 
     @Test
     void testSuspendedLeaderDoesNotRunForwardedJobOfKilledForwarder() {
-        FleetSimulation simulation = new FleetSimulation(3075, new FleetFaults.Options(true, true));
+        FleetSimulation simulation =
+                new FleetSimulation(
+                        3075, FleetSimulation.DIVIDED, new FleetFaults.Options(true, true));
         simulation.run(SIMULATED_MILLIS);
         assertThat(simulation.report(), is(""));
     }
 
     @Test
     void testJobOfKilledHomeIsNotStartedAfterTheHomeIsBack() {
-        FleetSimulation simulation = new FleetSimulation(5019, PAUSES);
+        FleetSimulation simulation = new FleetSimulation(5019, FleetSimulation.DIVIDED, PAUSES);
         simulation.run(SIMULATED_MILLIS);
         assertThat(simulation.report(), is(""));
     }
 
     @Test
     void testJobOfKilledHomeThatIsBackIsNotKeptByNewLeader() {
-        FleetSimulation simulation = new FleetSimulation(7001, PAUSES);
+        FleetSimulation simulation = new FleetSimulation(7001, FleetSimulation.DIVIDED, PAUSES);
+        simulation.run(SIMULATED_MILLIS);
+        assertThat(simulation.report(), is(""));
+    }
+
+    @Test
+    void testSuspendedLeaderDoesNotRunJobOfHomeThatWasKilledMeanwhile() {
+        FleetSimulation simulation =
+                new FleetSimulation(
+                        8056, FleetSimulation.DIVIDED, new FleetFaults.Options(true, true));
+        simulation.run(SIMULATED_MILLIS);
+        assertThat(simulation.report(), is(""));
+    }
+
+    @Test
+    void testSuspendedLeaderDoesNotRunJobThatItsHomeHasGivenUp() {
+        FleetSimulation simulation =
+                new FleetSimulation(
+                        41078, FleetSimulation.POOLED, new FleetFaults.Options(true, true));
         simulation.run(SIMULATED_MILLIS);
         assertThat(simulation.report(), is(""));
     }
@@ -74,7 +95,8 @@
         List<String> reports = new ArrayList<>();
         int remoteStarts = 0;
         for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-            FleetSimulation simulation = new FleetSimulation(seed, OPTIONS);
+            FleetSimulation simulation =
+                    new FleetSimulation(seed, FleetSimulation.DIVIDED, OPTIONS);
             simulation.run(SIMULATED_MILLIS);
             printTrace(simulation);
             if (!simulation.report().isEmpty()) {
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
@@ -14,16 +14,17 @@
 import org.wagtailproxy.workload.TaskId;
 
 /**
- * A divided fleet of whole dispatchers with its backend servers, callers and faults, all drawn from
- * a seed. Records a violation if a task runs twice at once, if a refused job runs, and if a caller
- * is answered twice or without all tasks of its job.
+ * A fleet of whole dispatchers with its backend servers, callers and faults, all drawn from a seed.
+ * Records a violation if a task runs twice at once, if a refused job runs, and if a caller is
+ * answered twice or without all tasks of its job.
  */
 final class FleetSimulation implements SimulatedServer.Runs {
 
-    private static final List<String> DATA_CENTRES = List.of("pwani-a", "pwani-b", "pwani-c");
+    /** 21 instances, above the number from which a fleet is divided. */
+    static final Size DIVIDED = new Size(List.of("pwani-a", "pwani-b", "pwani-c"), 7);
 
-    /** Makes 21 instances, above the number from which a fleet is divided. */
-    private static final int INSTANCES_PER_DATA_CENTRE = 7;
+    /** Eight instances, which make one pool. */
+    static final Size POOLED = new Size(List.of("pwani-a", "pwani-b", "pwani-c", "pwani-d"), 2);
 
     private static final int SERVERS_PER_DATA_CENTRE = 3;
     private static final int TRACE_LINES = 150;
@@ -40,11 +41,14 @@
     int mStarts;
     int mRemoteStarts;
 
-    FleetSimulation(long seed, FleetFaults.Options options) {
+    /** The data centres of a fleet, and how many instances each of them has. */
+    record Size(List<String> dataCentres, int instancesPerDataCentre) {}
+
+    FleetSimulation(long seed, Size size, FleetFaults.Options options) {
         mTime = new VirtualTime(seed);
         mNetwork = new SimulatedNetwork(mTime);
         mStore = new SimulatedStore(mTime, mNetwork);
-        for (String dataCentre : DATA_CENTRES) {
+        for (String dataCentre : size.dataCentres()) {
             for (int number = 1; number <= SERVERS_PER_DATA_CENTRE; number++) {
                 String name = "server-" + dataCentre + "-" + number;
                 SimulatedServer server = new SimulatedServer(mTime, name, dataCentre, this);
@@ -52,8 +56,8 @@
                 list(server);
             }
         }
-        for (int number = 1; number <= INSTANCES_PER_DATA_CENTRE; number++) {
-            for (String dataCentre : DATA_CENTRES) {
+        for (int number = 1; number <= size.instancesPerDataCentre(); number++) {
+            for (String dataCentre : size.dataCentres()) {
                 String name = "front-" + dataCentre + "-" + number;
                 SimulatedInstance instance =
                         new SimulatedInstance(
@@ -67,8 +71,8 @@
                 mTime.after(mTime.between(0, 1500), instance::start);
             }
         }
-        mCallers = new SimulatedCallers(this, DATA_CENTRES);
-        new FleetFaults(this, DATA_CENTRES, options).schedule();
+        mCallers = new SimulatedCallers(this, size.dataCentres());
+        new FleetFaults(this, size.dataCentres(), options).schedule();
     }
 
     void list(SimulatedServer server) {
