Adopt another leader's run before its task is placed again

Cause: a leader that has a task on one server reads of a run of the same task on another server, started by another leader in the meantime. It can't adopt that run, since the task is placed, so the run stays an orphan. Then the first server shows that the own run is gone: the task waits again, all servers have been polled, and it is placed at once. Orphans were offered to the jobs only when their server reported or a job was submitted.

Change: they are offered to the jobs whenever tasks are about to be placed.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerSet.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerSet.java
@@ -80,6 +80,15 @@
         return held;
     }
 
+    /**
+     * Offers the orphaned runs of all servers to the jobs. A task may have begun to wait since
+     * their reports, because its run on one server has ended while another leader's run of it goes
+     * on.
+     */
+    void adoptOrphans(long nowNanos) {
+        mServers.values().forEach(server -> server.adoptOrphans(nowNanos));
+    }
+
     /** Checks whether every server has answered a poll that was sent at or after a time. */
     boolean allPolledSince(long nanos) {
         for (BackendServer server : mServers.values()) {
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -179,7 +179,7 @@
         if (job.isInherited()) {
             mServers.all().forEach(BackendServer::requestPoll);
         }
-        mServers.all().forEach(server -> server.adoptOrphans(nowNanos));
+        mServers.adoptOrphans(nowNanos);
         placeTasks(nowNanos);
     }
 
@@ -512,6 +512,7 @@
         if (queue.isEmpty()) {
             return;
         }
+        mServers.adoptOrphans(nowNanos);
         mPlacer.place(queue, mServers.usable(nowNanos), nowNanos);
     }
 
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -178,6 +178,31 @@
         assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
     }
 
+    @Test
+    void testTaskWhoseRunIsInterruptedIsNotRunTwiceWhileAnotherLeadersRunOfItGoesOn() {
+        var servers = addServers();
+        JobId job = new JobId("00000000000000aa");
+        long now = mSimulation.nowNanos();
+        long deadline = now + 9000 * ServerSimulation.NANOS_PER_MILLI;
+        mSimulation.mScheduler.submit(spec(job), WorkProgress.NONE, now, deadline, now);
+        mSimulation.run(50);
+        var started = servers.stream().filter(each -> !each.mRunning.isEmpty()).toList();
+        var other = servers.stream().filter(each -> each.mRunning.isEmpty()).findFirst().get();
+        started.forEach(each -> each.mRunning.clear());
+        started.forEach(each -> each.mUnresponsive = true);
+        other.addRunOfEarlierLeader(other.mToken, job, 3);
+        now = mSimulation.nowNanos();
+        WorkProgress progress =
+                WorkProgress.of(List.of(), 3)
+                        .runningOnlyOn(servers.stream().map(each -> each.mId).toList());
+        mSimulation.mScheduler.submit(spec(job), progress, now, deadline, now);
+        mSimulation.run(30);
+        started.forEach(each -> each.mUnresponsive = false);
+        mSimulation.run(5000);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(outcome(job), is(Option.some(WorkOutcome.Kind.COMPLETE)));
+    }
+
     @Test
     void testJobOfLeaderThatStepsDownAfterRegainingPolledServerIsNotRunTwice() {
         var servers = addServers();
