Add up short suspensions that follow each other

What callers would see: a leader that is suspended for 300 ms twice in a row, without answering a probe in between, takes over 600 ms for none, and goes on placing tasks though another instance may lead. Found by reading.

Cause: each check compared the clocks with those of the check before.

Change: advances of the time of day within a second add up. A step back begins anew, a slow adjustment never reaches the threshold.

Result: testShortSuspensionsInARowAddUp failed before and passes.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/SuspensionDetector.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/SuspensionDetector.java
@@ -17,12 +17,16 @@
 public final class SuspensionDetector {
 
     /**
-     * Advance of the time of day over the monotonic clock between two checks that counts as a
-     * suspension; several probe intervals between peers.
+     * Advance of the time of day over the monotonic clock that counts as a suspension; several
+     * probe intervals between peers.
      */
-    private static final long SUSPENSION_THRESHOLD_MILLIS = 350;
+    static final long SUSPENSION_THRESHOLD_MILLIS = 350;
+
+    /** Time in which shorter advances add up; a slowly adjusted time of day advances less. */
+    private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private long mWallClockLeadMillis;
+    private long mWindowStartNanos;
 
     /**
      * Creates a detector with the current readings of both clocks.
@@ -31,20 +35,28 @@
      * @param wallMillis the time of day in milliseconds since 1970
      */
     public SuspensionDetector(long monotonicNanos, long wallMillis) {
-        mWallClockLeadMillis = wallClockLeadMillis(monotonicNanos, wallMillis);
+        startWindow(monotonicNanos, wallClockLeadMillis(monotonicNanos, wallMillis));
+    }
+
+    private void startWindow(long monotonicNanos, long wallClockLeadMillis) {
+        mWindowStartNanos = monotonicNanos;
+        mWallClockLeadMillis = wallClockLeadMillis;
     }
 
     /**
-     * Compares the advance of both clocks since the previous call.
+     * Compares the advance of both clocks lately.
      *
      * @param monotonicNanos the monotonic time in nanoseconds
      * @param wallMillis the time of day in milliseconds since 1970
-     * @return true if the machine may have been suspended since the previous call
+     * @return true if the machine may have been suspended, not reported before
      */
     public boolean mayHaveBeenSuspended(long monotonicNanos, long wallMillis) {
         long lead = wallClockLeadMillis(monotonicNanos, wallMillis);
         boolean suspected = lead - mWallClockLeadMillis > SUSPENSION_THRESHOLD_MILLIS;
-        mWallClockLeadMillis = lead;
+        boolean isWindowOver = monotonicNanos - mWindowStartNanos > WINDOW_NANOS;
+        if (suspected || isWindowOver || lead < mWallClockLeadMillis) {
+            startWindow(monotonicNanos, lead);
+        }
         return suspected;
     }
 
--- a/decisions/src/test/java/org/wagtailproxy/leadership/SuspensionDetectorTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/SuspensionDetectorTest.java
@@ -33,4 +33,26 @@
     void testProcessPauseIsNoSuspension() {
         assertThat(mDetector.mayHaveBeenSuspended(8_050 * NANOS_PER_MILLI, 1_008_000), is(false));
     }
+
+    @Test
+    void testShortSuspensionsInARowAddUp() {
+        assertThat(mDetector.mayHaveBeenSuspended(100 * NANOS_PER_MILLI, 1_000_350), is(false));
+        assertThat(mDetector.mayHaveBeenSuspended(150 * NANOS_PER_MILLI, 1_000_700), is(true));
+        assertThat(mDetector.mayHaveBeenSuspended(200 * NANOS_PER_MILLI, 1_001_050), is(false));
+    }
+
+    @Test
+    void testSlowAdjustmentOfTheTimeOfDayIsNoSuspension() {
+        for (int second = 1; second <= 20; second++) {
+            long nanos = (50 + second * 1_001) * NANOS_PER_MILLI;
+            boolean suspected = mDetector.mayHaveBeenSuspended(nanos, 1_000_000 + second * 1_101);
+            assertThat(suspected, is(false));
+        }
+    }
+
+    @Test
+    void testSuspensionAfterAStepBackIsReported() {
+        assertThat(mDetector.mayHaveBeenSuspended(150 * NANOS_PER_MILLI, 998_000), is(false));
+        assertThat(mDetector.mayHaveBeenSuspended(160 * NANOS_PER_MILLI, 998_410), is(true));
+    }
 }
