Notice a suspension by the clocks of other processes

What callers would see: a leader that is suspended while its time of day is set back by as much takes all it knows for recent, and goes on with the jobs of homes that have given them up. Found by reading.

Cause: only the time of day was compared with the clock that stands still, and both may stand.

Change: probes and their answers carry the clock of their sender. If it has advanced by 350 ms more than can have passed here since the status before was sent, this machine was suspended, and LifeSigns reports it like the detector. A suspension that is known is not reported again. The notices of forwarded jobs move to a class of their own.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/LifeSigns.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/LifeSigns.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 /**
  * Decides from signs of life whether the process that has submitted a job still waits for it.
@@ -38,11 +37,15 @@
     /** Time after which signs are forgotten; far above the time in which they are evidence. */
     private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /** Advance of another clock over the own one that shows a suspension. */
+    private static final long SUSPENSION_NANOS =
+            TimeUnit.MILLISECONDS.toNanos(SuspensionDetector.SUSPENSION_THRESHOLD_MILLIS);
+
     private static final long NEVER_NANOS = Long.MIN_VALUE / 2;
 
     private static final long UNKNOWN_CLOCK_NANOS = Long.MIN_VALUE;
 
-    private final Consumer<HomeProcess> mOnInterrupted;
+    private final Listener mListener;
     private final Map<HomeProcess, Signs> mSigns = new HashMap<>();
     private long mSuspendedNanos = NEVER_NANOS;
 
@@ -61,6 +64,9 @@
         /** The clock of the process in the latest status that it has sent. */
         private long mStatusClockNanos = UNKNOWN_CLOCK_NANOS;
 
+        /** When that status was sent. */
+        private long mStatusSentNanos = NEVER_NANOS;
+
         private Option<InstanceName> mFollows = Option.none();
 
         private boolean isValid(long answerValidNanos, long nowNanos) {
@@ -73,52 +79,55 @@
         }
     }
 
+    /** Notified of what the clocks of other processes show. */
+    public interface Listener {
+
+        /**
+         * A process is alive, but has heard nothing of this one for so long that it may have given
+         * up its jobs here.
+         *
+         * @param process the process, never null
+         */
+        void onInterrupted(HomeProcess process);
+
+        /** This machine was suspended, whatever its own clocks show. */
+        void onSuspensionShown();
+    }
+
     /**
      * Creates a decision that knows of no process.
      *
-     * @param onInterrupted receives each process that is alive, but has heard nothing of this one
-     *     for so long that it may have given up its jobs here; not null
+     * @param listener the listener, not null
      */
-    public LifeSigns(Consumer<HomeProcess> onInterrupted) {
-        mOnInterrupted = Objects.requireNonNull(onInterrupted, "onInterrupted");
+    public LifeSigns(Listener listener) {
+        mListener = Objects.requireNonNull(listener, "listener");
     }
 
     /**
      * Records the answer of a process to a probe.
      *
-     * @param process the process, not null
-     * @param follows the leader that it follows, none if it has none; not null
-     * @param clockNanos its monotonic clock, {@link MessageAge#UNKNOWN_CLOCK_NANOS} if it does not
-     *     report it
-     * @param probeSentNanos the monotonic time here at which the probe was sent, in nanoseconds
+     * @param sign the answer, which counts as sent when the probe was; not null
+     * @param nowNanos the monotonic time in nanoseconds
      */
-    public void recordAnswer(
-            HomeProcess process,
-            Option<InstanceName> follows,
-            long clockNanos,
-            long probeSentNanos) {
-        Signs signs = signsOf(process);
-        signs.mLatestNanos = Math.max(signs.mLatestNanos, probeSentNanos);
-        if (probeSentNanos >= mSuspendedNanos) {
-            signs.mAnsweredNanos = Math.max(signs.mAnsweredNanos, probeSentNanos);
+    public void recordAnswer(LifeSign sign, long nowNanos) {
+        Signs signs = signsOf(sign.process());
+        signs.mLatestNanos = Math.max(signs.mLatestNanos, sign.sentNanos());
+        if (sign.sentNanos() >= mSuspendedNanos) {
+            signs.mAnsweredNanos = Math.max(signs.mAnsweredNanos, sign.sentNanos());
         }
-        updateFollows(process, signs, follows, clockNanos);
+        updateStatus(signs, sign, nowNanos);
     }
 
     /**
      * Records a probe of a process.
      *
-     * @param process the process, not null
-     * @param follows the leader that it follows, none if it has none; not null
-     * @param clockNanos its monotonic clock, {@link MessageAge#UNKNOWN_CLOCK_NANOS} if it does not
-     *     report it
-     * @param sentNanos a monotonic time here at or before which the probe was sent, in nanoseconds
+     * @param sign the probe, not null
+     * @param nowNanos the monotonic time in nanoseconds
      */
-    public void recordProbe(
-            HomeProcess process, Option<InstanceName> follows, long clockNanos, long sentNanos) {
-        Signs signs = signsOf(process);
-        recordRequest(signs, sentNanos);
-        updateFollows(process, signs, follows, clockNanos);
+    public void recordProbe(LifeSign sign, long nowNanos) {
+        Signs signs = signsOf(sign.process());
+        recordRequest(signs, sign.sentNanos());
+        updateStatus(signs, sign, nowNanos);
     }
 
     /**
@@ -141,21 +150,23 @@
         }
     }
 
-    /**
-     * Updates whom a process follows; a status that was overtaken by a later one does not count.
-     */
-    private void updateFollows(
-            HomeProcess process, Signs signs, Option<InstanceName> follows, long clockNanos) {
-        if (clockNanos < signs.mStatusClockNanos) {
+    /** Updates the status of a process; one that was overtaken by a later one does not count. */
+    private void updateStatus(Signs signs, LifeSign sign, long nowNanos) {
+        if (sign.clockNanos() < signs.mStatusClockNanos) {
             return;
         }
-        boolean wasInterrupted =
-                signs.mStatusClockNanos != UNKNOWN_CLOCK_NANOS
-                        && clockNanos - signs.mStatusClockNanos > ANSWER_VALID_NANOS;
-        signs.mStatusClockNanos = clockNanos;
-        signs.mFollows = follows;
-        if (wasInterrupted) {
-            mOnInterrupted.accept(process);
+        boolean isFirst = signs.mStatusClockNanos == UNKNOWN_CLOCK_NANOS;
+        long advanceNanos = isFirst ? 0 : sign.clockNanos() - signs.mStatusClockNanos;
+        long elapsedNanos = nowNanos - signs.mStatusSentNanos;
+        boolean isSuspensionKnown = signs.mStatusSentNanos <= mSuspendedNanos;
+        signs.mStatusClockNanos = sign.clockNanos();
+        signs.mStatusSentNanos = sign.sentNanos();
+        signs.mFollows = sign.follows();
+        if (advanceNanos > ANSWER_VALID_NANOS) {
+            mListener.onInterrupted(sign.process());
+        }
+        if (!isSuspensionKnown && advanceNanos - elapsedNanos > SUSPENSION_NANOS) {
+            mListener.onSuspensionShown();
         }
     }
 
--- a/decisions/src/test/java/org/wagtailproxy/leadership/LifeSignsTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/LifeSignsTest.java
@@ -20,8 +20,9 @@
     private static final HomeProcess NEXT = process(2);
 
     private final List<HomeProcess> mInterrupted = new ArrayList<>();
-    private final LifeSigns mSigns = new LifeSigns(mInterrupted::add);
+    private final LifeSigns mSigns = new LifeSigns(new Events());
     private final long mNowNanos = 50 * TICK;
+    private int mSuspensionsShown;
 
     private static HomeProcess process(long number) {
         return new HomeProcess(InstanceName.of("home"), Incarnation.of(0, number));
@@ -61,7 +62,7 @@
     @Test
     void testHomeThatFollowsAnotherLeaderDoesNotWait() {
         answer(HOME, mNowNanos);
-        mSigns.recordProbe(HOME, Option.some(OTHER), mNowNanos + 1, mNowNanos + 1);
+        mSigns.recordProbe(sign(HOME, OTHER, mNowNanos + 1), mNowNanos + 1);
         assertThat(mSigns.isFollowing(HOME, SELF, mNowNanos + 1), is(false));
         assertThat(mSigns.isAlive(HOME, mNowNanos + 1), is(true));
         submit(HOME, mNowNanos + 2);
@@ -70,7 +71,7 @@
 
     @Test
     void testStatusThatWasOvertakenByALaterOneDoesNotCount() {
-        mSigns.recordProbe(HOME, Option.some(OTHER), mNowNanos + 2, mNowNanos + 2);
+        mSigns.recordProbe(sign(HOME, OTHER, mNowNanos + 2), mNowNanos + 2);
         answer(HOME, mNowNanos);
         assertThat(mSigns.isFollowing(HOME, SELF, mNowNanos + 2), is(false));
     }
@@ -123,17 +124,62 @@
         assertThat(mInterrupted, contains(HOME));
     }
 
+    @Test
+    void testSuspensionThatTheOwnClocksHideIsShownByAnotherClock() {
+        answerAtClock(0, mNowNanos);
+        answerAtClock(4 * TICK, mNowNanos + TICK);
+        assertThat(mSuspensionsShown, is(0));
+        answerAtClock(8 * TICK + TICK / 2 + 1, mNowNanos + 2 * TICK);
+        assertThat(mSuspensionsShown, is(1));
+        answerAtClock(9 * TICK, mNowNanos + 3 * TICK);
+        assertThat(mSuspensionsShown, is(1));
+    }
+
+    @Test
+    void testSuspensionThatIsKnownIsNotShownAgain() {
+        answerAtClock(0, mNowNanos);
+        mSigns.onSuspension(mNowNanos + 1);
+        answerAtClock(8 * TICK, mNowNanos + TICK);
+        assertThat(mSuspensionsShown, is(0));
+    }
+
+    @Test
+    void testSilenceOfAnotherProcessIsNoSuspension() {
+        answerAtClock(0, mNowNanos);
+        answerAtClock(30 * TICK, mNowNanos + 30 * TICK);
+        answerAtClock(31 * TICK, mNowNanos + 60 * TICK);
+        assertThat(mSuspensionsShown, is(0));
+    }
+
     /** Records an answer with the clock of the home, in nanoseconds after its first one. */
     private void answerAtClock(long clockNanos, long sentNanos) {
-        mSigns.recordAnswer(HOME, Option.some(SELF), 7 * TICK + clockNanos, sentNanos);
+        mSigns.recordAnswer(
+                new LifeSign(HOME, Option.some(SELF), 7 * TICK + clockNanos, sentNanos), sentNanos);
     }
 
     /** Records an answer that shows a follower of this leader. */
     private void answer(HomeProcess process, long sentNanos) {
-        mSigns.recordAnswer(process, Option.some(SELF), sentNanos, sentNanos);
+        mSigns.recordAnswer(sign(process, SELF, sentNanos), sentNanos);
+    }
+
+    private static LifeSign sign(HomeProcess process, InstanceName follows, long sentNanos) {
+        return new LifeSign(process, Option.some(follows), sentNanos, sentNanos);
     }
 
     private void submit(HomeProcess process, long sentNanos) {
         mSigns.recordSubmission(process, Option.some(SELF), sentNanos);
     }
+
+    private final class Events implements LifeSigns.Listener {
+
+        @Override
+        public void onInterrupted(HomeProcess process) {
+            mInterrupted.add(process);
+        }
+
+        @Override
+        public void onSuspensionShown() {
+            mSuspensionsShown++;
+        }
+    }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -4,7 +4,6 @@
 import io.vavr.control.Option;
 import java.io.Closeable;
 import java.io.IOException;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -15,8 +14,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wagtailproxy.fleet.ServerEntry;
-import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.leadership.HomeProcess;
+import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.leadership.LifeSigns;
 import org.wagtailproxy.observe.DispatchState;
@@ -28,10 +27,7 @@
 import org.wagtailproxy.scheduling.SchedulerState;
 import org.wagtailproxy.scheduling.SpillOver;
 import org.wagtailproxy.serve.EventLoop;
-import org.wagtailproxy.wire.Envelope;
 import org.wagtailproxy.wire.KeeperRecord;
-import org.wagtailproxy.wire.WorkAnswer;
-import org.wagtailproxy.wire.WorkForwarded;
 import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobCondition;
 import org.wagtailproxy.workload.JobId;
@@ -71,9 +67,6 @@
         default void onServerListDoubted() {}
     }
 
-    /** Timeout of a notification to another instance of this data centre. */
-    private static final Duration NOTICE_TIMEOUT = Duration.ofMillis(200);
-
     /**
      * Time without an answer of the store after which another instance should coordinate the stored
      * jobs.
@@ -113,7 +106,7 @@
         mListener = listener;
         PeerTransport client = mCloser.register(context.peerTransport());
         mDecisions = new DecisionLog(log, metrics);
-        LifeSigns lifeSigns = new LifeSigns(this::handOverJobsOf);
+        LifeSigns lifeSigns = new LifeSigns(new ClockEvents());
         mElection =
                 new LeaderElection(
                         settings, loop, client, mTokens, log, lifeSigns, new ElectionEvents());
@@ -161,7 +154,8 @@
                 spillOver,
                 mDecisions,
                 withdrawals,
-                this::notifyHome);
+                new ForwardingNotices(
+                        settings.home(), mLoop, mElection, client, this::markForwarded));
     }
 
     /** Starts what calls this object from the event loop; only once it is complete. */
@@ -510,34 +504,22 @@
         mForwarder.withdrawJobsOfLostHomes(other -> !other.equals(home));
     }
 
-    /**
-     * Informs the home instance of a job that the job runs in another data centre. The home answers
-     * with the leader that it waits for.
-     */
-    private void notifyHome(JobId job, HomeProcess home, Consumer<Boolean> informed) {
-        if (home.equals(mSettings.home())) {
-            informed.accept(mJobRelay.markForwarded(job).contains(mSettings.name()));
-            return;
+    private Option<InstanceName> markForwarded(JobId job) {
+        return mJobRelay.markForwarded(job);
+    }
+
+    /** Reacts to what the clocks of other processes show. */
+    private final class ClockEvents implements LifeSigns.Listener {
+
+        @Override
+        public void onInterrupted(HomeProcess process) {
+            handOverJobsOf(process);
         }
-        Option<HostAddress> address = mElection.address(home.name());
-        if (address.isEmpty()) {
-            mLoop.execute(() -> informed.accept(false));
-            return;
+
+        @Override
+        public void onSuspensionShown() {
+            mLeaderScheduler.onSuspensionShown();
         }
-        WorkForwarded.Builder message = WorkForwarded.newBuilder().setJob(job.value());
-        mClient.call(address.get(), Envelope.newBuilder().setWorkForwarded(message), NOTICE_TIMEOUT)
-                .thenAccept(
-                        answer ->
-                                mLoop.execute(
-                                        () ->
-                                                informed.accept(
-                                                        answer.exists(this::namesThisLeader))));
-    }
-
-    private boolean namesThisLeader(Envelope answer) {
-        return answer.hasWorkAnswer()
-                && answer.getWorkAnswer().getKind() == WorkAnswer.Kind.ACCEPTED
-                && answer.getWorkAnswer().getReason().equals(mSettings.name().value());
     }
 
     /** Applies the instances of the pool to the other parts of the dispatcher. */
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeMonitor.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeMonitor.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.wagtailproxy.leadership.HomeProcess;
 import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.leadership.LifeSign;
 import org.wagtailproxy.leadership.LifeSigns;
 import org.wagtailproxy.leadership.MessageAge;
 import org.wagtailproxy.serve.EventLoop;
@@ -49,15 +50,12 @@
      * @param isRemote true if the instance belongs to another pool
      */
     void onProbeReceived(Presence probe, boolean isRemote) {
-        HomeProcess process = PresenceMessages.process(probe, InstanceName.of(probe.getName()));
-        boolean wasLost = isRemote && mLifeSigns.wasLost(process, mLoop.nowNanos());
-        mLifeSigns.recordProbe(
-                process,
-                PresenceMessages.follows(probe),
-                probe.getClockNanos(),
-                mElection.sentNanos(probe));
+        InstanceName name = InstanceName.of(probe.getName());
+        LifeSign sign = PresenceMessages.lifeSign(probe, name, mElection.sentNanos(probe));
+        boolean wasLost = isRemote && mLifeSigns.wasLost(sign.process(), mLoop.nowNanos());
+        mLifeSigns.recordProbe(sign, mLoop.nowNanos());
         if (wasLost) {
-            mOnLost.accept(process);
+            mOnLost.accept(sign.process());
         }
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -463,10 +463,8 @@
         PeerTable.ContactChange contact =
                 mPeers.onAnswer(probe, presence.getSeniority(), mLoop.nowNanos());
         mLifeSigns.recordAnswer(
-                PresenceMessages.process(presence, probe.peer()),
-                PresenceMessages.follows(presence),
-                presence.getClockNanos(),
-                probe.sentNanos());
+                PresenceMessages.lifeSign(presence, probe.peer(), probe.sentNanos()),
+                mLoop.nowNanos());
         PresenceMessages.status(presence)
                 .map(status -> status.follows().filter(name -> !name.equals(mSettings.name())))
                 .forEach(follows -> mPeers.onFollowsAnswered(probe, follows));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -214,14 +214,23 @@
     private long now() {
         long nowNanos = mLoop.nowNanos();
         if (mSuspensionDetector.mayHaveBeenSuspended(nowNanos, mLoop.wallClockMillis())) {
-            mLastTickNanos = nowNanos - 2 * MAX_TICK_PAUSE_NANOS;
-            mSchedulers.values().forEach(ServiceScheduler::suspendPlacement);
-            mForwardersDoubted = true;
-            mListener.onPossibleSuspension();
+            onSuspension(nowNanos);
         }
         return nowNanos;
     }
 
+    private void onSuspension(long nowNanos) {
+        mLastTickNanos = nowNanos - 2 * MAX_TICK_PAUSE_NANOS;
+        mSchedulers.values().forEach(ServiceScheduler::suspendPlacement);
+        mForwardersDoubted = true;
+        mListener.onPossibleSuspension();
+    }
+
+    /** Reacts to a suspension of this machine that its own clocks do not show. */
+    void onSuspensionShown() {
+        onSuspension(mLoop.nowNanos());
+    }
+
     /** Ticks frequently, but only while there are jobs. */
     private void tickWhileBusy() {
         if (mTickScheduled || (mPendingJobs.isEmpty() && !mCoordinator.hasJobs())) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
@@ -6,6 +6,7 @@
 import org.wagtailproxy.identity.Names;
 import org.wagtailproxy.leadership.HomeProcess;
 import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.leadership.LifeSign;
 import org.wagtailproxy.leadership.PeerStatus;
 import org.wagtailproxy.peer.MessageConverter;
 import org.wagtailproxy.wire.Presence;
@@ -32,14 +33,18 @@
                                         presence.getClockNanos()));
     }
 
-    /** Returns the leader that an instance reports to follow, none if it has none. */
-    static Option<InstanceName> follows(Presence presence) {
-        return name(presence.getFollows());
-    }
-
-    /** Returns the process that reports its presence under a name. */
-    static HomeProcess process(Presence presence, InstanceName name) {
-        return process(name, presence.getIncarnation());
+    /**
+     * Returns the sign of life that a presence is.
+     *
+     * @param name the valid name of the instance
+     * @param sentNanos a monotonic time of this instance at or before which it was sent
+     */
+    static LifeSign lifeSign(Presence presence, InstanceName name, long sentNanos) {
+        return new LifeSign(
+                process(name, presence.getIncarnation()),
+                name(presence.getFollows()),
+                presence.getClockNanos(),
+                sentNanos);
     }
 
     /** Returns the process of an instance; one of an earlier build does not report it. */
