Compare the clocks of other processes over longer than one message

Cause: probes that were held while this machine was suspended are handled one after the other, 100 ms apart by the clock of the home, so no two of them show what has passed; they also hid that the home had heard nothing.

Change: the lead of each clock over the own one is known from answers and only a suspension raises it. What a home has heard is told by its answers alone. An answer of one process ends what the others of its name have shown before.

Result: three tests of LifeSignsTest failed before: held probes, the answer of the next process, and the suspension that is shown.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/LifeSigns.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/LifeSigns.java
@@ -37,9 +37,13 @@
     /** Time after which signs are forgotten; far above the time in which they are evidence. */
     private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    /** Advance of another clock over the own one that shows a suspension. */
-    private static final long SUSPENSION_NANOS =
-            TimeUnit.MILLISECONDS.toNanos(SuspensionDetector.SUSPENSION_THRESHOLD_MILLIS);
+    /** Advance of another clock over the own one that shows a suspension; two ticks. */
+    private static final long SUSPENSION_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    /** Time for which the lead of another clock is known; clocks differ in rate by far less. */
+    private static final long LEAD_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private static final long UNKNOWN_LEAD_NANOS = Long.MAX_VALUE / 2;
 
     private static final long NEVER_NANOS = Long.MIN_VALUE / 2;
 
@@ -64,8 +68,13 @@
         /** The clock of the process in the latest status that it has sent. */
         private long mStatusClockNanos = UNKNOWN_CLOCK_NANOS;
 
-        /** When that status was sent. */
-        private long mStatusSentNanos = NEVER_NANOS;
+        /** The clock of the process in its latest answer, when it has heard of this one. */
+        private long mAnswerClockNanos = UNKNOWN_CLOCK_NANOS;
+
+        /** The most by which its clock was ahead of the own one, since a time. */
+        private long mLeadNanos = UNKNOWN_LEAD_NANOS;
+
+        private long mLeadSinceNanos = NEVER_NANOS;
 
         private Option<InstanceName> mFollows = Option.none();
 
@@ -74,6 +83,12 @@
                     || nowNanos - mRequestedNanos <= REQUEST_VALID_NANOS;
         }
 
+        /** Lets no sign so far count any more. */
+        private void forget() {
+            mAnsweredNanos = NEVER_NANOS;
+            mRequestedNanos = NEVER_NANOS;
+        }
+
         private boolean isRetained(long nowNanos) {
             return nowNanos - mLatestNanos <= RETENTION_NANOS;
         }
@@ -115,7 +130,10 @@
         if (sign.sentNanos() >= mSuspendedNanos) {
             signs.mAnsweredNanos = Math.max(signs.mAnsweredNanos, sign.sentNanos());
         }
+        removeFormerProcesses(sign);
+        checkInterruption(signs, sign);
         updateStatus(signs, sign, nowNanos);
+        updateLead(signs, sign, nowNanos);
     }
 
     /**
@@ -155,21 +173,50 @@
         if (sign.clockNanos() < signs.mStatusClockNanos) {
             return;
         }
-        boolean isFirst = signs.mStatusClockNanos == UNKNOWN_CLOCK_NANOS;
-        long advanceNanos = isFirst ? 0 : sign.clockNanos() - signs.mStatusClockNanos;
-        long elapsedNanos = nowNanos - signs.mStatusSentNanos;
-        boolean isSuspensionKnown = signs.mStatusSentNanos <= mSuspendedNanos;
         signs.mStatusClockNanos = sign.clockNanos();
-        signs.mStatusSentNanos = sign.sentNanos();
         signs.mFollows = sign.follows();
-        if (advanceNanos > ANSWER_VALID_NANOS) {
-            mListener.onInterrupted(sign.process());
-        }
-        if (!isSuspensionKnown && advanceNanos - elapsedNanos > SUSPENSION_NANOS) {
+        // The clock was read before now, so its lead is at least this.
+        if (sign.clockNanos() - nowNanos > signs.mLeadNanos + SUSPENSION_NANOS) {
             mListener.onSuspensionShown();
         }
     }
 
+    /**
+     * Updates by how much the clock of a process is ahead of the own one, which only a suspension
+     * of this machine raises. It was read after the probe was sent, so its lead is at most this.
+     */
+    private static void updateLead(Signs signs, LifeSign answer, long nowNanos) {
+        long leadNanos = answer.clockNanos() - answer.sentNanos();
+        boolean isOld = nowNanos - signs.mLeadSinceNanos > LEAD_RETENTION_NANOS;
+        if (isOld || leadNanos < signs.mLeadNanos) {
+            signs.mLeadNanos = leadNanos;
+            signs.mLeadSinceNanos = nowNanos;
+        }
+    }
+
+    /** Checks how long a process has heard nothing of this one, by its own clock. */
+    private void checkInterruption(Signs signs, LifeSign answer) {
+        boolean isFirst = signs.mAnswerClockNanos == UNKNOWN_CLOCK_NANOS;
+        long silentNanos = isFirst ? 0 : answer.clockNanos() - signs.mAnswerClockNanos;
+        signs.mAnswerClockNanos = Math.max(signs.mAnswerClockNanos, answer.clockNanos());
+        if (silentNanos > ANSWER_VALID_NANOS) {
+            mListener.onInterrupted(answer.process());
+        }
+    }
+
+    /** An answer of one process shows that the others of the same instance are gone. */
+    private void removeFormerProcesses(LifeSign answer) {
+        mSigns.forEach(
+                (process, signs) -> {
+                    boolean isOther =
+                            process.name().equals(answer.process().name())
+                                    && !process.equals(answer.process());
+                    if (isOther && signs.mLatestNanos < answer.sentNanos()) {
+                        signs.forget();
+                    }
+                });
+    }
+
     private Signs signsOf(HomeProcess process) {
         return mSigns.computeIfAbsent(process, key -> new Signs());
     }
@@ -198,8 +245,8 @@
     public void onSuspension(long nowNanos) {
         mSuspendedNanos = nowNanos;
         for (Signs signs : mSigns.values()) {
-            signs.mAnsweredNanos = NEVER_NANOS;
-            signs.mRequestedNanos = NEVER_NANOS;
+            signs.forget();
+            signs.mLeadNanos = UNKNOWN_LEAD_NANOS;
         }
     }
 
--- a/decisions/src/test/java/org/wagtailproxy/leadership/LifeSignsTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/LifeSignsTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
 import io.vavr.control.Option;
@@ -127,14 +128,40 @@
     @Test
     void testSuspensionThatTheOwnClocksHideIsShownByAnotherClock() {
         answerAtClock(0, mNowNanos);
-        answerAtClock(4 * TICK, mNowNanos + TICK);
+        answerAtClock(3 * TICK, mNowNanos + TICK);
         assertThat(mSuspensionsShown, is(0));
-        answerAtClock(8 * TICK + TICK / 2 + 1, mNowNanos + 2 * TICK);
-        assertThat(mSuspensionsShown, is(1));
-        answerAtClock(9 * TICK, mNowNanos + 3 * TICK);
+        answerAtClock(4 * TICK + 1, mNowNanos + 2 * TICK);
         assertThat(mSuspensionsShown, is(1));
     }
 
+    @Test
+    void testProbesThatWereHeldInASuspensionDoNotHideThatTheHomeHeardNothing() {
+        answerAtClock(0, mNowNanos);
+        // Sent every 100 ms of the home, handled after the suspension, in which the clock stood.
+        for (int tick = 1; tick <= 15; tick++) {
+            long sentNanos = mNowNanos + tick;
+            mSigns.recordProbe(
+                    new LifeSign(HOME, Option.some(SELF), (7 + tick) * TICK, sentNanos), sentNanos);
+        }
+        assertThat(mSuspensionsShown, is(greaterThan(0)));
+        answerAtClock(16 * TICK, mNowNanos + 20);
+        assertThat(mInterrupted, contains(HOME));
+    }
+
+    @Test
+    void testAnswerOfNextProcessShowsThatTheFormerOneIsGone() {
+        answer(HOME, mNowNanos);
+        answer(NEXT, mNowNanos + TICK);
+        assertThat(mSigns.isFollowing(HOME, SELF, mNowNanos + TICK), is(false));
+    }
+
+    @Test
+    void testHeldUpAnswerOfFormerProcessKeepsTheNextOne() {
+        answer(NEXT, mNowNanos + TICK);
+        answer(HOME, mNowNanos);
+        assertThat(mSigns.isFollowing(NEXT, SELF, mNowNanos + TICK), is(true));
+    }
+
     @Test
     void testSuspensionThatIsKnownIsNotShownAgain() {
         answerAtClock(0, mNowNanos);
