Check homes before a forwarded job goes on after a suspension

What callers would see: a forwarder wakes and passes a job on to the next remote leader, before the homes have had time to answer, although they have given it up and their callers have sent it again. Found by the review, by reading.

Cause: whether a remote leader is confirmed was remembered over a suspension, and remote leaders were probed before the homes were checked.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -488,7 +488,8 @@
                 mPool.spansDataCentres() && mElection.isLeaderOfMajority(),
                 mStoredJobClient.mayHaveStoredJobs());
         boolean mayPlace = mElection.isLeader() && !mElection.hasUnconfirmedPeers();
-        if (mayPlace || mForwarder.openJobs() > 0) {
+        boolean forwards = mayPlace || mForwarder.openJobs() > 0;
+        if (forwards && !mElection.awaitsPeersAfterSuspension()) {
             // A remote leader withdraws the jobs of an instance that no longer probes it.
             mRemote.tick(mElection.presence());
         }
@@ -562,6 +563,7 @@
         @Override
         public void onPartitionHealed() {
             mLeaderScheduler.onPartitionHealed();
+            mRemote.doubtLeaders();
         }
 
         @Override
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
@@ -109,6 +109,11 @@
         Option.of(mTargets.get(dataCentre)).forEach(target -> target.mLeaderConfirmed = false);
     }
 
+    /** Doubts all leaders, since this instance may have heard of them long ago. */
+    void doubtLeaders() {
+        mTargets.values().forEach(target -> target.mLeaderConfirmed = false);
+    }
+
     void tick(Presence.Builder presence) {
         mTargets.forEach((dataCentre, target) -> sendProbe(dataCentre, target, presence));
     }
