Take whom a peer follows for as old as the probe that it answers

The proof that no peer leads counted an answer from when the last probe was sent. For a peer that was removed and restored meanwhile that is a later one than the answered one.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -222,10 +222,10 @@
             return;
         }
         if (!follows.contains(probe.peer())) {
-            state.mNotLeadingNanos = state.mProbedNanos;
+            state.mNotLeadingNanos = probe.sentNanos();
         }
         follows.filter(leader -> !mPeers.containsKey(leader))
-                .forEach(leader -> mUntrackedInstances.onFollowed(leader, state.mProbedNanos));
+                .forEach(leader -> mUntrackedInstances.onFollowed(leader, probe.sentNanos()));
     }
 
     /**
