Place nothing between the jobs that are handed over

A lost home's jobs are handed over one after the other, and each made room in which a task of the next one could be started, to be stopped at once. Found by the review, by reading.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -290,7 +290,8 @@
     }
 
     /**
-     * Stops a job so that another leader can continue it. No outcome is reported.
+     * Stops a job so that another leader can continue it. No outcome is reported, and nothing is
+     * placed before the next event, since other jobs of the same home may have to follow.
      *
      * @param id the job's id, not null
      * @param nowNanos the monotonic time in nanoseconds
@@ -304,7 +305,6 @@
         }
         WorkProgress progress = job.progress();
         endAndStopRuns(job, StoredJob.State.CANCELLED, nowNanos);
-        placeTasks(nowNanos);
         return progress;
     }
 
