Play a pool of eight instances beside the divided fleet

Change: -Dfleet.run.size=DIVIDED|POOLED chooses the fleet of the seeded test, and a second one plays six seeds of eight instances with suspensions and aimed faults. DividedFleetDuplicateRunTest is FleetDuplicateRunTest now.

--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/DividedFleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-class DividedFleetDuplicateRunTest {
+class FleetDuplicateRunTest {
 
     private static final long SIMULATED_MILLIS = 20_000;
 
@@ -17,6 +17,10 @@
     /** More seeds are run with -Dfleet.run.seeds=N. */
     private static final int SEEDS = Integer.getInteger("fleet.run.seeds", 6);
 
+    /** DIVIDED or POOLED, with -Dfleet.run.size=NAME. */
+    private static final FleetSimulation.Size SIZE =
+            FleetSimulation.sizeOf(System.getProperty("fleet.run.size", "DIVIDED"));
+
     private static final FleetFaults.Options PAUSES = new FleetFaults.Options(false, false);
 
     private static final FleetFaults.Options OPTIONS =
@@ -91,12 +95,21 @@
     }
 
     @Test
-    void testDividedFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
+    void testFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
+        checkSeeds(FIRST_SEED, SEEDS, SIZE, OPTIONS);
+    }
+
+    @Test
+    void testPooledFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
+        checkSeeds(1, 6, FleetSimulation.POOLED, new FleetFaults.Options(true, true));
+    }
+
+    private static void checkSeeds(
+            int first, int count, FleetSimulation.Size size, FleetFaults.Options options) {
         List<String> reports = new ArrayList<>();
         int remoteStarts = 0;
-        for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-            FleetSimulation simulation =
-                    new FleetSimulation(seed, FleetSimulation.DIVIDED, OPTIONS);
+        for (int seed = first; seed < first + count; seed++) {
+            FleetSimulation simulation = new FleetSimulation(seed, size, options);
             simulation.run(SIMULATED_MILLIS);
             printTrace(simulation);
             if (!simulation.report().isEmpty()) {
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
@@ -44,6 +44,14 @@
     /** The data centres of a fleet, and how many instances each of them has. */
     record Size(List<String> dataCentres, int instancesPerDataCentre) {}
 
+    static Size sizeOf(String name) {
+        return switch (name) {
+            case "DIVIDED" -> DIVIDED;
+            case "POOLED" -> POOLED;
+            default -> throw new IllegalArgumentException("no size of a fleet: " + name);
+        };
+    }
+
     FleetSimulation(long seed, Size size, FleetFaults.Options options) {
         mTime = new VirtualTime(seed);
         mNetwork = new SimulatedNetwork(mTime);
