Draw changes of the fleet and of its clocks in the seeded fleet

Cause: of the disruptions of an undivided pool, the seeded fleet lacked added and replaced instances, freezes at the begin of a renewal or a leadership, steps of the time of day, suspensions that it hides, and short ones in a row. A pause within a suspension was noted but dropped.

Change: FleetChanges draws them with -Dfleet.run.changes=true, and in the seeded test of the pool. With it, a pause in a suspension prolongs it. Without it, such pauses are left out as before and the trace says so, so that the pinned seeds keep their draws.

--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
@@ -25,7 +25,9 @@
 
     private static final FleetFaults.Options OPTIONS =
             new FleetFaults.Options(
-                    Boolean.getBoolean("fleet.run.suspends"), Boolean.getBoolean("fleet.run.aims"));
+                    Boolean.getBoolean("fleet.run.suspends"),
+                    Boolean.getBoolean("fleet.run.aims"),
+                    Boolean.getBoolean("fleet.run.changes"));
 
     /** Prints the whole trace of each seed, or the lines that contain one of some words. */
     private static final String TRACE = System.getProperty("fleet.run.trace");
@@ -101,7 +103,7 @@
 
     @Test
     void testPooledFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
-        checkSeeds(1, 6, FleetSimulation.POOLED, new FleetFaults.Options(true, true));
+        checkSeeds(1, 6, FleetSimulation.POOLED, new FleetFaults.Options(true, true, true));
     }
 
     private static void checkSeeds(
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
@@ -24,6 +24,7 @@
     private final Options mOptions;
     private final VirtualTime mTime;
     private final List<String> mDataCentres;
+    private final FleetChanges mChanges;
     private final long mMeanIntervalMillis;
 
     /**
@@ -31,14 +32,22 @@
      *
      * @param suspends true if pauses stop the monotonic clock as well
      * @param aimsAtForwarders true if leaders that forward jobs are hit more often
+     * @param changes true if the fleet and its clocks change as {@link FleetChanges} draws it, and
+     *     if a pause that begins in another one prolongs it
      */
-    record Options(boolean suspends, boolean aimsAtForwarders) {}
+    record Options(boolean suspends, boolean aimsAtForwarders, boolean changes) {
+
+        Options(boolean suspends, boolean aimsAtForwarders) {
+            this(suspends, aimsAtForwarders, false);
+        }
+    }
 
     FleetFaults(FleetSimulation fleet, List<String> dataCentres, Options options) {
         mFleet = fleet;
         mOptions = options;
         mTime = fleet.mTime;
         mDataCentres = dataCentres;
+        mChanges = new FleetChanges(fleet, this, dataCentres);
         mMeanIntervalMillis = mTime.between(100, 1000);
     }
 
@@ -57,6 +66,10 @@
         SimulatedInstance leader = leaders.isEmpty() ? any : mTime.oneOf(leaders);
         SimulatedInstance target = mTime.chance(0.5) ? leader : any;
         SimulatedInstance other = mTime.chance(0.5) ? leader : mTime.oneOf(up);
+        if (mOptions.changes() && mTime.chance(0.4)) {
+            mChanges.draw(leader, target);
+            return;
+        }
         List<Runnable> faults =
                 List.of(
                         () -> kill(target),
@@ -95,23 +108,23 @@
         }
     }
 
-    private static void ifUp(SimulatedInstance instance, Runnable fault) {
+    static void ifUp(SimulatedInstance instance, Runnable fault) {
         if (instance.isUp()) {
             fault.run();
         }
     }
 
-    private void note(String text) {
+    void note(String text) {
         mTime.note("fault: " + text);
     }
 
-    private void kill(SimulatedInstance instance) {
+    void kill(SimulatedInstance instance) {
         instance.kill();
         long downMillis = mTime.chance(0.5) ? mTime.between(50, 800) : mTime.between(800, 8000);
         mTime.after(downMillis, instance::start);
     }
 
-    private void killSuccessiveLeaders(SimulatedInstance first) {
+    void killSuccessiveLeaders(SimulatedInstance first) {
         kill(first);
         for (int number = 0; number < 2; number++) {
             mTime.after(
@@ -141,6 +154,11 @@
 
     private void pause(SimulatedInstance instance) {
         long millis = mTime.between(100, 2500);
+        // Older seeds were drawn for a fleet that leaves out such pauses.
+        if (mOptions.suspends() && !mOptions.changes() && instance.process().isPaused()) {
+            note(instance.mHost.name() + " is paused already");
+            return;
+        }
         note(instance.mHost.name() + " pauses for " + millis + " ms");
         if (mOptions.suspends()) {
             instance.process().suspend(millis);
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.wagtailproxy.fleet.EndKind;
 import org.wagtailproxy.fleet.ServerId;
 import org.wagtailproxy.workload.JobId;
@@ -38,6 +39,7 @@
     private final Set<TaskId> mDone = new HashSet<>();
     private final Set<JobId> mStartedJobs = new HashSet<>();
     private final List<String> mWords = new ArrayList<>();
+    private Consumer<SimulatedInstance> mOnNextLeader;
     int mStarts;
     int mRemoteStarts;
 
@@ -66,16 +68,7 @@
         }
         for (int number = 1; number <= size.instancesPerDataCentre(); number++) {
             for (String dataCentre : size.dataCentres()) {
-                String name = "front-" + dataCentre + "-" + number;
-                SimulatedInstance instance =
-                        new SimulatedInstance(
-                                mTime,
-                                mNetwork,
-                                mStore,
-                                mServers,
-                                mInstances,
-                                new SimulatedNetwork.Host(name, dataCentre));
-                mInstances.put(name, instance);
+                SimulatedInstance instance = addInstance(dataCentre);
                 mTime.after(mTime.between(0, 1500), instance::start);
             }
         }
@@ -83,6 +76,40 @@
         new FleetFaults(this, size.dataCentres(), options).schedule();
     }
 
+    /** Adds an instance of the next name, which is still to be started. */
+    SimulatedInstance addInstance(String dataCentre) {
+        int number =
+                1
+                        + Math.toIntExact(
+                                mInstances.values().stream()
+                                        .filter(each -> each.mHost.dataCentre().equals(dataCentre))
+                                        .count());
+        String name = "front-" + dataCentre + "-" + number;
+        SimulatedInstance instance =
+                new SimulatedInstance(
+                        mTime,
+                        mNetwork,
+                        mStore,
+                        mServers,
+                        mInstances,
+                        new SimulatedNetwork.Host(name, dataCentre));
+        mInstances.put(name, instance);
+        instance.onLeader(
+                () -> {
+                    Consumer<SimulatedInstance> work = mOnNextLeader;
+                    mOnNextLeader = null;
+                    if (work != null) {
+                        work.accept(instance);
+                    }
+                });
+        return instance;
+    }
+
+    /** Sets what is run with the next instance that becomes leader, or null for nothing. */
+    void onNextLeader(Consumer<SimulatedInstance> work) {
+        mOnNextLeader = work;
+    }
+
     void list(SimulatedServer server) {
         mStore.put(
                 SimulatedInstance.SERVERS_PREFIX + server.mId,
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCallers.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCallers.java
@@ -81,6 +81,7 @@
         List<SimulatedInstance> homes =
                 mFleet.mInstances.values().stream()
                         .filter(each -> each.mHost.dataCentre().equals(job.mDataCentre))
+                        .filter(each -> !each.isRetired())
                         .toList();
         SimulatedInstance home = mTime.oneOf(homes);
         if (!home.isUp() || !home.dispatcher().hasLeader()) {
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
@@ -42,6 +42,8 @@
     private final Map<String, SimulatedInstance> mInstances;
     private Life mLife;
     private int mLives;
+    private boolean mRetired;
+    private Runnable mOnLeader = () -> {};
 
     SimulatedInstance(
             VirtualTime time,
@@ -77,7 +79,7 @@
     }
 
     void start() {
-        if (!isUp()) {
+        if (!isUp() && !mRetired) {
             mLives++;
             mTime.note(mHost.name() + " starts");
             mLife = new Life();
@@ -95,6 +97,21 @@
         }
     }
 
+    /** Ends the instance for good. */
+    void retire() {
+        mRetired = true;
+        kill();
+    }
+
+    boolean isRetired() {
+        return mRetired;
+    }
+
+    /** Sets what is run whenever the instance becomes leader. */
+    void onLeader(Runnable work) {
+        mOnLeader = work;
+    }
+
     private InstanceRecord instanceRecord(long seniority) {
         return new InstanceRecord(
                 InstanceName.of(mHost.name()),
@@ -193,6 +210,7 @@
 
         @Override
         public void onBecameLeader() {
+            mOnLeader.run();
             if (mServersMirror != null) {
                 mServersMirror.refreshNow();
             }
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedProcess.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedProcess.java
@@ -18,6 +18,7 @@
     /** Time by which suspensions have put the monotonic clock back. */
     private long mSuspendedNanos;
 
+    private long mWallClockStepMillis;
     private long mSuspensionStartNanos;
     private long mSuspensionEndNanos;
     private final List<Runnable> mKillListeners = new ArrayList<>();
@@ -52,17 +53,29 @@
                         mTime.nowNanos() + TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
-    /** Pauses the process without the monotonic clock, as a suspended machine does. */
+    /**
+     * Pauses the process without the monotonic clock, as a suspended machine does. Prolongs a
+     * suspension that goes on.
+     */
     void suspend(long millis) {
-        if (mTime.nowNanos() < Math.max(mPausedUntilNanos, mSuspensionEndNanos)) {
-            return;
+        long endNanos = mTime.nowNanos() + TimeUnit.MILLISECONDS.toNanos(millis);
+        lostNanos();
+        if (mSuspensionEndNanos == 0) {
+            mSuspensionStartNanos = mTime.nowNanos();
         }
-        mSuspensionStartNanos = mTime.nowNanos();
-        mSuspensionEndNanos = mSuspensionStartNanos + TimeUnit.MILLISECONDS.toNanos(millis);
-        mPausedUntilNanos = mSuspensionEndNanos;
+        mSuspensionEndNanos = Math.max(mSuspensionEndNanos, endNanos);
+        mPausedUntilNanos = Math.max(mPausedUntilNanos, mSuspensionEndNanos);
         mTime.at(mSuspensionEndNanos, () -> {});
     }
 
+    boolean isPaused() {
+        return mTime.nowNanos() < mPausedUntilNanos;
+    }
+
+    void stepTimeOfDay(long millis) {
+        mWallClockStepMillis += millis;
+    }
+
     private long lostNanos() {
         if (mSuspensionEndNanos > 0 && mTime.nowNanos() >= mSuspensionEndNanos) {
             mSuspendedNanos += mSuspensionEndNanos - mSuspensionStartNanos;
@@ -149,6 +162,6 @@
 
     @Override
     public long wallClockMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(mTime.nowNanos());
+        return TimeUnit.NANOSECONDS.toMillis(mTime.nowNanos()) + mWallClockStepMillis;
     }
 }
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedStore.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedStore.java
@@ -31,6 +31,7 @@
     private final Map<Long, Long> mLeaseEndNanos = new HashMap<>();
     private final Map<Long, Long> mLeaseMillis = new HashMap<>();
     private final List<Runnable> mWatches = new ArrayList<>();
+    private final Map<SimulatedProcess, Runnable> mOnRenewals = new HashMap<>();
     private long mRevision = 100;
     private long mNextLease = 1;
     boolean mDown;
@@ -63,6 +64,11 @@
         }
     }
 
+    /** Runs work once a process asks for the next renewal of its lease. */
+    void onNextRenewal(SimulatedProcess process, Runnable work) {
+        mOnRenewals.put(process, work);
+    }
+
     /** Ends all leases, as an outage may do. */
     void expireLeases() {
         for (String key : new TreeSet<>(mLeaseOfItem.keySet())) {
@@ -286,6 +292,10 @@
 
         @Override
         public void renewLease(long lease, Consumer<Either<StoreFailure, Long>> callback) {
+            Runnable work = mOnRenewals.remove(mProcess);
+            if (work != null) {
+                work.run();
+            }
             call(
                     () -> {
                         if (!mLeaseEndNanos.containsKey(lease)) {
