Adopt reported runs before tasks are placed

Cause: a leader tracks run 1 of a task and is suspended from 2.762 s on. Another leader starts run 18 at 4.022 s, after the caller has sent the job again. The first one wakes at 4.781 s, is followed and gets the job handed over; the poll of the server, the evidence that releases the job, reports run 18. It was not adopted, as the task was still placed as run 1; the same report then showed that run 1 was over, and the waiting task was started as run 19 in the same event. Reported runs were offered to jobs only with a report or a submission. The same happens if the tracked run and the reported one are on two servers.

Change: reported runs are offered whenever tasks are placed, so the end of a tracked run cannot come between.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -179,7 +179,6 @@
         if (job.isInherited()) {
             mServers.all().forEach(BackendServer::requestPoll);
         }
-        mServers.all().forEach(server -> server.adoptOrphans(nowNanos));
         placeTasks(nowNanos);
     }
 
@@ -505,6 +504,8 @@
      * tick, which first detects whether another leader has taken over.
      */
     void placeTasks(long nowNanos) {
+        // A run that was reported while another one of its task was tracked is found here.
+        mServers.all().forEach(server -> server.adoptOrphans(nowNanos));
         if (nowNanos - mLastTickNanos > MAX_TICK_PAUSE_MILLIS * NANOS_PER_MILLI) {
             return;
         }
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/OrphanedRunsTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/OrphanedRunsTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
@@ -65,4 +66,22 @@
         assertThat(progress.highestAttempt(), is(greaterThanOrEqualTo(65)));
         assertThat(mSimulation.mStarts, is(0));
     }
+
+    @Test
+    void testRunThatIsReportedWhileAnEarlierOneIsTrackedIsAdopted() {
+        ServerSimulation.SimulatedServer server = mSimulation.add("s0", 1, 32_000);
+        server.mWorkMillis = 2000;
+        mSimulation.run(100);
+        JobId job = new JobId("0000000000000001");
+        submit(job.value());
+        mSimulation.run(50);
+        mSimulation.add("s1", 1, 32_000).mWorkMillis = 2000;
+        mSimulation.run(100);
+        server.mRunning.clear();
+        server.addRunOfEarlierLeader(server.mToken + 1, job, 18);
+        submit(job.value(), WorkProgress.of(List.of(), 18).runningOnlyOn(Set.of(server.mId)));
+        mSimulation.run(600);
+        assertThat(mSimulation.mViolations, is(empty()));
+        assertThat(mSimulation.mStarts, is(2));
+    }
 }
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
@@ -96,6 +96,15 @@
         assertThat(simulation.report(), is(""));
     }
 
+    @Test
+    void testWokenLeaderAdoptsRunThatWasReportedWhileItTrackedAnEarlierOne() {
+        FleetSimulation simulation =
+                new FleetSimulation(
+                        60022, FleetSimulation.DIVIDED, new FleetFaults.Options(true, true));
+        simulation.run(SIMULATED_MILLIS);
+        assertThat(simulation.report(), is(""));
+    }
+
     @Test
     void testFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
         checkSeeds(FIRST_SEED, SEEDS, SIZE, OPTIONS);
