Withdraw jobs from leaders that refuse only their latest submission

Cause: a home passes a job to its leader for the second time at 12.102 s; the leader keeps it for the 2.4 s in which leases expire and is suspended meanwhile. The home passes it twice more. The leader wakes at 14.140 s and returns these two submissions as outdated, while it has the job from the second one. The home took the return for a hand-over and forgot the leader. Its caller left 6 ms later, and the job was withdrawn from nobody; the leader started it at 15.750 s, as the home was alive, while the caller had sent it again.

Change: after a return, a job that was submitted more than once keeps the former leader, from which it is withdrawn as from one that was given up: when the next one gets the job, or when the caller leaves. Withdrawals of jobs that the leader no longer has were harmless before. A job that was submitted once needs none.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -369,7 +369,9 @@
                 former != null
                         && mElection.leader().exists(next -> next.name().equals(former.name()));
         job.mLeader = null;
-        job.mFormerLeader = null;
+        // It may have refused the latest submission only and still have the job from an earlier
+        // one.
+        job.mFormerLeader = job.mSubmissionCount > 1 ? former : null;
         job.mForwarded = false;
         WorkProgress handedOver = result.getLeft();
         DataCentreScope scope = handedOver.scope().union(job.mLeaderScope);
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
@@ -105,6 +105,15 @@
         assertThat(simulation.report(), is(""));
     }
 
+    @Test
+    void testJobIsWithdrawnFromLeaderThatHasRefusedItsLatestSubmissionOnly() {
+        FleetSimulation simulation =
+                new FleetSimulation(
+                        60029, FleetSimulation.DIVIDED, new FleetFaults.Options(true, true));
+        simulation.run(SIMULATED_MILLIS);
+        assertThat(simulation.report(), is(""));
+    }
+
     @Test
     void testFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
         checkSeeds(FIRST_SEED, SEEDS, SIZE, OPTIONS);
