Tell the attempts of a reported run apart

A run that a server reports for a task was kept as the one that was known before, though its attempt was another one, and the end of one attempt removed the report of another. The task was then adopted with the number of a run that was over.

OrphanedRunsTest.testLaterAttemptOfTaskReplacesTheKnownOne holds; it needs the attempt in remove() and does not compile without.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/OrphanedRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/OrphanedRuns.java
@@ -15,7 +15,12 @@
     private final Map<TaskId, Orphan> mRuns = new HashMap<>();
 
     /** A run and when it was first reported or last returned as overdue. */
-    private record Orphan(RunReport report, long sinceNanos) {}
+    private record Orphan(RunReport report, long sinceNanos) {
+
+        private boolean isAttempt(int attempt) {
+            return report.attempt() == attempt;
+        }
+    }
 
     boolean isEmpty() {
         return mRuns.isEmpty();
@@ -25,8 +30,8 @@
         mRuns.clear();
     }
 
-    void remove(TaskId task) {
-        mRuns.remove(task);
+    void remove(TaskId task, int attempt) {
+        mRuns.computeIfPresent(task, (id, run) -> run.isAttempt(attempt) ? null : run);
     }
 
     /** Replaces the runs by those of the newest report. Known runs keep their time. */
@@ -34,7 +39,8 @@
         Map<TaskId, Orphan> runs = new HashMap<>();
         for (RunReport report : listed) {
             Orphan known = mRuns.get(report.task());
-            runs.put(report.task(), known != null ? known : new Orphan(report, nowNanos));
+            boolean isKnown = known != null && known.isAttempt(report.attempt());
+            runs.put(report.task(), isKnown ? known : new Orphan(report, nowNanos));
         }
         mRuns.clear();
         mRuns.putAll(runs);
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
@@ -246,7 +246,7 @@
         if (!mEnds.markProcessed(end)) {
             return;
         }
-        mOrphans.remove(end.task());
+        mOrphans.remove(end.task(), end.attempt());
         onCheckpoint(end.task(), end.checkpoint());
         ServerRun run = find(end.task(), end.attempt());
         if (run == null) {
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/OrphanedRunsTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/OrphanedRunsTest.java
@@ -1,17 +1,21 @@
 package org.wagtailproxy.scheduling;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wagtailproxy.fleet.RunReport;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
 import org.wagtailproxy.workload.ResourceAmount;
 import org.wagtailproxy.workload.StepSpec;
+import org.wagtailproxy.workload.TaskId;
 import org.wagtailproxy.workload.WorkProgress;
 import org.wagtailproxy.workload.WorkSpec;
 
@@ -38,6 +42,19 @@
         mSimulation.flush();
     }
 
+    @Test
+    void testLaterAttemptOfTaskReplacesTheKnownOne() {
+        TaskId task = TaskId.of(new JobId("0000000000000001"), 0, 0);
+        OrphanedRuns runs = new OrphanedRuns();
+        runs.update(List.of(new RunReport(task, 1, 0, "")), 1);
+        runs.update(List.of(new RunReport(task, 18, 0, "")), 2);
+        runs.remove(task, 1);
+        List<Integer> offered = new ArrayList<>();
+        runs.offer((report, sinceNanos) -> offered.add(report.attempt()));
+        assertThat(offered, contains(18));
+        assertThat(runs.isEmpty(), is(true));
+    }
+
     @Test
     void testServerWhoseOrphanedRunsAreBeingStoppedGetsNoTaskBeforeTheyHaveEnded() {
         mSimulation.add("s0", 1, 32_000).mWorkMillis = 5000;
