--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -19,18 +19,12 @@
 import org.wagtailproxy.leadership.SuspensionDetector;
 import org.wagtailproxy.scheduling.ClaimMode;
 import org.wagtailproxy.scheduling.FencingTokenSource;
-import org.wagtailproxy.scheduling.FoundEndTreatment;
-import org.wagtailproxy.scheduling.InheritedJobEvidence;
 import org.wagtailproxy.scheduling.JobPhase;
-import org.wagtailproxy.scheduling.RunEnd;
-import org.wagtailproxy.scheduling.SchedulerListener;
 import org.wagtailproxy.scheduling.SchedulerState;
 import org.wagtailproxy.scheduling.ServiceScheduler;
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobId;
-import org.wagtailproxy.workload.StoredJob;
-import org.wagtailproxy.workload.TaskId;
 import org.wagtailproxy.workload.WorkOutcome;
 import org.wagtailproxy.workload.WorkProgress;
 import org.wagtailproxy.workload.WorkSpec;
@@ -68,6 +62,7 @@
     private final StoredJobCoordinator mCoordinator;
     private final Map<ServiceName, ServiceScheduler> mSchedulers = new TreeMap<>();
     private final Map<JobId, PendingJob> mPendingJobs = new HashMap<>();
+    private final SchedulerEvents mSchedulerEvents;
     private Collection<ServerEntry> mServers = List.of();
     private DataCentreScope mScope = DataCentreScope.ALL;
     private boolean mTickScheduled;
@@ -106,6 +101,8 @@
         mHomes = homes;
         mSuspensionDetector = new SuspensionDetector(mLoop.nowNanos(), mLoop.wallClockMillis());
         mCoordinator = coordinator.apply(new StoredJobSchedulers());
+        mSchedulerEvents =
+                new SchedulerEvents(log, mPendingJobs, mCoordinator, this::now, this::onServerLost);
     }
 
     StoredJobCoordinator coordinator() {
@@ -459,7 +456,7 @@
                                     mSettings.timing(),
                                     mTokens,
                                     mSettings.tuning(),
-                                    new SchedulerEvents());
+                                    mSchedulerEvents);
                     scheduler.updateScope(mScope);
                     updateServersOf(name, scheduler);
                     scheduler.assumeIncompleteServerList(mServersIncompleteUntilNanos);
@@ -482,6 +479,10 @@
         scheduler.updateClaims(mClaimModes);
     }
 
+    private void onServerLost(ServerId server) {
+        mServers.stream().filter(entry -> entry.id().equals(server)).forEach(mListener::onFenced);
+    }
+
     private void sendCommands() {
         for (ServiceScheduler scheduler : mSchedulers.values()) {
             for (ServerCommand command : scheduler.takeCommands()) {
@@ -516,80 +517,4 @@
             tickWhileBusy();
         }
     }
-
-    /**
-     * Logs the events of the schedulers and returns outcomes to the home instances that wait for
-     * them.
-     */
-    private final class SchedulerEvents implements SchedulerListener {
-
-        @Override
-        public void jobEnded(JobId job, WorkOutcome outcome) {
-            PendingJob pendingJob = mPendingJobs.remove(job);
-            mLog.jobEnded(job, outcome, pendingJob == null || pendingJob.isPastObjective(now()));
-            if (pendingJob != null) {
-                pendingJob.homes().values().forEach(home -> home.accept(Either.right(outcome)));
-            }
-        }
-
-        @Override
-        public void storedJobChanged(StoredJob job, long changeNumber) {
-            mCoordinator.onJobChanged(job, changeNumber);
-        }
-
-        @Override
-        public void inheritedJobReleased(
-                JobId job, InheritedJobEvidence evidence, long waitedMillis) {
-            mLog.inheritedJobReleased(job, evidence, waitedMillis);
-        }
-
-        @Override
-        public void taskPlaced(TaskId task, int attempt, ServerId server, long expectedMillis) {
-            PendingJob pendingJob = mPendingJobs.get(task.job());
-            if (pendingJob != null && pendingJob.markStarted()) {
-                long waitedNanos = now() - pendingJob.arrivedNanos();
-                mLog.jobStarted(pendingJob.priority(), TimeUnit.NANOSECONDS.toMillis(waitedNanos));
-            }
-            mLog.taskPlaced(task, attempt, server, expectedMillis, pendingJob != null);
-        }
-
-        @Override
-        public void runEnded(
-                TaskId task,
-                int attempt,
-                ServerId server,
-                RunEnd end,
-                long tookMillis,
-                long estimateMillis) {
-            boolean endLogged = mPendingJobs.containsKey(task.job());
-            mLog.runEnded(task, attempt, server, end, tookMillis, estimateMillis, endLogged);
-        }
-
-        @Override
-        public void storedRunEndFound(
-                TaskId task,
-                int attempt,
-                ServerId server,
-                RunEnd end,
-                FoundEndTreatment treatment) {
-            mLog.storedRunEndFound(task, attempt, server, end, treatment);
-        }
-
-        @Override
-        public void serverRestarted(ServerId server, long startedMillis) {
-            mLog.serverRestarted(server, startedMillis);
-        }
-
-        @Override
-        public void serverClaimChanged(ServerId server, boolean held, long token) {
-            mLog.serverClaimChanged(server, held, token);
-            if (!held) {
-                for (ServerEntry entry : mServers) {
-                    if (entry.id().equals(server)) {
-                        mListener.onFenced(entry);
-                    }
-                }
-            }
-        }
-    }
 }
