Check homes before an answer of a server places tasks

A caller whose instance is lost sends its job again, and the first leader could still start tasks of it.

Cause: homes are checked in each tick, every 20 ms while there are jobs. A process that is busy or was paused for up to 350 ms handles answers of servers, submissions and withdrawals before its late tick, and each of them places waiting tasks, also those of a home that has been lost meanwhile.

Change: an event that may place tasks checks the homes first if the last check is older than two ticks, unless this machine may have been suspended: then the tick waits for the peers, and nothing is placed before it.

Result: LeaderSchedulerTest.testAnswerThatIsHandledLatePlacesNoTaskOfLostHome plays a leader of four instances that is paused for 300 ms while a home is lost. FleetSimulation can play a fleet without drawn faults for it.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -45,6 +45,10 @@
     private static final long MAX_TICK_PAUSE_NANOS =
             TimeUnit.MILLISECONDS.toNanos(ServiceScheduler.MAX_TICK_PAUSE_MILLIS);
 
+    /** Time after which homes are checked again before tasks are placed; two ticks. */
+    private static final long HOMES_CHECKED_VALID_NANOS =
+            TimeUnit.MILLISECONDS.toNanos(2 * BUSY_TICK_MILLIS);
+
     /**
      * Time after a network partition has healed, or the pool has changed, in which jobs arrive from
      * the other side and backend servers are listed again.
@@ -74,6 +78,7 @@
     private long mServersTrackedSinceNanos = Long.MAX_VALUE / 2;
     private long mServersIncompleteUntilNanos = Long.MIN_VALUE;
     private long mLastTickNanos;
+    private long mHomesCheckedNanos = Long.MIN_VALUE / 2;
 
     /** Whether forwarders may have been silent while this machine was suspended. */
     private boolean mForwardersDoubted;
@@ -93,7 +98,8 @@
         mSettings = settings;
         mLoop = context.loop();
         mCommandSender =
-                new CommandSender(context.commandTransport(), log, this::now, this::sendCommands);
+                new CommandSender(
+                        context.commandTransport(), log, this::nowForPlacement, this::sendCommands);
         mTokens = tokens;
         mLog = log;
         mForwarder = forwarder;
@@ -173,7 +179,7 @@
             HomeProcess home,
             boolean mayForward,
             Consumer<Either<WorkProgress, WorkOutcome>> answer) {
-        long nowNanos = now();
+        long nowNanos = nowForPlacement();
         if (spec.isStored()) {
             mCoordinator.submit(spec, arrivedNanos, answer);
             return;
@@ -216,6 +222,19 @@
         return nowNanos;
     }
 
+    /**
+     * Returns the monotonic time for an event that may place tasks. Hands the jobs of lost homes
+     * over first if they have not been checked lately, as a busy process ticks late.
+     */
+    private long nowForPlacement() {
+        long nowNanos = now();
+        boolean isDue = nowNanos - mHomesCheckedNanos > HOMES_CHECKED_VALID_NANOS;
+        if (isDue && !mListener.hasUnconfirmedPeers()) {
+            handOverJobsOfLostHomes();
+        }
+        return nowNanos;
+    }
+
     private void onSuspension(long nowNanos) {
         mLastTickNanos = nowNanos - 2 * MAX_TICK_PAUSE_NANOS;
         mSchedulers.values().forEach(ServiceScheduler::suspendPlacement);
@@ -312,7 +331,7 @@
         if (pendingJob.homes().isEmpty()) {
             mPendingJobs.remove(job);
             mLog.jobWithdrawn(job, home.name());
-            scheduler(pendingJob.service()).withdraw(job, now());
+            scheduler(pendingJob.service()).withdraw(job, nowForPlacement());
             sendCommands();
         }
     }
@@ -328,7 +347,7 @@
         if (pendingJob == null) {
             return mForwarder.cancel(job);
         }
-        scheduler(pendingJob.service()).withdraw(job, now());
+        scheduler(pendingJob.service()).withdraw(job, nowForPlacement());
         sendCommands();
         WorkOutcome outcome = WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "cancelled");
         mLog.jobEnded(job, outcome, true);
@@ -344,6 +363,7 @@
     void handOverJobsOfLostHomes() {
         boolean forwardersDoubted = mForwardersDoubted;
         mForwardersDoubted = false;
+        mHomesCheckedNanos = mLoop.nowNanos();
         handOverJobs(
                 (job, home) ->
                         job.isForwarder(home)
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
@@ -55,6 +55,12 @@
     }
 
     FleetSimulation(long seed, Size size, FleetFaults.Options options) {
+        this(seed, size);
+        new FleetFaults(this, size.dataCentres(), options).schedule();
+    }
+
+    /** Creates a fleet without faults, whose callers only send jobs if {@link #run} is called. */
+    FleetSimulation(long seed, Size size) {
         mTime = new VirtualTime(seed);
         mNetwork = new SimulatedNetwork(mTime);
         mStore = new SimulatedStore(mTime, mNetwork);
@@ -73,7 +79,6 @@
             }
         }
         mCallers = new SimulatedCallers(this, size.dataCentres());
-        new FleetFaults(this, size.dataCentres(), options).schedule();
     }
 
     /** Adds an instance of the next name, which is still to be started. */
@@ -139,7 +144,7 @@
         mStarts++;
         mStartedJobs.add(task.job());
         String dataCentre = server.mHost.dataCentre();
-        if (!mCallers.homesDataCentre(task.job()).equals(dataCentre)) {
+        if (mCallers.isRemote(task.job(), dataCentre)) {
             mRemoteStarts++;
         }
         mTime.note(server.mId + " starts " + task + " " + run);
--- /dev/null
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/LeaderSchedulerTest.java
@@ -0,0 +1,70 @@
+package org.wagtailproxy.dispatcher;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wagtailproxy.workload.JobId;
+import org.wagtailproxy.workload.QueueTerms;
+import org.wagtailproxy.workload.StepSpec;
+import org.wagtailproxy.workload.WorkOutcome;
+import org.wagtailproxy.workload.WorkSpec;
+
+class LeaderSchedulerTest {
+
+    private static final long READY_MILLIS = 4000;
+
+    private final FleetSimulation mFleet =
+            new FleetSimulation(1, new FleetSimulation.Size(List.of("pwani-a"), 4));
+    private final List<WorkOutcome.Kind> mOutcomes = new ArrayList<>();
+
+    @Test
+    void testAnswerThatIsHandledLatePlacesNoTaskOfLostHome() {
+        mFleet.mTime.run(READY_MILLIS);
+        SimulatedInstance home = followers().get(0);
+        submit(job(16, 600), home);
+        home.process().execute(home::kill);
+        mFleet.mTime.run(READY_MILLIS + 400);
+        int starts = mFleet.mStarts;
+        assertThat(starts, is(greaterThan(0)));
+        leader().process().pause(300);
+        mFleet.mTime.run(READY_MILLIS + 900);
+        assertThat(mFleet.mStarts, is(starts));
+    }
+
+    private SimulatedInstance leader() {
+        return mFleet.upInstances().stream()
+                .filter(SimulatedInstance::isLeader)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private List<SimulatedInstance> followers() {
+        return mFleet.upInstances().stream().filter(each -> !each.isLeader()).toList();
+    }
+
+    private void submit(WorkSpec job, SimulatedInstance home) {
+        home.process()
+                .execute(
+                        () ->
+                                home.dispatcher()
+                                        .submit(
+                                                job,
+                                                4000,
+                                                "caller",
+                                                outcome -> mOutcomes.add(outcome.kind())));
+        mFleet.mTime.run(mFleet.mTime.nowMillis() + 10);
+    }
+
+    private static WorkSpec job(int tasks, long estimateMillis) {
+        return WorkSpec.of(
+                new JobId("00000000000000a1"),
+                SimulatedServer.SERVICE,
+                Long.toString(estimateMillis),
+                List.of(StepSpec.of(tasks, SimulatedServer.DEMAND, estimateMillis)),
+                QueueTerms.of(0, 6, 60, 3));
+    }
+}
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCallers.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCallers.java
@@ -50,8 +50,10 @@
         mTime.after(1200, this::sendNext);
     }
 
-    String homesDataCentre(JobId job) {
-        return mJobs.get(job).mDataCentre;
+    /** Checks whether a data centre is another one than that in which a job was handed in. */
+    boolean isRemote(JobId id, String dataCentre) {
+        Job job = mJobs.get(id);
+        return job != null && !job.mDataCentre.equals(dataCentre);
     }
 
     private void sendNext() {
