Answer a home whose job goes on for another one

What callers saw: one whose instance was silent for a second while its job was open at two instances waited until its deadline and got 504.

Cause: a leader that hands a job over removes the home that it counts as lost. If another home waits for the job, it goes on here, and the answer to the first one was dropped.

Change: the first home gets "abandoned" at once. It must not get the job back, since it may follow another leader, which would start the tasks again.

Result: LeaderSchedulerTest.testCallerOfLostHomeIsAnsweredAtOnceWhileJobRuns- ForAnotherHome failed before (no answer after the pause) and passes.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -402,7 +402,10 @@
     private void handOver(JobId job, PendingJob pendingJob, HomeProcess home) {
         Consumer<Either<WorkProgress, WorkOutcome>> answer = pendingJob.homes().remove(home);
         if (!pendingJob.homes().isEmpty()) {
-            // The job continues here for the others.
+            // The job continues here for the others, so this home must not submit it elsewhere.
+            answer.accept(
+                    Either.right(
+                            WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "runs for another home")));
             return;
         }
         mPendingJobs.remove(job);
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/LeaderSchedulerTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/LeaderSchedulerTest.java
@@ -1,6 +1,7 @@
 package org.wagtailproxy.dispatcher;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
@@ -35,6 +36,19 @@
         assertThat(mFleet.mStarts, is(starts));
     }
 
+    @Test
+    void testCallerOfLostHomeIsAnsweredAtOnceWhileJobRunsForAnotherHome() {
+        mFleet.mTime.run(READY_MILLIS);
+        List<SimulatedInstance> followers = followers();
+        submit(job(1, 2000), followers.get(0));
+        submit(job(1, 2000), followers.get(1));
+        followers.get(0).process().pause(1100);
+        mFleet.mTime.run(READY_MILLIS + 1300);
+        assertThat(mOutcomes, contains(WorkOutcome.Kind.ABANDONED));
+        mFleet.mTime.run(READY_MILLIS + 3500);
+        assertThat(mOutcomes, contains(WorkOutcome.Kind.ABANDONED, WorkOutcome.Kind.COMPLETE));
+    }
+
     private SimulatedInstance leader() {
         return mFleet.upInstances().stream()
                 .filter(SimulatedInstance::isLeader)
