Repeat withdrawals that are refused or late

A job that its caller has given up could go on at a leader that was cut off or suspended, while the caller sends it again elsewhere.

Cause: a refused connection ended the repetition of a withdrawal, although a partition may refuse connections on behalf of a leader that is alive, and after the deadline of the job it was sent once only, although a leader that was suspended has the job for so much longer.

Change: a withdrawal is repeated until it is answered or two seconds after the deadline, every 200 ms after a refusal or the deadline.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobWithdrawals.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobWithdrawals.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.failure.FailureKind;
 import org.wagtailproxy.identity.HostAddress;
@@ -26,6 +27,16 @@
     /** Pause before a withdrawal is repeated. */
     private static final long RETRY_DELAY_MILLIS = 50;
 
+    /** The same if the leader most probably no longer has the job. */
+    private static final long RARE_RETRY_DELAY_MILLIS = 200;
+
+    /**
+     * Time after the deadline of a job for which a withdrawal is repeated. A leader that was
+     * suspended has its jobs for so much longer; after a longer suspension it finds that its peers
+     * follow another one.
+     */
+    private static final long REPEATED_AFTER_DEADLINE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final DispatcherSettings mSettings;
     private final EventLoop mLoop;
     private final PeerTransport mClient;
@@ -34,7 +45,7 @@
     /** A job at the leader that it is withdrawn from. */
     private record Target(HostAddress leader, JobId job) {}
 
-    /** An unanswered withdrawal; the leader ends the job itself at the deadline. */
+    /** An unanswered withdrawal of a job that its leader ends at the deadline by itself. */
     private static final class Withdrawal {
         private final long mDeadlineNanos;
 
@@ -76,13 +87,15 @@
         if (mOpen.get(target) != withdrawal) {
             return;
         }
-        boolean refused = answer.isLeft() && answer.getLeft().kind() == FailureKind.PEER_REFUSED;
-        if (answer.isRight() || refused || mLoop.nowNanos() >= withdrawal.mDeadlineNanos) {
+        long lateNanos = mLoop.nowNanos() - withdrawal.mDeadlineNanos;
+        if (answer.isRight() || lateNanos >= REPEATED_AFTER_DEADLINE_NANOS) {
             mOpen.remove(target);
             return;
         }
+        // A network partition may refuse connections on behalf of a leader that is alive.
+        boolean refused = answer.getLeft().kind() == FailureKind.PEER_REFUSED;
         mLoop.schedule(
-                RETRY_DELAY_MILLIS,
+                refused || lateNanos >= 0 ? RARE_RETRY_DELAY_MILLIS : RETRY_DELAY_MILLIS,
                 () -> {
                     if (mOpen.get(target) == withdrawal) {
                         send(target, withdrawal);
