Handle submissions after the withdrawals that arrive with them

A leader that was paused, or cut off for a while, starts the tasks of a job whose caller has long been somewhere else.

Cause, by reading: the submission and its withdrawal wait together, and the first one was carried out before the second one was read.

Change: a submission is handled after everything that has arrived with it, and not at all if its withdrawal is part of that. It is answered as one that was withdrawn before.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -3,7 +3,10 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -46,10 +49,28 @@
     private final StoredJobClient mStoredJobClient;
     private final Predicate<DataCentre> mSamePool;
     private final Map<Submission, Long> mWithdrawnNanos = new HashMap<>();
+    private final Set<ReceivedSubmission> mReceivedSubmissions = new LinkedHashSet<>();
 
     /** A job that a home has submitted. */
     private record Submission(JobId job, HomeProcess home) {}
 
+    /** A submission that has been received but not handled. */
+    private static final class ReceivedSubmission {
+        private final SubmitWork mMessage;
+        private final Consumer<Envelope.Builder> mReply;
+
+        private ReceivedSubmission(SubmitWork message, Consumer<Envelope.Builder> reply) {
+            mMessage = message;
+            mReply = reply;
+        }
+
+        private boolean isMeantBy(WithdrawWork withdrawal) {
+            return mMessage.getJob().equals(withdrawal.getJob())
+                    && mMessage.getHome().equals(withdrawal.getHome())
+                    && mMessage.getHomeIncarnation().equals(withdrawal.getHomeIncarnation());
+        }
+    }
+
     PeerRequestHandler(
             EventLoop loop,
             LeaderElection election,
@@ -75,7 +96,7 @@
     private void handleOnLoop(Envelope request, Consumer<Envelope.Builder> reply) {
         switch (request.getBodyCase()) {
             case PRESENCE -> reply.accept(onProbe(request.getPresence()));
-            case SUBMIT_WORK -> onSubmitWork(request.getSubmitWork(), reply);
+            case SUBMIT_WORK -> receive(request.getSubmitWork(), reply);
             case ASK_JOB ->
                     mStoredJobClient.answerQuery(
                             request.getAskJob(),
@@ -106,6 +127,35 @@
         return Envelope.newBuilder().setPresence(presence);
     }
 
+    /**
+     * Handles a submission after all other messages that have arrived with it. After a pause or a
+     * network partition its withdrawal may be among them.
+     */
+    private void receive(SubmitWork message, Consumer<Envelope.Builder> reply) {
+        ReceivedSubmission submission = new ReceivedSubmission(message, reply);
+        mReceivedSubmissions.add(submission);
+        mLoop.schedule(
+                0,
+                () -> {
+                    if (mReceivedSubmissions.remove(submission)) {
+                        onSubmitWork(message, reply);
+                    }
+                });
+    }
+
+    private void dropReceivedSubmissions(WithdrawWork withdrawal) {
+        for (ReceivedSubmission submission : List.copyOf(mReceivedSubmissions)) {
+            if (submission.isMeantBy(withdrawal)) {
+                mReceivedSubmissions.remove(submission);
+                submission.mReply.accept(workAnswer(Either.right(withdrawnBefore())));
+            }
+        }
+    }
+
+    private static WorkOutcome withdrawnBefore() {
+        return WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "withdrawn before");
+    }
+
     private void onSubmitWork(SubmitWork message, Consumer<Envelope.Builder> reply) {
         Consumer<Either<WorkProgress, WorkOutcome>> answer =
                 result -> reply.accept(workAnswer(result));
@@ -174,6 +224,7 @@
     }
 
     private void onWithdrawWork(WithdrawWork message, Consumer<Envelope.Builder> reply) {
+        dropReceivedSubmissions(message);
         Option<JobId> job = JobId.parse(message.getJob());
         if (job.isDefined() && Names.isName(message.getHome())) {
             HomeProcess home =
