Drop the status of a peer that a later one has overtaken

A leader takes a submission for current that its home has given up, and counts a peer as its follower that has left, which decides on the servers that it claims.

Cause: probes that a partition holds arrive when it heals, on the closed connection and after later ones on a new connection. LifeSigns drops a status that was overtaken, PeerTable took each for the latest one: "follows you" of before the cut replaced "follows another one".

Change: a status with an older clock than the last one of the same process does not count.

Result: PeerTableTest.testStatusThatWasOvertakenByLaterOneDoesNotCount failed before (the peer had not left) and passes; PeerTableTest, LifeSignsTest and FleetDuplicateRunTest pass.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
@@ -66,6 +66,14 @@
         return mFirstRecord.name();
     }
 
+    /** Checks whether a status was sent before the last one that is known, by the same process. */
+    boolean isLaterThan(PeerStatus status) {
+        return status.seniority() == mSeniority
+                && status.clockNanos() != MessageAge.UNKNOWN_CLOCK_NANOS
+                && mClockNanos != MessageAge.UNKNOWN_CLOCK_NANOS
+                && status.clockNanos() < mClockNanos;
+    }
+
     /** Its registration has run out, but it may be alive behind a network partition. */
     boolean isGone() {
         return !mRegistered && !mReachable;
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -314,7 +314,8 @@
     }
 
     /**
-     * Updates the status that a peer reports of itself.
+     * Updates the status that a peer reports of itself. One that was held up on its way and
+     * overtaken by a later one does not count.
      *
      * @param status the reported status, not null
      * @param nowNanos the monotonic time in nanoseconds
@@ -322,7 +323,7 @@
      */
     public boolean updateStatus(PeerStatus status, long nowNanos) {
         PeerState state = mPeers.get(status.name());
-        if (state == null) {
+        if (state == null || state.isLaterThan(status)) {
             return false;
         }
         boolean changed =
--- a/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/PeerTableTest.java
@@ -287,6 +287,30 @@
         assertThat(followsOutsidePool(1, 9), is(false));
     }
 
+    @Test
+    void testStatusThatWasOvertakenByLaterOneDoesNotCount() {
+        fill(1);
+        mTable.updateStatus(statusOf(1, 2, 200), mNowNanos);
+        mTable.updateStatus(statusOf(1, 5, 100), mNowNanos);
+        assertThat(mTable.mayHaveLeftSince(name(1), name(5), mNowNanos), is(true));
+        assertThat(mTable.clockNanos(name(1)), is(200L));
+        mTable.updateStatus(statusOf(1, 5, 300), mNowNanos);
+        assertThat(mTable.mayHaveLeftSince(name(1), name(5), mNowNanos), is(false));
+    }
+
+    private static PeerStatus statusOf(int peer, int leader, long clockNanos) {
+        return new PeerStatus(
+                name(peer),
+                peer,
+                Option.some(name(leader)),
+                false,
+                false,
+                false,
+                false,
+                DataCentreScope.ALL,
+                clockNanos);
+    }
+
     /** Checks a reported leader in the table of instance 5. */
     private boolean followsOutsidePool(int peer, int leader) {
         PeerStatus status =
