Confirm no remote leader by an answer to a probe of before

A forwarder that wakes passes a job on to a remote leader which may have counted it as lost.

Cause: a suspension and a healed partition doubt all remote leaders, but a probe may be on its way then, and its answer, which shows nothing of the time since, confirmed the leader again. The same holds for a leader that hands a job over. What remains is that the remote leader sends back what is older than 520 ms.

Change: an answer to a probe that was sent before the doubt confirms no leader.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
@@ -50,6 +50,14 @@
         /** Whether the leader itself has answered the last probe, and leads. */
         private boolean mLeaderConfirmed;
 
+        /** Whether the leader was doubted since the outstanding probe was sent. */
+        private boolean mProbeOutdated;
+
+        private void doubtLeader() {
+            mLeaderConfirmed = false;
+            mProbeOutdated = true;
+        }
+
         private InstanceRecord instanceToProbe() {
             return mLeader.getOrElse(() -> mInstances.get(mNextIndex % mInstances.size()));
         }
@@ -106,12 +114,12 @@
 
     /** Records that the leader of a data centre has handed a job over, so it may have changed. */
     void onHandedOver(DataCentre dataCentre) {
-        Option.of(mTargets.get(dataCentre)).forEach(target -> target.mLeaderConfirmed = false);
+        Option.of(mTargets.get(dataCentre)).forEach(ProbeTarget::doubtLeader);
     }
 
     /** Doubts all leaders, since this instance may have heard of them long ago. */
     void doubtLeaders() {
-        mTargets.values().forEach(target -> target.mLeaderConfirmed = false);
+        mTargets.values().forEach(ProbeTarget::doubtLeader);
     }
 
     void tick(Presence.Builder presence) {
@@ -123,6 +131,7 @@
             return;
         }
         target.mProbeOutstanding = true;
+        target.mProbeOutdated = false;
         InstanceRecord probed = target.instanceToProbe();
         Presence.Builder probe = presence.clone();
         Option.of(mClocks.get(probed.name()))
@@ -157,7 +166,7 @@
         mClocks.put(probed.name(), new ReportedClock(presence.getClockNanos(), mLoop.nowNanos()));
         if (presence.getFollows().equals(presence.getName()) && !presence.getDraining()) {
             target.mLeader = Option.some(probed);
-            target.mLeaderConfirmed = true;
+            target.mLeaderConfirmed = !target.mProbeOutdated;
             mSpillOver.updateReport(
                     dataCentre,
                     presence.getFreeCpuMillis(),
