Check homes before an answer of the store places tasks

What callers would see: a coordinator of stored jobs that was suspended starts tasks as soon as it wakes, before it knows whether another instance leads. Only the fences of the servers that this one has claimed stop them.

Cause: the answer to a write adds the job to its scheduler, which places all tasks that wait, also those of other jobs. The coordinator took the time from the clock, so nothing noticed the suspension, and homes were not checked.

Evidence: in the scene, a leader of four instances is suspended for 3 s while it writes a job. It wakes, handles the answer first and sends a start, 3 s after the others have begun to follow another leader, which has read the job.

Change: the coordinator takes the time from its schedulers, as other events do that may place tasks.

Result: LeaderSchedulerTest.testAnswerOfStoreAfterSuspensionPlacesNothing failed before (one placement, expected none) and passes; FleetDuplicateRunTest passes.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -517,6 +517,11 @@
     /** Gives the coordinator of the stored jobs access to the schedulers that run them. */
     private final class StoredJobSchedulers implements StoredJobCoordinator.Schedulers {
 
+        @Override
+        public long nowForPlacement() {
+            return LeaderScheduler.this.nowForPlacement();
+        }
+
         @Override
         public ServiceScheduler forService(ServiceName service) {
             return scheduler(service);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
@@ -82,6 +82,9 @@
     /** Access to the schedulers that run the stored jobs. */
     interface Schedulers {
 
+        /** Returns the monotonic time for an event that may place tasks. */
+        long nowForPlacement();
+
         /** Returns the scheduler of a service. */
         ServiceScheduler forService(ServiceName service);
 
@@ -230,7 +233,7 @@
         mSchedulers
                 .forService(entry.mJob.spec().service())
                 .storedJobs()
-                .cancel(id, mLoop.nowNanos());
+                .cancel(id, mSchedulers.nowForPlacement());
         mSchedulers.sendCommands();
     }
 
@@ -367,7 +370,7 @@
             entry.mWaitingQueries.forEach(query -> query.answer(condition(id)));
             entry.mWaitingQueries.clear();
         } else if (isFirstSave && !entry.mJob.isEnded()) {
-            scheduler.storedJobs().add(change.job(), 0, mLoop.nowNanos());
+            scheduler.storedJobs().add(change.job(), 0, mSchedulers.nowForPlacement());
         }
         scheduler.storedJobs().onSaved(id, change.changeNumber());
         entry.mSubmitAnswers.forEach(answer -> answer.accept(acceptedOutcome()));
@@ -392,7 +395,7 @@
                     mSchedulers
                             .forService(job.spec().service())
                             .storedJobs()
-                            .add(job, attempt, mLoop.nowNanos());
+                            .add(job, attempt, mSchedulers.nowForPlacement());
                 }
             }
             mSchedulers.onStoredJobsRead();
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/LeaderSchedulerTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/LeaderSchedulerTest.java
@@ -49,6 +49,48 @@
         assertThat(mOutcomes, contains(WorkOutcome.Kind.ABANDONED, WorkOutcome.Kind.COMPLETE));
     }
 
+    @Test
+    void testAnswerOfStoreAfterSuspensionPlacesNothing() {
+        mFleet.mTime.run(READY_MILLIS + 2000);
+        SimulatedInstance leader = leader();
+        submit(storedJob("00000000000000b1"), leader);
+        mFleet.mTime.run(READY_MILLIS + 3000);
+        // The answer of the store is the first event that is handled after the suspension.
+        leader.process()
+                .execute(
+                        () -> {
+                            leader.dispatcher()
+                                    .submit(
+                                            storedJob("00000000000000b2"),
+                                            4000,
+                                            "caller",
+                                            outcome -> mOutcomes.add(outcome.kind()));
+                            leader.process().suspend(3000);
+                        });
+        mFleet.mTime.run(READY_MILLIS + 6000);
+        assertThat(mOutcomes, contains(WorkOutcome.Kind.ACCEPTED, WorkOutcome.Kind.ACCEPTED));
+        assertThat(placements("00000000000000b1"), is(1));
+        assertThat(placements("00000000000000b2"), is(0));
+    }
+
+    private int placements(String job) {
+        return Math.toIntExact(
+                mFleet.mTime.trace(List.of("task-placed")).stream()
+                        .filter(line -> line.contains(job))
+                        .count());
+    }
+
+    private static WorkSpec storedJob(String id) {
+        return new WorkSpec(
+                new JobId(id),
+                SimulatedServer.SERVICE,
+                "3800",
+                List.of(StepSpec.of(1, SimulatedServer.DEMAND, 3800)),
+                QueueTerms.of(0, 6, 60, 3),
+                "queue",
+                false);
+    }
+
     private SimulatedInstance leader() {
         return mFleet.upInstances().stream()
                 .filter(SimulatedInstance::isLeader)
