Answer a home when its job is withdrawn

What callers saw: a caller that hands its job in again after a short cut waits until its deadline and gets 504.

Cause: withdrawals carry no age. One that a partition holds on a closed connection is carried out after the job was submitted again over a new one; it ends the job, and the leader dropped the answer to the home.

Change: the home gets "abandoned" at once. One that has withdrawn the job itself does not wait any more and ignores it. A withdrawal still ends the later submission; to tell them apart it has to name its submission.

Result: LeaderSchedulerTest.testCallerOfJobThatIsEndedByWithdrawalThatWasHeldUp- IsAnsweredAtOnce failed before (no answer) and passes.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -1,6 +1,7 @@
 package org.wagtailproxy.dispatcher;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -320,14 +321,24 @@
         mServersTrackedSinceNanos = nanos;
     }
 
-    /** Withdraws a job for one home instance; the job is stopped if no other one waits for it. */
+    /**
+     * Withdraws a job for one home instance; the job is stopped if no other one waits for it. The
+     * home is answered, as a withdrawal that was held up may end a job that it has submitted again.
+     */
     void withdraw(JobId job, HomeProcess home) {
         PendingJob pendingJob = mPendingJobs.get(job);
         if (pendingJob == null) {
             mForwarder.withdraw(job, home);
             return;
         }
-        pendingJob.homes().remove(home);
+        Option.of(pendingJob.homes().remove(home))
+                .filter(answer -> !home.equals(mSettings.home()))
+                .forEach(
+                        answer ->
+                                answer.accept(
+                                        Either.right(
+                                                WorkOutcome.of(
+                                                        WorkOutcome.Kind.ABANDONED, "withdrawn"))));
         if (pendingJob.homes().isEmpty()) {
             mPendingJobs.remove(job);
             mLog.jobWithdrawn(job, home.name());
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/LeaderSchedulerTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/LeaderSchedulerTest.java
@@ -2,8 +2,10 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -17,6 +19,7 @@
 class LeaderSchedulerTest {
 
     private static final long READY_MILLIS = 4000;
+    private static final JobId JOB = new JobId("00000000000000a1");
 
     private final FleetSimulation mFleet =
             new FleetSimulation(1, new FleetSimulation.Size(List.of("pwani-a"), 4));
@@ -49,6 +52,21 @@
         assertThat(mOutcomes, contains(WorkOutcome.Kind.ABANDONED, WorkOutcome.Kind.COMPLETE));
     }
 
+    @Test
+    void testCallerOfJobThatIsEndedByWithdrawalThatWasHeldUpIsAnsweredAtOnce() {
+        mFleet.mTime.run(READY_MILLIS + 1000);
+        SimulatedInstance home = followers().get(0);
+        SimulatedInstance leader = leader();
+        submit(job(1, 700), home);
+        mFleet.mNetwork.cut((from, to) -> from == home.mHost && to == leader.mHost, 150);
+        home.process().execute(() -> home.dispatcher().withdraw(JOB, "caller"));
+        mFleet.mTime.run(READY_MILLIS + 1650);
+        submit(job(1, 700), home);
+        mFleet.mTime.run(READY_MILLIS + 2500);
+        assertThat(mFleet.mTime.trace(List.of("job-withdrawn")), is(not(empty())));
+        assertThat(mOutcomes, contains(WorkOutcome.Kind.ABANDONED));
+    }
+
     @Test
     void testAnswerOfStoreAfterSuspensionPlacesNothing() {
         mFleet.mTime.run(READY_MILLIS + 2000);
@@ -117,7 +135,7 @@
 
     private static WorkSpec job(int tasks, long estimateMillis) {
         return WorkSpec.of(
-                new JobId("00000000000000a1"),
+                JOB,
                 SimulatedServer.SERVICE,
                 Long.toString(estimateMillis),
                 List.of(StepSpec.of(tasks, SimulatedServer.DEMAND, estimateMillis)),
