Play a fleet of 37 instances and the other disruptions of the platform

The played fleet had 21 instances at most and drew losses, cuts and pauses only. The reported site has 37 instances in five data centres, and the platform also allows connections that go silent for good, processes that are slow, quotas, orders and polls that are carried out 2 to 12 s late, servers that leave at short notice, are reclaimed together, flap or are not listed while they work, and a store that rejects some instances, leaves writes unanswered or drops its history.

-Dfleet.run.size=SITE plays the size, -Dfleet.run.contract=true draws the disruptions. Reads that are stale are not played, since the store client never asks for them.

--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
@@ -12,12 +12,15 @@
 
     private static final long SIMULATED_MILLIS = 20_000;
 
+    /** A short time for a fleet whose simulation takes long. */
+    private static final long SHORT_SIMULATED_MILLIS = 10_000;
+
     private static final int FIRST_SEED = Integer.getInteger("fleet.run.first.seed", 1);
 
     /** More seeds are run with -Dfleet.run.seeds=N. */
     private static final int SEEDS = Integer.getInteger("fleet.run.seeds", 6);
 
-    /** DIVIDED or POOLED, with -Dfleet.run.size=NAME. */
+    /** DIVIDED, POOLED or SITE, with -Dfleet.run.size=NAME. */
     private static final FleetSimulation.Size SIZE =
             FleetSimulation.sizeOf(System.getProperty("fleet.run.size", "DIVIDED"));
 
@@ -27,7 +30,8 @@
             new FleetFaults.Options(
                     Boolean.getBoolean("fleet.run.suspends"),
                     Boolean.getBoolean("fleet.run.aims"),
-                    Boolean.getBoolean("fleet.run.changes"));
+                    Boolean.getBoolean("fleet.run.changes"),
+                    Boolean.getBoolean("fleet.run.contract"));
 
     /** Prints the whole trace of each seed, or the lines that contain one of some words. */
     private static final String TRACE = System.getProperty("fleet.run.trace");
@@ -116,21 +120,40 @@
 
     @Test
     void testFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
-        checkSeeds(FIRST_SEED, SEEDS, SIZE, OPTIONS);
+        checkSeeds(FIRST_SEED, SEEDS, SIZE, OPTIONS, SIMULATED_MILLIS);
     }
 
     @Test
     void testPooledFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
-        checkSeeds(1, 6, FleetSimulation.POOLED, new FleetFaults.Options(true, true, true));
+        checkSeeds(
+                1,
+                6,
+                FleetSimulation.POOLED,
+                new FleetFaults.Options(true, true, true),
+                SIMULATED_MILLIS);
+    }
+
+    @Test
+    void testLargeFleetInAllDisruptionsNeverRunsTaskTwiceNorRefusesStartedJob() {
+        checkSeeds(
+                1,
+                2,
+                FleetSimulation.SITE,
+                new FleetFaults.Options(true, true, true, true),
+                SHORT_SIMULATED_MILLIS);
     }
 
     private static void checkSeeds(
-            int first, int count, FleetSimulation.Size size, FleetFaults.Options options) {
+            int first,
+            int count,
+            FleetSimulation.Size size,
+            FleetFaults.Options options,
+            long millis) {
         List<String> reports = new ArrayList<>();
         int remoteStarts = 0;
         for (int seed = first; seed < first + count; seed++) {
             FleetSimulation simulation = new FleetSimulation(seed, size, options);
-            simulation.run(SIMULATED_MILLIS);
+            simulation.run(millis);
             printTrace(simulation);
             if (!simulation.report().isEmpty()) {
                 reports.add("seed " + seed + " at " + simulation.report());
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
@@ -25,6 +25,7 @@
     private final VirtualTime mTime;
     private final List<String> mDataCentres;
     private final FleetChanges mChanges;
+    private final FleetDisruptions mDisruptions;
     private final long mMeanIntervalMillis;
 
     /**
@@ -34,11 +35,17 @@
      * @param aimsAtForwarders true if leaders that forward jobs are hit more often
      * @param changes true if the fleet and its clocks change as {@link FleetChanges} draws it, and
      *     if a pause that begins in another one prolongs it
+     * @param contract true if the other disruptions that the platform allows are drawn, see {@link
+     *     FleetDisruptions}
      */
-    record Options(boolean suspends, boolean aimsAtForwarders, boolean changes) {
+    record Options(boolean suspends, boolean aimsAtForwarders, boolean changes, boolean contract) {
 
         Options(boolean suspends, boolean aimsAtForwarders) {
-            this(suspends, aimsAtForwarders, false);
+            this(suspends, aimsAtForwarders, false, false);
+        }
+
+        Options(boolean suspends, boolean aimsAtForwarders, boolean changes) {
+            this(suspends, aimsAtForwarders, changes, false);
         }
     }
 
@@ -48,6 +55,7 @@
         mTime = fleet.mTime;
         mDataCentres = dataCentres;
         mChanges = new FleetChanges(fleet, this, dataCentres);
+        mDisruptions = new FleetDisruptions(fleet, this, dataCentres);
         mMeanIntervalMillis = mTime.between(100, 1000);
     }
 
@@ -66,6 +74,10 @@
         SimulatedInstance leader = leaders.isEmpty() ? any : mTime.oneOf(leaders);
         SimulatedInstance target = mTime.chance(0.5) ? leader : any;
         SimulatedInstance other = mTime.chance(0.5) ? leader : mTime.oneOf(up);
+        if (mOptions.contract() && mTime.chance(0.5)) {
+            mDisruptions.draw(leader, target);
+            return;
+        }
         if (mOptions.changes() && mTime.chance(0.4)) {
             mChanges.draw(leader, target);
             return;
@@ -269,12 +281,14 @@
                         mFleet.mStore.remove(key);
                     }
                 });
-        mTime.after(
-                downMillis,
-                () -> {
-                    note(server.mId + " begins");
-                    server.begin();
-                    mTime.after(mTime.between(0, 500), () -> mFleet.list(server));
-                });
+        mTime.after(downMillis, () -> begin(server));
+    }
+
+    void begin(SimulatedServer server) {
+        if (!server.mUp) {
+            note(server.mId + " begins");
+            server.begin();
+            mTime.after(mTime.between(0, 500), () -> mFleet.list(server));
+        }
     }
 }
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
@@ -27,7 +27,12 @@
     /** Eight instances, which make one pool. */
     static final Size POOLED = new Size(List.of("pwani-a", "pwani-b", "pwani-c", "pwani-d"), 2);
 
+    /** 37 instances in five data centres, two of which have one more, and 65 servers. */
+    static final Size SITE =
+            new Size(List.of("pwani-a", "pwani-b", "pwani-c", "pwani-d", "pwani-e"), 7, 2, 13);
+
     private static final int SERVERS_PER_DATA_CENTRE = 3;
+    private static final int SERVERS_OF_LARGE_DATA_CENTRE = 13;
     private static final int TRACE_LINES = 150;
 
     final VirtualTime mTime;
@@ -43,13 +48,37 @@
     int mStarts;
     int mRemoteStarts;
 
-    /** The data centres of a fleet, and how many instances each of them has. */
-    record Size(List<String> dataCentres, int instancesPerDataCentre) {}
+    /**
+     * The size of a fleet.
+     *
+     * @param dataCentres the names of the data centres
+     * @param instancesPerDataCentre how many instances each of them has
+     * @param largerDataCentres how many of them have one more instance
+     * @param serversPerDataCentre how many servers each of them has
+     */
+    record Size(
+            List<String> dataCentres,
+            int instancesPerDataCentre,
+            int largerDataCentres,
+            int serversPerDataCentre) {
+
+        Size(List<String> dataCentres, int instancesPerDataCentre) {
+            this(dataCentres, instancesPerDataCentre, 0, SERVERS_PER_DATA_CENTRE);
+        }
+
+        /** Of many servers, most have few slots, so that the leaders still forward jobs. */
+        int slotsOf(int serverNumber) {
+            return serversPerDataCentre < SERVERS_OF_LARGE_DATA_CENTRE
+                    ? SimulatedServer.SLOTS
+                    : 1 + serverNumber % 2;
+        }
+    }
 
     static Size sizeOf(String name) {
         return switch (name) {
             case "DIVIDED" -> DIVIDED;
             case "POOLED" -> POOLED;
+            case "SITE" -> SITE;
             default -> throw new IllegalArgumentException("no size of a fleet: " + name);
         };
     }
@@ -65,22 +94,37 @@
         mNetwork = new SimulatedNetwork(mTime);
         mStore = new SimulatedStore(mTime, mNetwork);
         for (String dataCentre : size.dataCentres()) {
-            for (int number = 1; number <= SERVERS_PER_DATA_CENTRE; number++) {
-                String name = "server-" + dataCentre + "-" + number;
-                SimulatedServer server = new SimulatedServer(mTime, name, dataCentre, this);
-                mServers.put(server.mId, server);
-                list(server);
+            for (int number = 1; number <= size.serversPerDataCentre(); number++) {
+                list(addServer(dataCentre, size.slotsOf(number)));
             }
         }
         for (int number = 1; number <= size.instancesPerDataCentre(); number++) {
-            for (String dataCentre : size.dataCentres()) {
-                SimulatedInstance instance = addInstance(dataCentre);
-                mTime.after(mTime.between(0, 1500), instance::start);
-            }
+            size.dataCentres().forEach(this::addStartingInstance);
         }
+        size.dataCentres().stream()
+                .limit(size.largerDataCentres())
+                .forEach(this::addStartingInstance);
         mCallers = new SimulatedCallers(this, size.dataCentres());
     }
 
+    /** Adds a server of the next name, which is still to be listed. */
+    SimulatedServer addServer(String dataCentre, int slots) {
+        long number =
+                1
+                        + mServers.values().stream()
+                                .filter(each -> each.mHost.dataCentre().equals(dataCentre))
+                                .count();
+        String name = "server-" + dataCentre + "-" + number;
+        SimulatedServer server = new SimulatedServer(mTime, name, dataCentre, slots, this);
+        mServers.put(server.mId, server);
+        return server;
+    }
+
+    private void addStartingInstance(String dataCentre) {
+        SimulatedInstance instance = addInstance(dataCentre);
+        mTime.after(mTime.between(0, 1500), instance::start);
+    }
+
     /** Adds an instance of the next name, which is still to be started. */
     SimulatedInstance addInstance(String dataCentre) {
         int number =
@@ -115,10 +159,13 @@
         mOnNextLeader = work;
     }
 
+    /** Writes the entry of a server as its heartbeat does. */
     void list(SimulatedServer server) {
+        server.mListedMillis = mTime.nowMillis();
+        String value = server.mId + (server.mLeaving ? SimulatedInstance.LEAVING : "");
         mStore.put(
                 SimulatedInstance.SERVERS_PREFIX + server.mId,
-                server.mId.toString().getBytes(StandardCharsets.UTF_8));
+                value.getBytes(StandardCharsets.UTF_8));
     }
 
     void run(long millis) {
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCommands.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCommands.java
@@ -62,6 +62,7 @@
         send(
                 command,
                 timeoutMillis,
+                CommandDisruptions.Kind.ORDER,
                 (server, reply) -> server.receiveStart(command, mProcess.mHost.name(), reply),
                 new Once<>(answer),
                 StartAnswer.of(StartResult.UNANSWERED),
@@ -73,6 +74,7 @@
         send(
                 command,
                 timeoutMillis,
+                CommandDisruptions.Kind.ORDER,
                 (server, reply) -> server.receiveStop(command, reply),
                 new Once<>(answer),
                 StopResult.UNANSWERED,
@@ -84,6 +86,7 @@
         send(
                 command,
                 timeoutMillis,
+                CommandDisruptions.Kind.GRANT,
                 (server, reply) -> server.receivePoll(command, reply),
                 new Once<>(answer),
                 PollResult.of(PollResult.Kind.UNANSWERED),
@@ -93,6 +96,7 @@
     private <T> void send(
             ServerCommand command,
             long timeoutMillis,
+            CommandDisruptions.Kind kind,
             Delivery<T> delivery,
             Once<T> callback,
             T unanswered,
@@ -101,8 +105,36 @@
                 timeoutMillis, () -> mProcess.schedule(0, () -> callback.accept(unanswered)));
         SimulatedServer server = mServers.get(command.target().server());
         int life = server.mLife;
+        CommandDisruptions.Fate fate = mNetwork.mCommandDisruptions.draw(mProcess, server, kind);
+        long sentNanos = mTime.nowNanos();
+        Once<T> heard =
+                new Once<>(
+                        result -> {
+                            if (!mNetwork.mCommandDisruptions.isSilentSince(
+                                    mProcess, server, sentNanos)) {
+                                callback.accept(result);
+                            }
+                        });
         mTime.afterNanos(
-                mNetwork.latencyNanos(), () -> arrive(server, life, delivery, callback, notSent));
+                mNetwork.latencyNanos(),
+                () -> {
+                    switch (fate) {
+                        case LOST -> mTime.note("a command to " + server.mId + " is lost");
+                        case DONE_UNANSWERED -> deliverUnanswered(server, life, delivery);
+                        case LATE ->
+                                mTime.after(
+                                        mNetwork.mCommandDisruptions.drawLateMillis(),
+                                        () -> deliverUnanswered(server, life, delivery));
+                        default -> arrive(server, life, delivery, heard, notSent);
+                    }
+                });
+    }
+
+    private static <T> void deliverUnanswered(
+            SimulatedServer server, int life, Delivery<T> delivery) {
+        if (server.mUp && server.mLife == life) {
+            delivery.deliver(server, answer -> {});
+        }
     }
 
     private <T> void arrive(
@@ -111,11 +143,7 @@
             if (mTime.chance(0.5)) {
                 mTime.after(
                         mTime.between(20, MAX_LATE_MILLIS),
-                        () -> {
-                            if (server.mUp && server.mLife == life) {
-                                delivery.deliver(server, late -> {});
-                            }
-                        });
+                        () -> deliverUnanswered(server, life, delivery));
             }
             return;
         }
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
@@ -27,6 +27,10 @@
 
     static final String INSTANCES_PREFIX = "instances/";
     static final String SERVERS_PREFIX = "servers/";
+
+    /** Ends the value of a server's entry that says that the server leaves. */
+    static final String LEAVING = " leaves";
+
     private static final long SERVERS_WATCH_MILLIS = 2500;
     private static final long INSTANCES_WATCH_MILLIS = 8000;
     private static final long INSTANCES_BATCH_DELAY_MILLIS = 200;
@@ -261,8 +265,9 @@
             public void onChanged(StoreMirror mirror) {
                 List<ServerEntry> entries = new ArrayList<>();
                 for (StoreItem item : mirror.items()) {
-                    String name = new String(item.value(), StandardCharsets.UTF_8);
-                    entries.add(mServers.get(ServerId.of(name)).entry());
+                    String value = new String(item.value(), StandardCharsets.UTF_8);
+                    ServerId id = ServerId.of(value.replace(LEAVING, ""));
+                    entries.add(mServers.get(id).entry(value.endsWith(LEAVING)));
                 }
                 mDirectory.updateEntries(entries);
             }
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedNetwork.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedNetwork.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.failure.FailureKind;
 import org.wagtailproxy.identity.HostAddress;
@@ -27,6 +28,7 @@
  */
 final class SimulatedNetwork {
 
+    final CommandDisruptions mCommandDisruptions;
     private static final long CONNECT_TIMEOUT_MILLIS = 1000;
     private static final int MAX_RETRANSMISSION_MILLIS = 800;
 
@@ -46,6 +48,7 @@
 
     SimulatedNetwork(VirtualTime time) {
         mTime = time;
+        mCommandDisruptions = new CommandDisruptions(time);
     }
 
     void addHost(HostAddress address, Host host) {
@@ -100,6 +103,24 @@
         connection.onLost();
     }
 
+    /**
+     * Lets open connections of some processes go silent for good, in one direction or both.
+     *
+     * @param share the share of these connections
+     */
+    void silence(Predicate<SimulatedProcess> processes, double share) {
+        for (Connection connection : mConnections) {
+            boolean isMeant =
+                    processes.test(connection.mClient)
+                            || processes.test(connection.mListener.process());
+            if (isMeant && mTime.chance(share)) {
+                int direction = mTime.mRandom.nextInt(3);
+                connection.mForth.mSilent |= direction != 0;
+                connection.mBack.mSilent |= direction != 1;
+            }
+        }
+    }
+
     long latencyNanos() {
         return TimeUnit.MICROSECONDS.toNanos(
                 mTime.chance(0.02) ? mTime.between(2000, 60_000) : mTime.between(200, 2000));
@@ -111,6 +132,7 @@
         private final Host mTo;
         private final Deque<Message> mMessages = new ArrayDeque<>();
         private boolean mDelivering;
+        private boolean mSilent;
 
         private Direction(Host from, Host to) {
             mFrom = from;
@@ -118,6 +140,9 @@
         }
 
         private void send(Runnable delivery) {
+            if (mSilent) {
+                return;
+            }
             mMessages.add(new Message(mTime.nowNanos() + latencyNanos(), delivery));
             if (!mDelivering) {
                 mDelivering = true;
@@ -130,6 +155,10 @@
         }
 
         private void deliverNext() {
+            if (mSilent) {
+                mMessages.clear();
+                return;
+            }
             if (isCut(mFrom, mTo)) {
                 mStalled.add(this);
                 return;
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedProcess.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedProcess.java
@@ -15,6 +15,12 @@
     private final long mClockOffsetNanos;
     private long mPausedUntilNanos;
 
+    /** Until when an event takes time, how much at most, and when the present one ends. */
+    private long mSlowUntilNanos;
+
+    private long mMaxEventMicros;
+    private long mBusyUntilNanos;
+
     /** Time by which suspensions have put the monotonic clock back. */
     private long mSuspendedNanos;
 
@@ -68,6 +74,16 @@
         mTime.at(mSuspensionEndNanos, () -> {});
     }
 
+    /** Lets each event take time for a while, in which what arrives waits in order. */
+    void slow(long millis, long maxEventMicros) {
+        mSlowUntilNanos = mTime.nowNanos() + TimeUnit.MILLISECONDS.toNanos(millis);
+        mMaxEventMicros = maxEventMicros;
+    }
+
+    private long freeNanos() {
+        return Math.max(mPausedUntilNanos, mBusyUntilNanos);
+    }
+
     boolean isPaused() {
         return mTime.nowNanos() < mPausedUntilNanos;
     }
@@ -117,29 +133,29 @@
         if (!mAlive) {
             return;
         }
-        boolean isPaused = mTime.nowNanos() < mPausedUntilNanos;
-        if (isPaused || !mHeld.isEmpty()) {
+        boolean isOccupied = mTime.nowNanos() < freeNanos();
+        if (isOccupied || !mHeld.isEmpty()) {
             mHeld.add(work);
             if (mHeld.size() == 1) {
-                mTime.at(mPausedUntilNanos, this::runHeld);
+                mTime.at(freeNanos(), this::runHeld);
             }
             return;
         }
         runNow(work);
     }
 
-    /** Runs the work of a pause in the order in which it has arrived. */
+    /** Runs the work that has waited in the order in which it has arrived. */
     private void runHeld() {
-        if (mTime.nowNanos() < mPausedUntilNanos) {
-            mTime.at(mPausedUntilNanos, this::runHeld);
+        if (mTime.nowNanos() < freeNanos()) {
+            mTime.at(freeNanos(), this::runHeld);
             return;
         }
-        while (mAlive && !mHeld.isEmpty() && mTime.nowNanos() >= mPausedUntilNanos) {
+        while (mAlive && !mHeld.isEmpty() && mTime.nowNanos() >= freeNanos()) {
             runNow(mHeld.peek());
             mHeld.remove();
         }
         if (mAlive && !mHeld.isEmpty()) {
-            mTime.at(mPausedUntilNanos, this::runHeld);
+            mTime.at(freeNanos(), this::runHeld);
         }
     }
 
@@ -153,6 +169,9 @@
         } finally {
             mInLoop = false;
         }
+        if (mTime.nowNanos() < mSlowUntilNanos) {
+            mBusyUntilNanos = mTime.nowNanos() + 1000 * mTime.between(200, mMaxEventMicros);
+        }
     }
 
     @Override
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedServer.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedServer.java
@@ -39,8 +39,11 @@
     final SimulatedNetwork.Host mHost;
     final Map<TaskId, Run> mRunning = new TreeMap<>(SimulatedServer::compare);
     boolean mUp;
+    boolean mLeaving;
     int mLife;
+    long mListedMillis;
     private final VirtualTime mTime;
+    final int mSlots;
     private final Runs mRuns;
     private final List<EndReport> mEnds = new ArrayList<>();
     private final List<Waiting> mWaiting = new ArrayList<>();
@@ -69,8 +72,9 @@
     /** A poll that waits for an end. */
     private record Waiting(Consumer<PollResult> answer) {}
 
-    SimulatedServer(VirtualTime time, String name, String dataCentre, Runs runs) {
+    SimulatedServer(VirtualTime time, String name, String dataCentre, int slots, Runs runs) {
         mTime = time;
+        mSlots = slots;
         mRuns = runs;
         mId = ServerId.of(name);
         mHost = new SimulatedNetwork.Host(name, dataCentre);
@@ -81,20 +85,21 @@
         return one.toString().compareTo(other.toString());
     }
 
-    ServerEntry entry() {
+    ServerEntry entry(boolean isLeaving) {
         return new ServerEntry(
                 mId,
                 SERVICE,
                 HostAddress.of("10.0.0.1", 1000),
                 DataCentre.of(mHost.dataCentre()),
-                SLOTS,
-                ResourceAmount.of(SLOTS * 10_000, 65_536, 0),
+                mSlots,
+                ResourceAmount.of(mSlots * 10_000, 65_536, 0),
                 Set.of(),
-                false);
+                isLeaving);
     }
 
     void begin() {
         mUp = true;
+        mLeaving = false;
         mLife++;
         mBornNanos = mTime.nowNanos();
         mToken = 0;
@@ -171,7 +176,7 @@
         if (clock() >= mLeaseMillis) {
             return StartResult.TOO_LATE;
         }
-        if (mRunning.size() >= SLOTS) {
+        if (mRunning.size() >= mSlots) {
             return StartResult.NO_ROOM;
         }
         Run run =
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedStore.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedStore.java
@@ -23,6 +23,7 @@
     private static final long MIN_ANSWER_MICROS = 2000;
     private static final long MAX_ANSWER_MICROS = 6000;
 
+    final StoreDisruptions mDisruptions;
     private final VirtualTime mTime;
     private final SimulatedNetwork mNetwork;
     private final Map<String, StoreItem> mItems = new TreeMap<>();
@@ -33,6 +34,7 @@
     private final List<Runnable> mWatches = new ArrayList<>();
     private final Map<SimulatedProcess, Runnable> mOnRenewals = new HashMap<>();
     private long mRevision = 100;
+    private long mCompactedRevision;
     private long mNextLease = 1;
     boolean mDown;
 
@@ -42,6 +44,7 @@
     SimulatedStore(VirtualTime time, SimulatedNetwork network) {
         mTime = time;
         mNetwork = network;
+        mDisruptions = new StoreDisruptions(time);
     }
 
     VersionedStore clientOf(SimulatedProcess process) {
@@ -69,6 +72,18 @@
         mOnRenewals.put(process, work);
     }
 
+    /** Lets the watches hear nothing for a while, then drops the history and cuts them. */
+    void compactAfterSilence(long millis) {
+        mDisruptions.silenceWatches(true);
+        mTime.after(
+                millis,
+                () -> {
+                    mDisruptions.silenceWatches(false);
+                    mCompactedRevision = mRevision;
+                    mWatches.clear();
+                });
+    }
+
     /** Ends all leases, as an outage may do. */
     void expireLeases() {
         for (String key : new TreeSet<>(mLeaseOfItem.keySet())) {
@@ -125,33 +140,55 @@
         }
 
         private <T> void call(
+                StoreDisruptions.Kind kind,
                 Supplier<Either<StoreFailure, T>> work,
                 Consumer<Either<StoreFailure, T>> callback) {
             boolean[] finished = new boolean[1];
+            long sentNanos = mTime.nowNanos();
+            StoreDisruptions.Fate fate = mDisruptions.draw(mProcess, kind);
             mProcess.schedule(
                     CALL_TIMEOUT_MILLIS,
                     () -> finish(finished, callback, Either.left(StoreFailure.UNANSWERED)));
             mTime.afterNanos(
                     answerNanos(),
                     () -> {
-                        if (isReachable()) {
-                            answer(finished, callback, work.get());
+                        if (!isReachable()) {
+                            return;
+                        }
+                        switch (fate) {
+                            case LOST -> mTime.note("the store hears nothing of a call");
+                            case REFUSED ->
+                                    answer(
+                                            finished,
+                                            sentNanos,
+                                            callback,
+                                            Either.left(StoreFailure.REFUSED));
+                            case DONE_UNANSWERED -> work.get();
+                            case LATE ->
+                                    mTime.after(mDisruptions.drawLateMillis(), () -> doLate(work));
+                            default -> answer(finished, sentNanos, callback, work.get());
                         }
                     });
         }
 
+        private static <T> void doLate(Supplier<Either<StoreFailure, T>> work) {
+            work.get();
+        }
+
         private boolean isReachable() {
             return !mDown && !mNetwork.isCut(mProcess.mHost, HOST);
         }
 
         private <T> void answer(
                 boolean[] finished,
+                long sentNanos,
                 Consumer<Either<StoreFailure, T>> callback,
                 Either<StoreFailure, T> result) {
             mTime.afterNanos(
                     answerNanos(),
                     () -> {
-                        if (!mNetwork.isCut(HOST, mProcess.mHost)) {
+                        if (!mNetwork.isCut(HOST, mProcess.mHost)
+                                && !mDisruptions.isSilentSince(mProcess, sentNanos)) {
                             mProcess.execute(() -> finish(finished, callback, result));
                         }
                     });
@@ -175,6 +212,7 @@
         public void read(
                 String prefix, String after, Consumer<Either<StoreFailure, StorePage>> callback) {
             call(
+                    StoreDisruptions.Kind.READ,
                     () -> {
                         StorePage all = changes(prefix, 0);
                         return Either.right(
@@ -190,6 +228,8 @@
                 long waitMillis,
                 Consumer<Either<StoreFailure, StorePage>> callback) {
             boolean[] finished = new boolean[1];
+            long sentNanos = mTime.nowNanos();
+            StoreDisruptions.Fate fate = mDisruptions.draw(mProcess, StoreDisruptions.Kind.READ);
             mProcess.schedule(
                     waitMillis + CALL_TIMEOUT_MILLIS,
                     () -> finish(finished, callback, Either.left(StoreFailure.UNANSWERED)));
@@ -198,10 +238,24 @@
             mTime.afterNanos(
                     answerNanos(),
                     () -> {
-                        if (isReachable() && !isLost) {
+                        if (isReachable() && fate == StoreDisruptions.Fate.REFUSED) {
+                            answer(
+                                    finished,
+                                    sentNanos,
+                                    callback,
+                                    Either.left(StoreFailure.REFUSED));
+                        } else if (isReachable()
+                                && !isLost
+                                && fate == StoreDisruptions.Fate.ANSWERED) {
                             long untilNanos = mTime.nowNanos() + 1_000_000 * waitMillis;
                             mTime.at(untilNanos, this::wakeOne);
-                            waitForChange(prefix, afterRevision, untilNanos, finished, callback);
+                            waitForChange(
+                                    prefix,
+                                    afterRevision,
+                                    untilNanos,
+                                    finished,
+                                    sentNanos,
+                                    callback);
                         }
                     });
         }
@@ -215,20 +269,35 @@
                 long afterRevision,
                 long untilNanos,
                 boolean[] finished,
+                long sentNanos,
                 Consumer<Either<StoreFailure, StorePage>> callback) {
             StorePage page = changes(prefix, afterRevision);
             boolean isChanged = !page.items().isEmpty() || !page.removedKeys().isEmpty();
             if (finished[0] || !mProcess.isAlive()) {
                 return;
             }
-            if (isChanged || mTime.nowNanos() >= untilNanos) {
+            boolean isDue = isChanged || mTime.nowNanos() >= untilNanos;
+            if (isDue && !mDisruptions.areWatchesSilent()) {
                 if (!mDown) {
-                    answer(finished, callback, Either.right(page));
+                    answer(
+                            finished,
+                            sentNanos,
+                            callback,
+                            afterRevision < mCompactedRevision
+                                    ? Either.left(StoreFailure.HISTORY_GONE)
+                                    : Either.right(page));
                 }
                 return;
             }
             mWatches.add(
-                    () -> waitForChange(prefix, afterRevision, untilNanos, finished, callback));
+                    () ->
+                            waitForChange(
+                                    prefix,
+                                    afterRevision,
+                                    untilNanos,
+                                    finished,
+                                    sentNanos,
+                                    callback));
         }
 
         @Override
@@ -238,6 +307,7 @@
                 long lease,
                 Consumer<Either<StoreFailure, Long>> callback) {
             call(
+                    StoreDisruptions.Kind.WRITE,
                     () -> {
                         if (lease != 0 && !mLeaseEndNanos.containsKey(lease)) {
                             return Either.left(StoreFailure.LEASE_GONE);
@@ -254,6 +324,7 @@
         public void commit(
                 StoreTransaction transaction, Consumer<Either<StoreFailure, Long>> callback) {
             call(
+                    StoreDisruptions.Kind.WRITE,
                     () -> {
                         StoreItem guard = mItems.get(transaction.guard());
                         long revision = guard == null ? 0 : guard.revision();
@@ -270,6 +341,7 @@
         @Override
         public void remove(String key, Consumer<Either<StoreFailure, Long>> callback) {
             call(
+                    StoreDisruptions.Kind.WRITE,
                     () -> {
                         SimulatedStore.this.remove(key);
                         return Either.right(mRevision);
@@ -280,6 +352,7 @@
         @Override
         public void grantLease(long ttlMillis, Consumer<Either<StoreFailure, Long>> callback) {
             call(
+                    StoreDisruptions.Kind.LEASE,
                     () -> {
                         long lease = mNextLease++;
                         mLeaseMillis.put(lease, ttlMillis);
@@ -297,6 +370,7 @@
                 work.run();
             }
             call(
+                    StoreDisruptions.Kind.LEASE,
                     () -> {
                         if (!mLeaseEndNanos.containsKey(lease)) {
                             return Either.left(StoreFailure.LEASE_GONE);
