Play a leader that uses a server which is no longer listed

The scene for DataCentreScope: a leader that can't read the directory runs a job on a server that the others no longer list, and is lost.

--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/DuplicateRunScenesTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/DuplicateRunScenesTest.java
@@ -210,6 +210,33 @@
         assertNoDoubleRun();
     }
 
+    @Test
+    void testNextLeaderDoesNotStartJobThatMayRunOnServerThatIsNoLongerListed() {
+        begin(ONE_DATA_CENTRE, 1);
+        SimulatedInstance leader = leader("pwani-a");
+        SimulatedServer only = mFleet.mServers.values().iterator().next();
+        cut(
+                (from, to) ->
+                        isLinked(from, to, leader.mHost)
+                                && isLinked(from, to, SimulatedStore.HOST),
+                13_200);
+        cut(
+                (from, to) ->
+                        isLinked(from, to, leader.mHost)
+                                && isServer(from, to)
+                                && !isLinked(from, to, only.mHost),
+                3 * CUT_MILLIS);
+        mFleet.mStore.remove(SimulatedInstance.SERVERS_PREFIX + only.mId);
+        runFor(13_000);
+        submit(job(1, 3000), followers("pwani-a").get(1));
+        runFor(100);
+        assertThat(usedServer(), is(only));
+        leader.kill();
+        mFleet.mTime.after(100, leader::start);
+        runFor(4000);
+        assertNoDoubleRun();
+    }
+
     @Test
     void testLateStartOfLostLeaderIsFenced() {
         for (int seed = 1; seed <= 40; seed++) {
