--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCommands.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCommands.java
@@ -139,6 +139,12 @@
 
     private <T> void arrive(
             SimulatedServer server, int life, Delivery<T> delivery, Once<T> callback, T notSent) {
+        if (mNetwork.isRefused(mProcess.mHost, server.mHost)) {
+            mTime.afterNanos(
+                    mNetwork.latencyNanos(),
+                    () -> mProcess.execute(() -> callback.accept(notSent)));
+            return;
+        }
         if (mNetwork.isCut(mProcess.mHost, server.mHost) || mTime.chance(0.001)) {
             if (mTime.chance(0.5)) {
                 mTime.after(
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/StoreDisruptions.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/StoreDisruptions.java
@@ -17,6 +17,7 @@
     private double mUnansweredShare;
     private boolean mUnansweredAreLate;
     private boolean mWatchesSilent;
+    private long mSlowness = 1;
 
     /** The kinds of calls. */
     enum Kind {
@@ -79,6 +80,16 @@
         mTime.after(millis, () -> mUnansweredShare = 0);
     }
 
+    /** Lets calls take a multiple of their time for a while. */
+    void slow(long factor, long millis) {
+        mSlowness = factor;
+        mTime.after(millis, () -> mSlowness = 1);
+    }
+
+    long slowness() {
+        return mSlowness;
+    }
+
     void silenceWatches(boolean areSilent) {
         mWatchesSilent = areSilent;
     }
