--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedNetwork.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedNetwork.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.failure.FailureKind;
 import org.wagtailproxy.identity.HostAddress;
@@ -27,11 +28,13 @@
  */
 final class SimulatedNetwork {
 
+    final CommandDisruptions mCommandDisruptions;
     private static final long CONNECT_TIMEOUT_MILLIS = 1000;
     private static final int MAX_RETRANSMISSION_MILLIS = 800;
 
     private final VirtualTime mTime;
     private final List<BiPredicate<Host, Host>> mCuts = new ArrayList<>();
+    private final List<BiPredicate<Host, Host>> mRefusals = new ArrayList<>();
     private final List<Direction> mStalled = new ArrayList<>();
     private final List<Connection> mConnections = new ArrayList<>();
     private final Map<HostAddress, Listener> mListeners = new HashMap<>();
@@ -46,6 +49,7 @@
 
     SimulatedNetwork(VirtualTime time) {
         mTime = time;
+        mCommandDisruptions = new CommandDisruptions(time);
     }
 
     void addHost(HostAddress address, Host host) {
@@ -74,6 +78,31 @@
                 });
     }
 
+    /** Refuses new connections over the cut links for which a predicate holds. */
+    void refuse(BiPredicate<Host, Host> links, long millis) {
+        mRefusals.add(links);
+        mTime.after(millis, () -> mRefusals.remove(links));
+    }
+
+    /** Checks whether a cut refuses new connections from one host to another. */
+    boolean isRefused(Host from, Host to) {
+        return mRefusals.stream().anyMatch(links -> links.test(from, to) || links.test(to, from));
+    }
+
+    /** Breaks the connections over the links for which a predicate holds. */
+    void reset(BiPredicate<Host, Host> links) {
+        for (Connection connection : List.copyOf(mConnections)) {
+            Host client = connection.mClient.mHost;
+            Host server = connection.mListener.process().mHost;
+            if (links.test(client, server) || links.test(server, client)) {
+                mConnections.remove(connection);
+                connection.mForth.mMessages.clear();
+                connection.mBack.mMessages.clear();
+                connection.onLost();
+            }
+        }
+    }
+
     /** Breaks all connections of a process that was killed. */
     void onKilled(SimulatedProcess process) {
         mListeners.values().removeIf(listener -> listener.process() == process);
@@ -100,6 +129,24 @@
         connection.onLost();
     }
 
+    /**
+     * Lets open connections of some processes go silent for good, in one direction or both.
+     *
+     * @param share the share of these connections
+     */
+    void silence(Predicate<SimulatedProcess> processes, double share) {
+        for (Connection connection : mConnections) {
+            boolean isMeant =
+                    processes.test(connection.mClient)
+                            || processes.test(connection.mListener.process());
+            if (isMeant && mTime.chance(share)) {
+                int direction = mTime.mRandom.nextInt(3);
+                connection.mForth.mSilent |= direction != 0;
+                connection.mBack.mSilent |= direction != 1;
+            }
+        }
+    }
+
     long latencyNanos() {
         return TimeUnit.MICROSECONDS.toNanos(
                 mTime.chance(0.02) ? mTime.between(2000, 60_000) : mTime.between(200, 2000));
@@ -111,6 +158,7 @@
         private final Host mTo;
         private final Deque<Message> mMessages = new ArrayDeque<>();
         private boolean mDelivering;
+        private boolean mSilent;
 
         private Direction(Host from, Host to) {
             mFrom = from;
@@ -118,6 +166,9 @@
         }
 
         private void send(Runnable delivery) {
+            if (mSilent) {
+                return;
+            }
             mMessages.add(new Message(mTime.nowNanos() + latencyNanos(), delivery));
             if (!mDelivering) {
                 mDelivering = true;
@@ -130,6 +181,10 @@
         }
 
         private void deliverNext() {
+            if (mSilent) {
+                mMessages.clear();
+                return;
+            }
             if (isCut(mFrom, mTo)) {
                 mStalled.add(this);
                 return;
@@ -170,7 +225,12 @@
             mForth = new Direction(client.mHost, server);
             mBack = new Direction(server, client.mHost);
             if (isCut(client.mHost, server) || isCut(server, client.mHost)) {
-                mTime.after(CONNECT_TIMEOUT_MILLIS, () -> failLater(FailureKind.PEER_UNREACHABLE));
+                if (isRefused(client.mHost, server)) {
+                    mTime.afterNanos(latencyNanos(), () -> failLater(FailureKind.PEER_REFUSED));
+                } else {
+                    mTime.after(
+                            CONNECT_TIMEOUT_MILLIS, () -> failLater(FailureKind.PEER_UNREACHABLE));
+                }
             } else {
                 mTime.afterNanos(latencyNanos(), this::onConnected);
             }
