Hand a job back to one of its homes only

A caller whose connection breaks sends its job again through another instance. Two homes then wait for one job.

Cause: a leader that stepped down handed such a job back to both of them, with its progress. Homes that follow two leaders next, as one is cut off from its peers but not from the servers, submitted it to both, and each of these started its tasks.

Change: the home that joined last gets the job back, and the others get "abandoned" at once. The caller holds one connection at a time, most likely to the last home. If it is another one, it gets 504 instead of its result.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -403,9 +403,7 @@
         Consumer<Either<WorkProgress, WorkOutcome>> answer = pendingJob.homes().remove(home);
         if (!pendingJob.homes().isEmpty()) {
             // The job continues here for the others, so this home must not submit it elsewhere.
-            answer.accept(
-                    Either.right(
-                            WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "runs for another home")));
+            answer.accept(Either.right(PendingJob.RUNS_FOR_ANOTHER_HOME));
             return;
         }
         mPendingJobs.remove(job);
@@ -466,7 +464,7 @@
         for (Map.Entry<JobId, PendingJob> each : pendingJobs) {
             mLog.jobHandedOver(each.getKey());
             WorkProgress progress = progressByJob.getOrDefault(each.getKey(), WorkProgress.NONE);
-            each.getValue().homes().values().forEach(home -> home.accept(Either.left(progress)));
+            PendingJob.handBack(each.getValue().homes(), progress);
         }
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +20,10 @@
  */
 final class PendingJob {
 
+    /** The answer to a home instance that must not submit the job to another leader. */
+    static final WorkOutcome RUNS_FOR_ANOTHER_HOME =
+            WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "runs for another home");
+
     private final ServiceName mService;
     private final int mPriority;
     private final long mObjectiveMillis;
@@ -102,6 +107,21 @@
         return first;
     }
 
+    /**
+     * Hands a job back to the home instance that joined last, where the caller most likely still
+     * waits. The others are told that the job is abandoned: homes may follow different leaders
+     * next, and each of these would start the tasks.
+     */
+    static void handBack(
+            Map<HomeProcess, Consumer<Either<WorkProgress, WorkOutcome>>> homes,
+            WorkProgress progress) {
+        int others = homes.size() - 1;
+        for (Consumer<Either<WorkProgress, WorkOutcome>> answer : List.copyOf(homes.values())) {
+            answer.accept(others > 0 ? Either.right(RUNS_FOR_ANOTHER_HOME) : Either.left(progress));
+            others--;
+        }
+    }
+
     /** Returns the home instances, each with the consumer of the outcome. */
     Map<HomeProcess, Consumer<Either<WorkProgress, WorkOutcome>>> homes() {
         return mHomes;
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/LeaderSchedulerTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/LeaderSchedulerTest.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
 import org.wagtailproxy.workload.StepSpec;
@@ -49,15 +51,73 @@
         assertThat(mOutcomes, contains(WorkOutcome.Kind.ABANDONED, WorkOutcome.Kind.COMPLETE));
     }
 
+    @Test
+    void testLeaderThatStepsDownHandsJobToLatestHomeOnly() {
+        mFleet.mTime.run(READY_MILLIS);
+        List<SimulatedInstance> followers = followers();
+        submit(job(1, 2000), followers.get(0));
+        submit(job(1, 2000), followers.get(1));
+        mFleet.mTime.run(READY_MILLIS + 100);
+        SimulatedInstance leader = leader();
+        leader.process().execute(leader.dispatcher()::drain);
+        mFleet.mTime.run(READY_MILLIS + 3500);
+        assertThat(mOutcomes, contains(WorkOutcome.Kind.ABANDONED, WorkOutcome.Kind.COMPLETE));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {14, 15, 20, 24, 25})
+    void testHomesThatFollowTwoLeadersNextDoNotBothGetJobBack(long seed) {
+        FleetSimulation fleet =
+                new FleetSimulation(seed, new FleetSimulation.Size(List.of("pwani-a"), 4));
+        fleet.mTime.run(READY_MILLIS);
+        SimulatedInstance leader = leader(fleet);
+        List<SimulatedInstance> homes = followers(fleet).subList(0, 2);
+        homes.forEach(home -> submitUnwatched(job(24, 800), home));
+        fleet.mTime.run(READY_MILLIS + 30);
+        SimulatedNetwork.Host cutOff = homes.get(0).mHost;
+        fleet.mNetwork.cut(
+                (from, to) ->
+                        from.equals(cutOff) && isOther(fleet, to, leader)
+                                || to.equals(cutOff) && isOther(fleet, from, leader),
+                3000);
+        leader.process().execute(leader.dispatcher()::drain);
+        fleet.mTime.run(READY_MILLIS + 4500);
+        assertThat(fleet.report(), is(""));
+    }
+
+    /** Checks whether a machine is an instance other than the leader. */
+    private static boolean isOther(
+            FleetSimulation fleet, SimulatedNetwork.Host host, SimulatedInstance leader) {
+        return !host.equals(leader.mHost)
+                && fleet.mInstances.values().stream().anyMatch(each -> each.mHost.equals(host));
+    }
+
+    private boolean isOther(SimulatedNetwork.Host host, SimulatedInstance leader) {
+        return !host.equals(leader.mHost)
+                && mFleet.mInstances.values().stream().anyMatch(each -> each.mHost.equals(host));
+    }
+
     private SimulatedInstance leader() {
-        return mFleet.upInstances().stream()
+        return leader(mFleet);
+    }
+
+    private static SimulatedInstance leader(FleetSimulation fleet) {
+        return fleet.upInstances().stream()
                 .filter(SimulatedInstance::isLeader)
                 .findFirst()
                 .orElseThrow();
     }
 
     private List<SimulatedInstance> followers() {
-        return mFleet.upInstances().stream().filter(each -> !each.isLeader()).toList();
+        return followers(mFleet);
+    }
+
+    private static List<SimulatedInstance> followers(FleetSimulation fleet) {
+        return fleet.upInstances().stream().filter(each -> !each.isLeader()).toList();
+    }
+
+    private static void submitUnwatched(WorkSpec job, SimulatedInstance home) {
+        home.process().execute(() -> home.dispatcher().submit(job, 4000, "caller", outcome -> {}));
     }
 
     private void submit(WorkSpec job, SimulatedInstance home) {
