Count a home that submits its job again as the last one

A caller that has come back to its first instance gets 504, while the one that it has left gets the job.

Cause: a job is handed back to the home that joined last, but a home that submits the job again kept its place among the homes.

Change: such a home is put behind the others, also for jobs that are forwarded.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
@@ -42,7 +42,7 @@
     }
 
     /**
-     * Adds a home instance, or replaces the consumer of its outcome.
+     * Adds a home instance as the last one, or replaces the consumer of its outcome.
      *
      * @param isForwarder true if it is the leader of another data centre, which forwards the job
      */
@@ -50,7 +50,7 @@
             HomeProcess home,
             boolean isForwarder,
             Consumer<Either<WorkProgress, WorkOutcome>> answer) {
-        mHomes.put(home, answer);
+        putLast(mHomes, home, answer);
         if (isForwarder) {
             mForwarders.add(home);
         } else {
@@ -58,6 +58,15 @@
         }
     }
 
+    /** Puts a home instance behind all others, also if it has joined before. */
+    static void putLast(
+            Map<HomeProcess, Consumer<Either<WorkProgress, WorkOutcome>>> homes,
+            HomeProcess home,
+            Consumer<Either<WorkProgress, WorkOutcome>> answer) {
+        homes.remove(home);
+        homes.put(home, answer);
+    }
+
     /** Checks whether a home instance is a leader that forwards the job for others. */
     boolean isForwarder(HomeProcess home) {
         return mForwarders.contains(home);
