Look at the callers' connections before late work goes on

A leader whose loop lags placed waiting tasks of its own callers before it read that their connections were reset, and a home submitted their jobs again to the next leader.

Change: a dispatcher asks its front to look at the connections of pending requests, which are read without the selector. The leader does so before it places tasks, if it has not checked the homes for 25 ms (a tick that is late; 40 ms before), and a home before it submits a job again. No connection is looked at while nothing lags (LeaderSchedulerTest.testCallersAreNotDoubtedWhileThe- LeaderIsNotBusy).

ResetRequestTest.testDisconnectIs- DetectedBeforeTheEventLoopNoticesIt passes.

A loop that lags for less than 25 ms is not noticed here.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -65,6 +65,12 @@
          * run. The directory is to be read again, see {@link #onServersConfirmed}.
          */
         default void onServerListDoubted() {}
+
+        /**
+         * Callers may have disconnected without being noticed, as the event loop was busy. Those
+         * that have are to be withdrawn before this method returns, see {@link #withdraw}.
+         */
+        default void onCallersDoubted() {}
     }
 
     /**
@@ -112,7 +118,14 @@
                         settings, loop, client, mTokens, log, lifeSigns, new ElectionEvents());
         SpillOver spillOver = new SpillOver();
         mRemote = new RemoteLeaders(loop, client, spillOver);
-        mHomes = new HomeMonitor(settings.home(), loop, mElection, lifeSigns, this::handOverJobsOf);
+        mHomes =
+                new HomeMonitor(
+                        settings.home(),
+                        loop,
+                        mElection,
+                        lifeSigns,
+                        this::handOverJobsOf,
+                        listener::onCallersDoubted);
         JobWithdrawals withdrawals = new JobWithdrawals(settings, loop, client);
         mForwarder = newForwarder(settings, client, spillOver, withdrawals);
         mLeaderScheduler =
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeLiveness.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeLiveness.java
@@ -16,4 +16,7 @@
      * also after the end of its leadership, whomever it follows.
      */
     boolean isForwarderAlive(HomeProcess forwarder);
+
+    /** Withdraws the jobs of the callers of this instance that have disconnected. */
+    void withdrawJobsOfDisconnectedCallers();
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeMonitor.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeMonitor.java
@@ -21,6 +21,7 @@
     private final LeaderElection mElection;
     private final LifeSigns mLifeSigns;
     private final Consumer<HomeProcess> mOnLost;
+    private final Runnable mWithdrawDisconnected;
 
     /**
      * Creates a monitor.
@@ -29,18 +30,21 @@
      * @param lifeSigns the signs of life of other processes, to which the election adds the answers
      *     to its probes
      * @param onLost receives processes that are alive, but may have given up their jobs here
+     * @param withdrawDisconnected withdraws the jobs of own callers that have disconnected
      */
     HomeMonitor(
             HomeProcess self,
             EventLoop loop,
             LeaderElection election,
             LifeSigns lifeSigns,
-            Consumer<HomeProcess> onLost) {
+            Consumer<HomeProcess> onLost,
+            Runnable withdrawDisconnected) {
         mSelf = self;
         mLoop = loop;
         mElection = election;
         mLifeSigns = lifeSigns;
         mOnLost = onLost;
+        mWithdrawDisconnected = withdrawDisconnected;
     }
 
     /**
@@ -91,6 +95,11 @@
         return mLifeSigns.isAlive(forwarder, mLoop.nowNanos());
     }
 
+    @Override
+    public void withdrawJobsOfDisconnectedCallers() {
+        mWithdrawDisconnected.run();
+    }
+
     /**
      * Checks whether a home waits for the jobs that this instance has forwarded for it. After the
      * end of its leadership it still relays their answers to homes that follow the next leader.
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -270,6 +270,9 @@
             return;
         }
         Peer leader = mElection.leader().get();
+        if (!hasCallers(job, leader)) {
+            return;
+        }
         if (job.mFormerLeader != null && !job.mFormerLeader.name().equals(leader.name())) {
             // The former leader may be alive and must not place tasks of this job any more.
             withdraw(job, job.mFormerLeader);
@@ -305,6 +308,20 @@
         sendToLeader(job, leader, submissionCount, answer);
     }
 
+    /**
+     * Checks whether a caller still waits for a job that is to be submitted. One that has
+     * disconnected may have sent the job elsewhere.
+     */
+    private boolean hasCallers(HomeJob job, Peer leader) {
+        if (mElection.isSelf(leader)) {
+            mLeaderScheduler.checkHomes();
+        }
+        if (job.mSubmissionCount > 0) {
+            mLeaderScheduler.withdrawJobsOfDisconnectedCallers();
+        }
+        return mJobs.get(job.mSpec.id()) == job;
+    }
+
     private void sendToLeader(
             HomeJob job,
             Peer leader,
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -45,9 +45,9 @@
     private static final long MAX_TICK_PAUSE_NANOS =
             TimeUnit.MILLISECONDS.toNanos(ServiceScheduler.MAX_TICK_PAUSE_MILLIS);
 
-    /** Time after which homes are checked again before tasks are placed; two ticks. */
+    /** Time after which homes are checked again before tasks are placed; a tick that is late. */
     private static final long HOMES_CHECKED_VALID_NANOS =
-            TimeUnit.MILLISECONDS.toNanos(2 * BUSY_TICK_MILLIS);
+            TimeUnit.MILLISECONDS.toNanos(BUSY_TICK_MILLIS + 5);
 
     /**
      * Time after a network partition has healed, or the pool has changed, in which jobs arrive from
@@ -210,6 +210,11 @@
         now();
     }
 
+    /** Checks the homes if they have not been checked lately, see {@link #nowForPlacement}. */
+    void checkHomes() {
+        nowForPlacement();
+    }
+
     /**
      * Returns the monotonic time. If the machine may have been suspended, nothing is placed until
      * the peers have answered, since another instance may lead by now.
@@ -363,12 +368,21 @@
     void handOverJobsOfLostHomes() {
         boolean forwardersDoubted = mForwardersDoubted;
         mForwardersDoubted = false;
+        boolean isLate = mLoop.nowNanos() - mHomesCheckedNanos > HOMES_CHECKED_VALID_NANOS;
         mHomesCheckedNanos = mLoop.nowNanos();
         handOverJobs(
                 (job, home) ->
                         job.isForwarder(home)
                                 ? forwardersDoubted || !mHomes.isForwarderAlive(home)
                                 : !mHomes.isHomeAlive(home));
+        if (isLate && !mPendingJobs.isEmpty()) {
+            withdrawJobsOfDisconnectedCallers();
+        }
+    }
+
+    /** Withdraws the jobs of the callers of this instance that have disconnected. */
+    void withdrawJobsOfDisconnectedCallers() {
+        mHomes.withdrawJobsOfDisconnectedCallers();
     }
 
     /** Hands over the jobs of a home that may have given them up. */
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/LeaderSchedulerTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/LeaderSchedulerTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -49,6 +50,38 @@
         assertThat(mOutcomes, contains(WorkOutcome.Kind.ABANDONED, WorkOutcome.Kind.COMPLETE));
     }
 
+    @Test
+    void testAnswerThatIsHandledLatePlacesNoTaskOfDisconnectedCaller() {
+        mFleet.mTime.run(READY_MILLIS);
+        SimulatedInstance leader = leader();
+        submit(job(16, 600), leader);
+        mFleet.mTime.run(READY_MILLIS + 300);
+        int starts = mFleet.mStarts;
+        assertThat(starts, is(greaterThan(0)));
+        assertThat(starts, is(lessThan(16)));
+        pauseAndDisconnect(leader, job(16, 600));
+        mFleet.mTime.run(READY_MILLIS + 900);
+        assertThat(mFleet.mStarts, is(starts));
+    }
+
+    @Test
+    void testCallersAreNotDoubtedWhileTheLeaderIsNotBusy() {
+        mFleet.mTime.run(READY_MILLIS);
+        int[] doubts = {0};
+        leader().onCallersDoubted(() -> doubts[0]++);
+        submit(job(16, 600), leader());
+        mFleet.mTime.run(READY_MILLIS + 900);
+        assertThat(doubts[0], is(0));
+    }
+
+    /** Pauses the leader, which reads that a caller has disconnected after all else. */
+    private void pauseAndDisconnect(SimulatedInstance leader, WorkSpec job) {
+        Runnable withdrawal = () -> leader.dispatcher().withdraw(job.id(), "caller");
+        leader.onCallersDoubted(withdrawal);
+        leader.process().pause(300);
+        mFleet.mTime.after(299, () -> leader.process().execute(withdrawal));
+    }
+
     private SimulatedInstance leader() {
         return mFleet.upInstances().stream()
                 .filter(SimulatedInstance::isLeader)
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
@@ -44,6 +44,7 @@
     private int mLives;
     private boolean mRetired;
     private Runnable mOnLeader = () -> {};
+    private Runnable mOnCallersDoubted = () -> {};
 
     SimulatedInstance(
             VirtualTime time,
@@ -112,6 +113,11 @@
         mOnLeader = work;
     }
 
+    /** Sets what withdraws the jobs of callers that have disconnected. */
+    void onCallersDoubted(Runnable work) {
+        mOnCallersDoubted = work;
+    }
+
     private InstanceRecord instanceRecord(long seniority) {
         return new InstanceRecord(
                 InstanceName.of(mHost.name()),
@@ -208,6 +214,11 @@
             // The fleet has no configuration.
         }
 
+        @Override
+        public void onCallersDoubted() {
+            mOnCallersDoubted.run();
+        }
+
         @Override
         public void onBecameLeader() {
             mOnLeader.run();
