Let no submission override a status that may be newer

Cause: a submission carries no clock of its home, so it was taken for newer than any status. Homes in the table of peers were covered by the check of outdated submissions, others, and LifeSigns itself, were not.

One that may have been sent before the latest status arrived doesn't change whom the home follows, and is returned as outdated, whether the home is in the table or not. The wire format is unchanged.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/LifeSigns.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/LifeSigns.java
@@ -78,6 +78,9 @@
 
         private Option<InstanceName> mFollows = Option.none();
 
+        /** When the latest status was received. */
+        private long mStatusNanos = NEVER_NANOS;
+
         private boolean isValid(long answerValidNanos, long nowNanos) {
             return nowNanos - mAnsweredNanos <= answerValidNanos
                     || nowNanos - mRequestedNanos <= REQUEST_VALID_NANOS;
@@ -149,7 +152,8 @@
     }
 
     /**
-     * Records that a process has submitted a job, which shows whom it follows.
+     * Records that a process has submitted a job, which shows whom it follows, unless its status
+     * may be newer.
      *
      * @param process the process, not null
      * @param leader the leader that it follows, none if it forwards the job; not null
@@ -158,7 +162,25 @@
     public void recordSubmission(HomeProcess process, Option<InstanceName> leader, long sentNanos) {
         Signs signs = signsOf(process);
         recordRequest(signs, sentNanos);
-        leader.forEach(name -> signs.mFollows = Option.some(name));
+        leader.filter(name -> !mayHaveLeftSince(process, name, sentNanos))
+                .forEach(name -> signs.mFollows = Option.some(name));
+    }
+
+    /**
+     * Checks whether a process follows another leader, as far as it has reported, and whether it
+     * may have sent a request before that report.
+     *
+     * @param process the process, not null
+     * @param leader the name of the leader that the request was sent to, not null
+     * @param sentNanos a monotonic time here at or before which the request was sent, in
+     *     nanoseconds
+     * @return true if the process may have left since it sent the request
+     */
+    public boolean mayHaveLeftSince(HomeProcess process, InstanceName leader, long sentNanos) {
+        Signs signs = mSigns.get(process);
+        return signs != null
+                && signs.mFollows.exists(name -> !name.equals(leader))
+                && signs.mStatusNanos >= sentNanos;
     }
 
     private void recordRequest(Signs signs, long sentNanos) {
@@ -174,6 +196,7 @@
             return;
         }
         signs.mStatusClockNanos = sign.clockNanos();
+        signs.mStatusNanos = nowNanos;
         signs.mFollows = sign.follows();
         // The clock was read before now, so its lead is at least this.
         if (sign.clockNanos() - nowNanos > signs.mLeadNanos + SUSPENSION_NANOS) {
--- a/decisions/src/test/java/org/wagtailproxy/leadership/LifeSignsTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/leadership/LifeSignsTest.java
@@ -70,6 +70,23 @@
         assertThat(mSigns.isFollowing(HOME, SELF, mNowNanos + 2), is(true));
     }
 
+    @Test
+    void testSubmissionThatWasOvertakenByAStatusDoesNotCount() {
+        mSigns.recordProbe(sign(HOME, OTHER, mNowNanos + 2), mNowNanos + 2);
+        submit(HOME, mNowNanos + 1);
+        assertThat(mSigns.isFollowing(HOME, SELF, mNowNanos + 2), is(false));
+    }
+
+    @Test
+    void testHomeMayHaveLeftSinceItSentARequestBeforeItsStatus() {
+        answer(HOME, mNowNanos);
+        assertThat(mSigns.mayHaveLeftSince(HOME, SELF, mNowNanos), is(false));
+        mSigns.recordProbe(sign(HOME, OTHER, mNowNanos + 2), mNowNanos + 2);
+        assertThat(mSigns.mayHaveLeftSince(HOME, SELF, mNowNanos + 1), is(true));
+        assertThat(mSigns.mayHaveLeftSince(HOME, SELF, mNowNanos + 3), is(false));
+        assertThat(mSigns.mayHaveLeftSince(NEXT, SELF, mNowNanos + 1), is(false));
+    }
+
     @Test
     void testStatusThatWasOvertakenByALaterOneDoesNotCount() {
         mSigns.recordProbe(sign(HOME, OTHER, mNowNanos + 2), mNowNanos + 2);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -16,6 +16,7 @@
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.leadership.HomeProcess;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.leadership.Leadership;
@@ -262,16 +263,17 @@
      *
      * @param clockNanos the clock of this instance that the submission carries
      */
-    boolean isOutdated(JobId job, InstanceName home, long clockNanos) {
+    boolean isOutdated(JobId job, HomeProcess home, long clockNanos) {
         long nowNanos = mLoop.nowNanos();
         boolean hasLeft =
                 clockNanos != MessageAge.UNKNOWN_CLOCK_NANOS
-                        && mPeers.mayHaveLeftSince(home, mSettings.name(), clockNanos);
+                        && (mPeers.mayHaveLeftSince(home.name(), mSettings.name(), clockNanos)
+                                || mLifeSigns.mayHaveLeftSince(home, mSettings.name(), clockNanos));
         boolean outdated = hasLeft || mMessageAge.isOutdated(clockNanos, nowNanos);
         if (outdated) {
             mLog.event(EventName.SUBMISSION_OUTDATED)
                     .with(EventField.JOB, job)
-                    .with(EventField.PEER, home)
+                    .with(EventField.PEER, home.name())
                     .with(
                             EventField.MILLISECONDS,
                             TimeUnit.NANOSECONDS.toMillis(nowNanos - clockNanos))
