Check forwarders that have become peers for their silence

A leader that was paused while the fleet merged could go on with jobs that their forwarder had given up and submitted elsewhere.

Cause: the first probe after a silence was checked for instances of other pools only, but a forwarder may join the pool while this process is paused.

Change: the probe of any instance is checked. From one of the pool only the jobs that it has forwarded are handed over; its own have a longer time.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -513,9 +513,9 @@
     }
 
     /** Hands over and withdraws the jobs of a process that may have given them up. */
-    private void handOverJobsOf(HomeProcess home) {
-        mLeaderScheduler.handOverJobsOf(home);
-        mForwarder.withdrawJobsOfLostHomes(other -> !other.equals(home));
+    private void handOverJobsOf(HomeProcess home, boolean isRemote) {
+        mLeaderScheduler.handOverJobsOf(home, !isRemote);
+        mForwarder.withdrawJobsOfLostHomes(other -> !(isRemote && other.equals(home)));
     }
 
     private Option<InstanceName> markForwarded(JobId job) {
@@ -527,7 +527,7 @@
 
         @Override
         public void onInterrupted(HomeProcess process) {
-            handOverJobsOf(process);
+            handOverJobsOf(process, true);
         }
 
         @Override
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeMonitor.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeMonitor.java
@@ -1,7 +1,7 @@
 package org.wagtailproxy.dispatcher;
 
 import io.vavr.control.Option;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.wagtailproxy.leadership.HomeProcess;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.LifeSign;
@@ -20,7 +20,7 @@
     private final EventLoop mLoop;
     private final LeaderElection mElection;
     private final LifeSigns mLifeSigns;
-    private final Consumer<HomeProcess> mOnLost;
+    private final BiConsumer<HomeProcess, Boolean> mOnLost;
     private final Runnable mWithdrawDisconnected;
 
     /**
@@ -29,7 +29,8 @@
      * @param self this process, the home of its own jobs
      * @param lifeSigns the signs of life of other processes, to which the election adds the answers
      *     to its probes
-     * @param onLost receives processes that are alive, but may have given up their jobs here
+     * @param onLost receives processes that are alive, but may have given up the jobs that they
+     *     have forwarded here, and whether they belong to another pool, which means all their jobs
      * @param withdrawDisconnected withdraws the jobs of own callers that have disconnected
      */
     HomeMonitor(
@@ -37,7 +38,7 @@
             EventLoop loop,
             LeaderElection election,
             LifeSigns lifeSigns,
-            Consumer<HomeProcess> onLost,
+            BiConsumer<HomeProcess, Boolean> onLost,
             Runnable withdrawDisconnected) {
         mSelf = self;
         mLoop = loop;
@@ -48,18 +49,19 @@
     }
 
     /**
-     * Records the probe of an instance. One of another pool that was silent for too long may have
-     * given up its jobs here, although this process may have been paused and not noticed it.
+     * Records the probe of an instance. One that was silent for too long may have given up the jobs
+     * that it has forwarded here, although this process may have been paused and not noticed it. It
+     * may have joined the pool meanwhile.
      *
      * @param isRemote true if the instance belongs to another pool
      */
     void onProbeReceived(Presence probe, boolean isRemote) {
         InstanceName name = InstanceName.of(probe.getName());
         LifeSign sign = PresenceMessages.lifeSign(probe, name, mElection.sentNanos(probe));
-        boolean wasLost = isRemote && mLifeSigns.wasLost(sign.process(), mLoop.nowNanos());
+        boolean wasLost = mLifeSigns.wasLost(sign.process(), mLoop.nowNanos());
         mLifeSigns.recordProbe(sign, mLoop.nowNanos());
         if (wasLost) {
-            mOnLost.accept(sign.process());
+            mOnLost.accept(sign.process(), isRemote);
         }
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -385,9 +385,9 @@
         mHomes.withdrawJobsOfDisconnectedCallers();
     }
 
-    /** Hands over the jobs of a home that may have given them up. */
-    void handOverJobsOf(HomeProcess lost) {
-        handOverJobs((job, home) -> home.equals(lost));
+    /** Hands over the jobs of a home that may have given them up, or only those it forwarded. */
+    void handOverJobsOf(HomeProcess lost, boolean forwardedOnly) {
+        handOverJobs((job, home) -> home.equals(lost) && (!forwardedOnly || job.isForwarder(home)));
     }
 
     private void handOverJobs(BiPredicate<PendingJob, HomeProcess> isLost) {
