--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
@@ -48,6 +48,7 @@
     private int mLives;
     private boolean mRetired;
     private Runnable mOnLeader = () -> {};
+    private Runnable mOnCallersDoubted = () -> {};
 
     SimulatedInstance(
             VirtualTime time,
@@ -116,6 +117,11 @@
         mOnLeader = work;
     }
 
+    /** Sets what withdraws the jobs of callers that have disconnected. */
+    void onCallersDoubted(Runnable work) {
+        mOnCallersDoubted = work;
+    }
+
     private InstanceRecord instanceRecord(long seniority) {
         return new InstanceRecord(
                 InstanceName.of(mHost.name()),
@@ -212,6 +218,11 @@
             // The fleet has no configuration.
         }
 
+        @Override
+        public void onCallersDoubted() {
+            mOnCallersDoubted.run();
+        }
+
         @Override
         public void onBecameLeader() {
             mOnLeader.run();
