Stop instances of the played fleet as planned and kill many at once

Planned stops, which hand leadership and jobs over, and losses of many instances, with refused connections or without power, were never played; the platform has both.

--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDisruptions.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDisruptions.java
@@ -27,6 +27,9 @@
 
     private static final int REPLACEMENT_MILLIS = 4000;
 
+    /** Time that a planned stop of an instance may take. */
+    private static final int GRACE_MILLIS = 6000;
+
     private final FleetSimulation mFleet;
     private final FleetFaults mFaults;
     private final VirtualTime mTime;
@@ -59,6 +62,9 @@
                         this::compactStore,
                         this::slowStore,
                         () -> rejectAtStore(leader),
+                        () -> stop(target),
+                        () -> stopInTurn(leader),
+                        this::killMany,
                         this::splitInstances,
                         this::cutServers,
                         () -> cutAndRefuse(target));
@@ -314,6 +320,69 @@
         return drawn;
     }
 
+    private void stop(SimulatedInstance instance) {
+        if (!instance.isUp()) {
+            return;
+        }
+        long graceMillis = mTime.chance(0.7) ? GRACE_MILLIS : mTime.between(800, GRACE_MILLIS);
+        long downMillis = mTime.between(50, 800);
+        mFaults.note(instance.mHost.name() + " is stopped as planned, grace " + graceMillis);
+        instance.stop(
+                graceMillis,
+                () -> {
+                    instance.kill();
+                    mTime.after(downMillis, instance::start);
+                });
+        SimulatedProcess process = instance.process();
+        mTime.after(
+                graceMillis,
+                () -> {
+                    if (process.isAlive()) {
+                        instance.kill();
+                        mTime.after(downMillis, instance::start);
+                    }
+                });
+    }
+
+    /** Stops one instance after the other, the leader first, or two at a time. */
+    private void stopInTurn(SimulatedInstance leader) {
+        long gapMillis = mTime.between(800, 2000);
+        int atOnce = Math.toIntExact(mTime.between(1, 2));
+        List<SimulatedInstance> instances = new ArrayList<>(mFleet.upInstances());
+        Collections.shuffle(instances, mTime.mRandom);
+        instances.remove(leader);
+        instances.add(0, leader);
+        int count = (int) Math.ceil(drawShare() * instances.size());
+        for (int number = 0; number < count; number++) {
+            SimulatedInstance instance = instances.get(number);
+            mTime.after(gapMillis * (number / atOnce), () -> stop(instance));
+        }
+    }
+
+    /** Kills instances at once, whose machines may lose power, so that nothing refuses. */
+    private void killMany() {
+        double share = drawShare();
+        boolean isPowerLost = mTime.chance(0.5);
+        long downMillis = mTime.between(50, 6000);
+        Set<String> killed = drawInstances(share);
+        mFaults.note(
+                killed
+                        + (isPowerLost ? " lose power for " : " are killed for ")
+                        + downMillis
+                        + " ms");
+        if (isPowerLost) {
+            mFleet.mNetwork.cut(
+                    (from, to) -> killed.contains(from.name()) || killed.contains(to.name()),
+                    downMillis);
+        }
+        for (String name : killed) {
+            SimulatedInstance instance = mFleet.mInstances.get(name);
+            instance.kill();
+            long startMillis = downMillis + mTime.between(0, 300);
+            mTime.after(startMillis, instance::start);
+        }
+    }
+
     /** Cuts some instances off from the other ones; the store and the servers reach both. */
     private void splitInstances() {
         Set<String> one = drawInstances(mTime.chance(0.5) ? 0.5 : drawShare());
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
@@ -70,7 +70,7 @@
         int slotsOf(int serverNumber) {
             return serversPerDataCentre < SERVERS_OF_LARGE_DATA_CENTRE
                     ? SimulatedServer.SLOTS
-                    : 1 + serverNumber % 2;
+                    : serverNumber % 6 == 0 ? 2 : 1;
         }
     }
 
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
@@ -37,6 +37,10 @@
     private static final long LEADER_SERVERS_BATCH_DELAY_MILLIS = 800;
     private static final long FOLLOWER_SERVERS_BATCH_DELAY_MILLIS = 4000;
 
+    private static final long UNREADY_DETECTION_MILLIS = 2300;
+    private static final long STOP_MARGIN_MILLIS = 700;
+    private static final long STOP_POLL_MILLIS = 25;
+
     final SimulatedNetwork.Host mHost;
     final HostAddress mAddress;
     private final VirtualTime mTime;
@@ -101,6 +105,13 @@
         }
     }
 
+    /** Stops the instance as planned, within a grace period, and then runs work. */
+    void stop(long graceMillis, Runnable stopped) {
+        Life life = mLife;
+        mTime.note(mHost.name() + " is stopped");
+        life.mProcess.execute(() -> life.drain(graceMillis, stopped));
+    }
+
     /** Ends the instance for good. */
     void retire() {
         mRetired = true;
@@ -134,6 +145,7 @@
                 ServerDirectory.of(mProcess, new DirectoryListener());
         private LeasedItem mRegistration;
         private StoreMirror mServersMirror;
+        private boolean mDraining;
         private boolean mConfirming;
         private boolean mDoubtedAgain;
 
@@ -189,6 +201,29 @@
                     });
         }
 
+        private void drain(long graceMillis, Runnable stopped) {
+            if (mDraining) {
+                return;
+            }
+            mDraining = true;
+            mDispatcher.drain();
+            awaitStop(mProcess.nowNanos(), graceMillis, stopped);
+        }
+
+        /** Ends as the platform's adapter does once it is idle or the grace period is over. */
+        private void awaitStop(long sinceNanos, long graceMillis, Runnable stopped) {
+            long millis = (mProcess.nowNanos() - sinceNanos) / 1_000_000;
+            boolean isIdle = mDispatcher.openJobs() == 0 && millis > UNREADY_DETECTION_MILLIS;
+            if (!isIdle && millis <= graceMillis - STOP_MARGIN_MILLIS) {
+                mProcess.schedule(
+                        STOP_POLL_MILLIS, () -> awaitStop(sinceNanos, graceMillis, stopped));
+                return;
+            }
+            mRegistration.remove();
+            mDispatcher.abandonJobs();
+            mProcess.schedule(STOP_POLL_MILLIS, stopped);
+        }
+
         private StoreMirror mirror(String prefix, long watchMillis) {
             boolean isServers = prefix.equals(SERVERS_PREFIX);
             LongSupplier delay =
