--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
@@ -65,6 +65,10 @@
 
     private void drawNext() {
         mTime.after(mTime.between(1, 2 * mMeanIntervalMillis), this::drawNext);
+        drawOne();
+    }
+
+    private void drawOne() {
         List<SimulatedInstance> up = mFleet.upInstances();
         List<SimulatedInstance> leaders = up.stream().filter(SimulatedInstance::isLeader).toList();
         if (up.size() < 3) {
@@ -76,6 +80,9 @@
         SimulatedInstance other = mTime.chance(0.5) ? leader : mTime.oneOf(up);
         if (mOptions.contract() && mTime.chance(0.5)) {
             mDisruptions.draw(leader, target);
+            if (mTime.chance(0.4)) {
+                mTime.after(mTime.between(0, 500), this::drawOne);
+            }
             return;
         }
         if (mOptions.changes() && mTime.chance(0.4)) {
