--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
@@ -118,6 +118,17 @@
         assertThat(simulation.report(), is(""));
     }
 
+    @Test
+    void testLeaderDoesNotRunTaskWhoseServerItReleasedToAnotherPool() {
+        FleetSimulation simulation =
+                new FleetSimulation(
+                        92106,
+                        FleetSimulation.DIVIDED,
+                        new FleetFaults.Options(true, true, true, true));
+        simulation.run(SIMULATED_MILLIS);
+        assertThat(simulation.report(), is(""));
+    }
+
     @Test
     void testFleetNeverRunsTaskTwiceNorRefusesStartedJob() {
         checkSeeds(FIRST_SEED, SEEDS, SIZE, OPTIONS, SIMULATED_MILLIS);
