--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -464,7 +464,7 @@
         for (Map.Entry<JobId, PendingJob> each : pendingJobs) {
             mLog.jobHandedOver(each.getKey());
             WorkProgress progress = progressByJob.getOrDefault(each.getKey(), WorkProgress.NONE);
-            PendingJob.handBack(each.getValue().homes(), progress);
+            each.getValue().handBack(progress);
         }
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
@@ -108,15 +108,13 @@
     }
 
     /**
-     * Hands a job back to the home instance that joined last, where the caller most likely still
+     * Hands the job back to the home instance that joined last, where the caller most likely still
      * waits. The others are told that the job is abandoned: homes may follow different leaders
      * next, and each of these would start the tasks.
      */
-    static void handBack(
-            Map<HomeProcess, Consumer<Either<WorkProgress, WorkOutcome>>> homes,
-            WorkProgress progress) {
-        int others = homes.size() - 1;
-        for (Consumer<Either<WorkProgress, WorkOutcome>> answer : List.copyOf(homes.values())) {
+    void handBack(WorkProgress progress) {
+        int others = mHomes.size() - 1;
+        for (Consumer<Either<WorkProgress, WorkOutcome>> answer : List.copyOf(mHomes.values())) {
             answer.accept(others > 0 ? Either.right(RUNS_FOR_ANOTHER_HOME) : Either.left(progress));
             others--;
         }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -165,15 +165,15 @@
     private void endForwarding(ForwardedJob job, WorkProgress progress) {
         if (!job.mSubmitted) {
             mForwardedJobs.remove(job.id());
-            PendingJob.handBack(job.mHomes, progress);
+            answerHomes(job, Either.left(progress));
             return;
         }
         mWithdrawals.withdraw(job.mLeader, job.id(), job.mDeadlineNanos);
         abandon(job, "ran here before");
     }
 
-    private static void answerHomes(ForwardedJob job, WorkOutcome outcome) {
-        job.mHomes.values().forEach(home -> home.accept(Either.right(outcome)));
+    private static void answerHomes(ForwardedJob job, Either<WorkProgress, WorkOutcome> answer) {
+        job.mHomes.values().forEach(home -> home.accept(answer));
     }
 
     private void notifyHome(ForwardedJob job, HomeProcess home) {
@@ -198,7 +198,7 @@
         } else {
             mForwardedJobs.remove(job.id());
             // No home has reported an attempt, see join().
-            PendingJob.handBack(job.mHomes, WorkProgress.NONE);
+            answerHomes(job, Either.left(WorkProgress.NONE));
         }
     }
 
@@ -304,7 +304,7 @@
                         ? outcomeOfAnswer(job, WorkMessages.outcome(answer.get().getWorkAnswer()))
                         : WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "remote leader lost");
         mLog.jobEnded(job.id(), outcome, false);
-        answerHomes(job, outcome);
+        answerHomes(job, Either.right(outcome));
     }
 
     /** A refusal says that no task has run, which an earlier remote leader may have started. */
@@ -323,7 +323,7 @@
         job.mProgress = job.mProgress.merge(WorkMessages.progress(job.id(), answer.getProgress()));
         if (job.mProgress.highestAttempt() == 0) {
             mForwardedJobs.remove(job.id());
-            PendingJob.handBack(job.mHomes, WorkProgress.NONE);
+            answerHomes(job, Either.left(WorkProgress.NONE));
             return;
         }
         mRemoteLeaders.onHandedOver(job.mDataCentre);
@@ -352,6 +352,6 @@
         mForwardedJobs.remove(job.id());
         WorkOutcome outcome = WorkOutcome.of(WorkOutcome.Kind.ABANDONED, reason);
         mLog.jobEnded(job.id(), outcome, false);
-        answerHomes(job, outcome);
+        answerHomes(job, Either.right(outcome));
     }
 }
