--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/DuplicateRunScenesTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/DuplicateRunScenesTest.java
@@ -217,8 +217,7 @@
         SimulatedServer only = mFleet.mServers.values().iterator().next();
         cut(
                 (from, to) ->
-                        isLinked(from, to, leader.mHost)
-                                && isLinked(from, to, SimulatedStore.HOST),
+                        isLinked(from, to, leader.mHost) && isLinked(from, to, SimulatedStore.HOST),
                 13_200);
         cut(
                 (from, to) ->
