Play callers that are reset and send at once again

The played fleet had callers that send a job again after 1,300 ms only. With -Dfleet.run.resends=true, 15% of the requests are reset, two fifths of them at a home that stands still for 5 to 80 ms from then on, and sent again within 10 ms, to any instance of any data centre, if no task of the job has been started; after 1,300 ms otherwise. A request whose reset has arrived is not handled, and is withdrawn when the dispatcher doubts its callers, as HttpServer does. Without the option the draws are as before.

--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
@@ -29,6 +29,9 @@
                     Boolean.getBoolean("fleet.run.aims"),
                     Boolean.getBoolean("fleet.run.changes"));
 
+    /** Callers whose connection is reset send again at once, with -Dfleet.run.resends=true. */
+    private static final boolean RESENDS = Boolean.getBoolean("fleet.run.resends");
+
     /** Prints the whole trace of each seed, or the lines that contain one of some words. */
     private static final String TRACE = System.getProperty("fleet.run.trace");
 
@@ -130,6 +133,9 @@
         int remoteStarts = 0;
         for (int seed = first; seed < first + count; seed++) {
             FleetSimulation simulation = new FleetSimulation(seed, size, options);
+            if (RESENDS) {
+                simulation.resetCallers();
+            }
             simulation.run(SIMULATED_MILLIS);
             printTrace(simulation);
             if (!simulation.report().isEmpty()) {
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
@@ -121,6 +121,11 @@
                 server.mId.toString().getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Lets callers whose connection is reset send their jobs again at once. */
+    void resetCallers() {
+        mCallers.resetConnections();
+    }
+
     void run(long millis) {
         mCallers.schedule();
         mTime.run(millis);
@@ -135,6 +140,10 @@
         return mDone.contains(task);
     }
 
+    boolean hasStarted(JobId job) {
+        return mStartedJobs.contains(job);
+    }
+
     List<SimulatedInstance> upInstances() {
         return mInstances.values().stream().filter(SimulatedInstance::isUp).toList();
     }
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCallers.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCallers.java
@@ -1,5 +1,6 @@
 package org.wagtailproxy.dispatcher;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +24,9 @@
     private final List<String> mDataCentres;
     private final Map<JobId, Job> mJobs = new HashMap<>();
     private final long mMeanIntervalMillis;
+    private final Map<SimulatedProcess, List<Request>> mResetRequests = new HashMap<>();
     private int mNextJob = 1;
+    private boolean mResets;
 
     /** A job of a caller, with what the attempts to hand it in have brought. */
     private static final class Job {
@@ -46,6 +49,14 @@
         mMeanIntervalMillis = mTime.between(15, 80);
     }
 
+    /**
+     * Resets connections, after which the callers send their jobs again anywhere, at once if no
+     * task has been started.
+     */
+    void resetConnections() {
+        mResets = true;
+    }
+
     void schedule() {
         mTime.after(1200, this::sendNext);
     }
@@ -90,6 +101,9 @@
             mTime.after(RESUBMIT_MILLIS, () -> sendElsewhere(job));
             return;
         }
+        if (mResets) {
+            home.onCallersDoubted(() -> withdrawResetRequests(home.process()));
+        }
         new Request(job, home).send();
     }
 
@@ -100,6 +114,15 @@
         send(job);
     }
 
+    /** Withdraws the requests of the connections whose reset has arrived at a process. */
+    private void withdrawResetRequests(SimulatedProcess process) {
+        for (Request request : List.copyOf(mResetRequests.getOrDefault(process, List.of()))) {
+            if (request.isReset()) {
+                request.withdraw();
+            }
+        }
+    }
+
     void checkRefusals(Set<JobId> started) {
         mJobs.forEach(
                 (id, job) -> {
@@ -117,7 +140,10 @@
         private final SimulatedProcess mProcess;
         private final Dispatcher mDispatcher;
         private final String mName;
+        private long mArrivalNanos;
+        private long mResetNanos = Long.MAX_VALUE;
         private boolean mOpen = true;
+        private boolean mWithdrawn;
         private boolean mAnswered;
 
         private Request(Job job, SimulatedInstance home) {
@@ -129,24 +155,66 @@
 
         private void send() {
             mTime.note("caller sends " + mName + " to " + mProcess.mHost.name());
-            mTime.afterNanos(
-                    mFleet.mNetwork.latencyNanos(),
-                    () ->
-                            mProcess.execute(
-                                    () ->
-                                            mDispatcher.submit(
-                                                    mJob.mSpec,
-                                                    mJob.mTimeoutMillis,
-                                                    mName,
-                                                    this::onOutcome)));
+            mArrivalNanos = mTime.nowNanos() + mFleet.mNetwork.latencyNanos();
+            mTime.at(mArrivalNanos, () -> mProcess.execute(this::handle));
             mTime.after(mJob.mTimeoutMillis, () -> leave("has waited for", true));
             if (mTime.chance(0.06)) {
                 boolean sendsAgain = mTime.chance(0.5);
                 mTime.after(mTime.between(1, 900), () -> leave("leaves", sendsAgain));
             }
+            if (mResets && mTime.chance(0.15)) {
+                long millis = mTime.chance(0.5) ? mTime.between(0, 20) : mTime.between(20, 900);
+                boolean isBusy = mTime.chance(0.4);
+                mTime.after(millis, () -> reset(isBusy));
+            }
             mProcess.onKilled(() -> mTime.after(1, () -> leave("lost its connection for", true)));
         }
 
+        /** A request whose reset has arrived is not handled, as that of {@code HttpServer}. */
+        private void handle() {
+            if (isReset()) {
+                mTime.note("front drops " + mName);
+                return;
+            }
+            mDispatcher.submit(mJob.mSpec, mJob.mTimeoutMillis, mName, this::onOutcome);
+        }
+
+        private boolean isReset() {
+            return mTime.nowNanos() >= mResetNanos;
+        }
+
+        /** Resets the connection, of a process that is busy from then on or not. */
+        private void reset(boolean isBusy) {
+            if (!mOpen) {
+                return;
+            }
+            mOpen = false;
+            mTime.note("caller is reset " + mName);
+            if (isBusy) {
+                mProcess.pause(mTime.between(5, 80));
+            }
+            mResetNanos =
+                    Math.max(mArrivalNanos, mTime.nowNanos() + mFleet.mNetwork.latencyNanos());
+            mResetRequests.computeIfAbsent(mProcess, key -> new ArrayList<>()).add(this);
+            mTime.at(mResetNanos, () -> mProcess.execute(this::withdraw));
+            // No leader can prevent that a task which runs is started again at once elsewhere.
+            boolean hasStarted = mFleet.hasStarted(mJob.mSpec.id());
+            mTime.after(
+                    hasStarted ? RESUBMIT_MILLIS : mTime.between(0, 10),
+                    () -> {
+                        mJob.mDataCentre = mTime.oneOf(mDataCentres);
+                        SimulatedCallers.this.send(mJob);
+                    });
+        }
+
+        private void withdraw() {
+            if (!mWithdrawn) {
+                mWithdrawn = true;
+                mResetRequests.get(mProcess).remove(this);
+                mDispatcher.withdraw(mJob.mSpec.id(), mName);
+            }
+        }
+
         private void leave(String reason, boolean sendsAgain) {
             if (!mOpen) {
                 return;
