--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
@@ -168,6 +168,11 @@
                 value.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Lets callers whose connection is reset send their jobs again at once. */
+    void resetCallers() {
+        mCallers.resetConnections();
+    }
+
     void run(long millis) {
         mCallers.schedule();
         mTime.run(millis);
@@ -182,6 +187,10 @@
         return mDone.contains(task);
     }
 
+    boolean hasStarted(JobId job) {
+        return mStartedJobs.contains(job);
+    }
+
     List<SimulatedInstance> upInstances() {
         return mInstances.values().stream().filter(SimulatedInstance::isUp).toList();
     }
