Take forwarded jobs although their forwarder follows another leader

What callers would have seen: no job was run in another data centre any more.

Cause: since a submission is outdated if its home may have reported meanwhile that it follows another leader. A leader that forwards a job always follows itself, so each forwarded job went back.

Change: what the life signs say of a forwarder's leader does not count for the jobs that it forwards. The order of the homes of a forwarded job is as before, since such a job goes back to all of them.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -261,22 +261,23 @@
      * Checks whether a submission has been held up on its way, so that the home instance may have
      * given it up and submitted the job to another leader.
      *
+     * @param forwarded true if the home is the leader of another data centre, which follows itself
      * @param clockNanos the clock of this instance that the submission carries
      */
-    boolean isOutdated(JobId job, HomeProcess home, long clockNanos) {
-        long nowNanos = mLoop.nowNanos();
+    boolean isOutdated(JobId job, HomeProcess home, boolean forwarded, long clockNanos) {
+        long ageMillis = TimeUnit.NANOSECONDS.toMillis(mLoop.nowNanos() - clockNanos);
+        InstanceName self = mSettings.name();
         boolean hasLeft =
-                clockNanos != MessageAge.UNKNOWN_CLOCK_NANOS
-                        && (mPeers.mayHaveLeftSince(home.name(), mSettings.name(), clockNanos)
-                                || mLifeSigns.mayHaveLeftSince(home, mSettings.name(), clockNanos));
-        boolean outdated = hasLeft || mMessageAge.isOutdated(clockNanos, nowNanos);
+                mPeers.mayHaveLeftSince(home.name(), self, clockNanos)
+                        || !forwarded && mLifeSigns.mayHaveLeftSince(home, self, clockNanos);
+        boolean outdated =
+                mMessageAge.isOutdated(clockNanos, mLoop.nowNanos())
+                        || hasLeft && clockNanos != MessageAge.UNKNOWN_CLOCK_NANOS;
         if (outdated) {
             mLog.event(EventName.SUBMISSION_OUTDATED)
                     .with(EventField.JOB, job)
                     .with(EventField.PEER, home.name())
-                    .with(
-                            EventField.MILLISECONDS,
-                            TimeUnit.NANOSECONDS.toMillis(nowNanos - clockNanos))
+                    .with(EventField.MILLISECONDS, ageMillis)
                     .info();
         }
         return outdated;
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -173,7 +173,8 @@
             return;
         }
         mLeaderScheduler.detectSuspension();
-        if (mElection.isOutdated(spec.get().id(), home, message.getReceiverClockNanos())) {
+        if (mElection.isOutdated(
+                spec.get().id(), home, message.getForwarded(), message.getReceiverClockNanos())) {
             // A home that still waits for this instance submits the job again.
             answer.accept(Either.left(progress));
             return;
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
@@ -50,7 +50,8 @@
             HomeProcess home,
             boolean isForwarder,
             Consumer<Either<WorkProgress, WorkOutcome>> answer) {
-        putLast(mHomes, home, answer);
+        mHomes.remove(home);
+        mHomes.put(home, answer);
         if (isForwarder) {
             mForwarders.add(home);
         } else {
@@ -58,15 +59,6 @@
         }
     }
 
-    /** Puts a home instance behind all others, also if it has joined before. */
-    static void putLast(
-            Map<HomeProcess, Consumer<Either<WorkProgress, WorkOutcome>>> homes,
-            HomeProcess home,
-            Consumer<Either<WorkProgress, WorkOutcome>> answer) {
-        homes.remove(home);
-        homes.put(home, answer);
-    }
-
     /** Checks whether a home instance is a leader that forwards the job for others. */
     boolean isForwarder(HomeProcess home) {
         return mForwarders.contains(home);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -148,7 +148,7 @@
         if (job == null) {
             return false;
         }
-        PendingJob.putLast(job.mHomes, home, answer);
+        job.mHomes.put(home, answer);
         if (progress.highestAttempt() > 0) {
             endForwarding(job, progress);
             return true;
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/PendingJobTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/PendingJobTest.java
@@ -46,7 +46,7 @@
         add(FIRST);
         add(SECOND);
         add(FIRST);
-        PendingJob.handBack(mJob.homes(), WorkProgress.NONE);
+        mJob.handBack(WorkProgress.NONE);
         assertThat(mHandedBack, contains("n1"));
     }
 }
