--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -512,7 +512,7 @@
         mJobRelay.tick();
     }
 
-    /** Hands over and withdraws the jobs of a process that may have given them up. */
+    /** Hands over and withdraws the jobs that a process may have given up. */
     private void handOverJobsOf(HomeProcess home, boolean isRemote) {
         mLeaderScheduler.handOverJobsOf(home, !isRemote);
         mForwarder.withdrawJobsOfLostHomes(other -> !(isRemote && other.equals(home)));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeMonitor.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/HomeMonitor.java
@@ -1,7 +1,6 @@
 package org.wagtailproxy.dispatcher;
 
 import io.vavr.control.Option;
-import java.util.function.BiConsumer;
 import org.wagtailproxy.leadership.HomeProcess;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.LifeSign;
@@ -20,17 +19,28 @@
     private final EventLoop mLoop;
     private final LeaderElection mElection;
     private final LifeSigns mLifeSigns;
-    private final BiConsumer<HomeProcess, Boolean> mOnLost;
+    private final LostProcessListener mOnLost;
     private final Runnable mWithdrawDisconnected;
 
+    /** Notified of processes that were lost and are back. */
+    interface LostProcessListener {
+
+        /**
+         * A process is alive, but was silent for so long that it may have given up the jobs that it
+         * has forwarded here.
+         *
+         * @param isRemote true if it belongs to another pool and may have given up all its jobs
+         */
+        void onBack(HomeProcess process, boolean isRemote);
+    }
+
     /**
      * Creates a monitor.
      *
      * @param self this process, the home of its own jobs
      * @param lifeSigns the signs of life of other processes, to which the election adds the answers
      *     to its probes
-     * @param onLost receives processes that are alive, but may have given up the jobs that they
-     *     have forwarded here, and whether they belong to another pool, which means all their jobs
+     * @param onLost notified of processes that were lost and are back
      * @param withdrawDisconnected withdraws the jobs of own callers that have disconnected
      */
     HomeMonitor(
@@ -38,7 +48,7 @@
             EventLoop loop,
             LeaderElection election,
             LifeSigns lifeSigns,
-            BiConsumer<HomeProcess, Boolean> onLost,
+            LostProcessListener onLost,
             Runnable withdrawDisconnected) {
         mSelf = self;
         mLoop = loop;
@@ -61,7 +71,7 @@
         boolean wasLost = mLifeSigns.wasLost(sign.process(), mLoop.nowNanos());
         mLifeSigns.recordProbe(sign, mLoop.nowNanos());
         if (wasLost) {
-            mOnLost.accept(sign.process(), isRemote);
+            mOnLost.onBack(sign.process(), isRemote);
         }
     }
 
