--- a/review/stand-ins-2/CaseServer.java
+++ b/review/stand-ins-2/CaseServer.java
@@ -334,7 +334,12 @@
         ObjectNode answer = answer();
         ArrayNode running = answer.putArray("running");
         for (Run run : mRunning.values()) {
-            running.addArray().add(run.task()).add(run.attempt()).add("").add(run.percent(clock())).add(0);
+            running.addArray()
+                    .add(run.task())
+                    .add(run.attempt())
+                    .add("")
+                    .add(run.percent(clock()))
+                    .add(0);
         }
         ArrayNode ended = answer.putArray("ended");
         mEnds.stream()
--- a/review/stand-ins-2/EndedJobsFillMemory.java
+++ b/review/stand-ins-2/EndedJobsFillMemory.java
@@ -27,7 +27,8 @@
     private static final int TASKS = 4;
     private static final int MAX_SPEC_BYTES = 4000;
     private static final int MEAN_SPEC_BYTES = 250;
-    /** Above that of the sites, so that no job is refused because tasks took longer than estimated. */
+
+    /** Above that of the sites, so that no job is refused as its tasks took long. */
     private static final double SLACK_FACTOR = 10;
 
     private static final long LOAD_MILLIS = 78_000;
--- a/review/stand-ins-2/Judge.java
+++ b/review/stand-ins-2/Judge.java
@@ -64,7 +64,8 @@
         mLastStart.put(task, mFleet.now());
         List<String> active = mActive.computeIfAbsent(task, key -> new ArrayList<>());
         if (!active.isEmpty()) {
-            broken("TWICE at one time " + task + " run " + attempt + " at " + server + ", " + active);
+            broken(
+                    "TWICE at one time " + task + " run " + attempt + " at " + server + ", " + active);
         }
         active.add(server + "/" + attempt);
         Long done = mDone.get(task);
--- a/review/stand-ins-2/LatchedRefusal.java
+++ b/review/stand-ins-2/LatchedRefusal.java
@@ -29,7 +29,7 @@
     private static final long RECOVERY_MILLIS = 12_000;
     private static final long BEFORE_MILLIS = 12_000;
     private static final long AFTER_MILLIS = 25_000;
-    private static final int JOBS_PER_SECOND = 3;
+    private static final int JOBS_PER_SECOND = 1;
 
     private LatchedRefusal() {}
 
@@ -137,6 +137,7 @@
             requests.add(new Request(fleet.now(), reply));
         }
         reply.thenAccept(
-                answer -> fleet.note("POST " + job + " at " + to.name() + " -> " + answer.status()));
+                answer ->
+                        fleet.note("POST " + job + " at " + to.name() + " -> " + answer.status()));
     }
 }
