--- a/review/stand-ins-2/StaleKind.java
+++ b/review/stand-ins-2/StaleKind.java
@@ -22,7 +22,11 @@
     private static final int CRASHED = 4;
 
     private static final long DOWN_MILLIS = 2500;
-    private static final int JOBS_PER_SECOND = 60;
+
+    /** Number of times that servers crash, others each time. */
+    private static final int ROUNDS = 2;
+
+    private static final int JOBS_PER_SECOND = 40;
 
     private StaleKind() {}
 
@@ -105,35 +109,42 @@
                                     fleet.call("POST", to.front(), "/q/" + job, body, 1500, 2500)
                                             .thenAccept(
                                                     reply ->
-                                                            answers.computeIfAbsent(
-                                                                            reply.status(),
-                                                                            key ->
-                                                                                    new AtomicInteger())
-                                                                    .incrementAndGet());
+                                                            count(answers, reply.status()));
                                 },
                                 0,
                                 1_000_000 / JOBS_PER_SECOND,
                                 TimeUnit.MICROSECONDS);
         TimeUnit.MILLISECONDS.sleep(8000);
-        if (trouble) {
-            for (int index = 0; index < CRASHED; index++) {
-                CaseServer server = fleet.mServers.get(2 * index);
-                server.crash();
-                fleet.note(server.id() + " crashes");
-            }
-            TimeUnit.MILLISECONDS.sleep(DOWN_MILLIS);
-            for (int index = 0; index < CRASHED; index++) {
-                CaseServer server = fleet.mServers.get(2 * index);
-                server.restart("b");
-                fleet.register(server, "zone-" + 2 * index % ZONES);
-                fleet.note(server.id() + " starts again as kind b and has registered so");
+        for (int round = 0; round < ROUNDS; round++) {
+            if (trouble) {
+                crashAndRestart(fleet, 2 * CRASHED * round);
             }
+            TimeUnit.MILLISECONDS.sleep(8000);
         }
-        TimeUnit.MILLISECONDS.sleep(8000);
         load.cancel(false);
         TimeUnit.MILLISECONDS.sleep(2000);
         fleet.note("answers " + answers + ", starts " + starts + ", on the wrong kind " + wrong);
         System.out.println("answers " + answers + ", starts " + starts + ", wrong " + wrong);
         return wrong.get() > 0 ? 1 : starts.get() > 100 ? 0 : 2;
     }
+
+    private static void count(Map<Integer, AtomicInteger> answers, int status) {
+        answers.computeIfAbsent(status, key -> new AtomicInteger()).incrementAndGet();
+    }
+
+    /** Crashes servers of kind a from an index on, and starts them again as kind b. */
+    private static void crashAndRestart(CaseFleet fleet, int first) throws InterruptedException {
+        for (int index = first; index < first + 2 * CRASHED; index += 2) {
+            CaseServer server = fleet.mServers.get(index);
+            server.crash();
+            fleet.note(server.id() + " crashes");
+        }
+        TimeUnit.MILLISECONDS.sleep(DOWN_MILLIS);
+        for (int index = first; index < first + 2 * CRASHED; index += 2) {
+            CaseServer server = fleet.mServers.get(index);
+            server.restart("b");
+            fleet.register(server, "zone-" + index % ZONES);
+            fleet.note(server.id() + " starts again as kind b and has registered so");
+        }
+    }
 }
