--- a/review/stand-ins-2/EndedJobsFillMemory.java
+++ b/review/stand-ins-2/EndedJobsFillMemory.java
@@ -29,9 +29,13 @@
     private static final int MEAN_SPEC_BYTES = 250;
 
     /** Above that of the sites, so that no job is refused as its tasks took long. */
-    private static final double SLACK_FACTOR = 10;
+    private static final double SLACK_FACTOR = 20;
+
+    private static final long LOAD_MILLIS = 84_000;
+
+    /** Time since the start of the case after which nothing is sent, as the case has to end. */
+    private static final long LAST_SEND_MILLIS = 93_000;
 
-    private static final long LOAD_MILLIS = 78_000;
     private static final long FINISH_MILLIS = 14_000;
 
     /** Time for which a client waits for the state of its job. */
@@ -106,9 +110,9 @@
                 fleet.timer()
                         .scheduleAtFixedRate(
                                 send, 0, 1_000_000 / JOBS_PER_SECOND, TimeUnit.MICROSECONDS);
-        long end = fleet.now() + LOAD_MILLIS;
+        long end = Math.min(fleet.now() + LOAD_MILLIS, LAST_SEND_MILLIS);
         while (fleet.now() < end) {
-            TimeUnit.SECONDS.sleep(5);
+            TimeUnit.MILLISECONDS.sleep(Math.min(5000, Math.max(1, end - fleet.now())));
             fleet.note("answers so far " + answers + ", starts " + judge.mStarts);
         }
         load.cancel(false);
