Bound what clients can fill in a process

Cause: requests sent ahead, unread responses, half requests, connections and jobs had no bound, the objects of header lines take up many times their bytes, the library's aggregator keeps a received buffer for each part of a body, and a thread that ran out of memory left the process half alive. Ended stored jobs kept their work for 150 s.

Jobs of a leader and stored jobs are bounded by memory; ended stored jobs keep id and state.

--- a/decisions/src/main/java/org/wagtailproxy/queue/QueueTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/queue/QueueTable.java
@@ -10,13 +10,13 @@
  *
  * @param version the version; later ones are higher
  * @param queues the queues, not null
- * @param maxBodyBytes the maximum length of a request body, in bytes
- * @param idleMillis the maximum idle time of a caller's connection, in milliseconds
+ * @param limits the limits on requests, not null
  */
-public record QueueTable(long version, List<QueueEntry> queues, int maxBodyBytes, long idleMillis) {
+public record QueueTable(long version, List<QueueEntry> queues, RequestLimits limits) {
 
     /** Makes an immutable copy of the list. */
     public QueueTable {
+        Objects.requireNonNull(limits, "limits");
         queues = List.copyOf(queues);
     }
 
--- a/decisions/src/main/java/org/wagtailproxy/storage/CommitQueue.java
+++ b/decisions/src/main/java/org/wagtailproxy/storage/CommitQueue.java
@@ -32,6 +32,12 @@
      */
     private static final long MIN_WRITE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
+    /**
+     * Memory of the jobs of a write above which no further one is added. A write is encoded as a
+     * whole, which takes up several times its size.
+     */
+    private static final long MAX_WRITE_MEMORY_BYTES = 512 * 1024;
+
     private final Map<JobId, JobChange> mPendingChanges = new LinkedHashMap<>();
     private List<JobChange> mInFlight = List.of();
     private long mNextWriteNanos = Long.MIN_VALUE;
@@ -61,8 +67,13 @@
         }
         mInFlight = new ArrayList<>();
         Iterator<JobChange> changes = mPendingChanges.values().iterator();
-        while (changes.hasNext() && mInFlight.size() < MAX_JOBS_PER_WRITE) {
-            mInFlight.add(changes.next());
+        long memoryBytes = 0;
+        while (changes.hasNext()
+                && mInFlight.size() < MAX_JOBS_PER_WRITE
+                && memoryBytes < MAX_WRITE_MEMORY_BYTES) {
+            JobChange change = changes.next();
+            mInFlight.add(change);
+            memoryBytes += change.job().memoryBytes();
             changes.remove();
         }
         mNextWriteNanos = nowNanos + MIN_WRITE_INTERVAL_NANOS;
--- a/decisions/src/main/java/org/wagtailproxy/workload/StoredJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/workload/StoredJob.java
@@ -21,6 +21,9 @@
 public record StoredJob(
         WorkSpec spec, State state, List<TaskId> done, Map<TaskId, Set<Integer>> failedAttempts) {
 
+    /** Memory of a task that is done or has failed, in bytes. */
+    private static final long TASK_PROGRESS_BYTES = 64;
+
     /** State of a stored job. */
     public enum State {
         /** The tasks of the job are running or waiting. */
@@ -63,6 +66,38 @@
         return new StoredJob(spec, next, done, failedAttempts);
     }
 
+    /**
+     * Returns a copy without the work and its progress, which nothing needs once the job has ended.
+     * Records of ended jobs are kept for minutes, so their size decides how many jobs can end.
+     *
+     * @return the job with its id, queue and state, never null
+     */
+    public StoredJob withoutWork() {
+        WorkSpec empty =
+                new WorkSpec(
+                        spec.id(),
+                        spec.service(),
+                        "",
+                        List.of(StepSpec.of(1, ResourceAmount.of(0, 0, 0), 1)),
+                        spec.terms(),
+                        spec.storedIn(),
+                        spec.longRunning());
+        return new StoredJob(empty, state, List.of(), Map.of());
+    }
+
+    /**
+     * Estimates the memory that the job takes up.
+     *
+     * @return the memory in bytes
+     */
+    public long memoryBytes() {
+        long tasks = 0;
+        for (StepSpec step : spec.steps()) {
+            tasks += step.tasks();
+        }
+        return spec.memoryBytes() + TASK_PROGRESS_BYTES * tasks;
+    }
+
     /**
      * Checks whether the job has ended, so that none of its tasks will run any more.
      *
--- a/decisions/src/main/java/org/wagtailproxy/workload/WorkSpec.java
+++ b/decisions/src/main/java/org/wagtailproxy/workload/WorkSpec.java
@@ -29,6 +29,21 @@
     /** Bound of the tasks of a job; each takes memory as long as the job lasts. */
     public static final int MAX_TASKS = 100_000;
 
+    /** Memory of a job and of its tracking, without its steps and texts, in bytes. */
+    private static final int JOB_BYTES = 1000;
+
+    /** Memory of a step and of its tracking, without its texts, in bytes. */
+    private static final int STEP_BYTES = 320;
+
+    /** Memory of an entry in the list of preceding steps, in bytes. */
+    private static final int PREDECESSOR_BYTES = 20;
+
+    /** Memory of the state of a task, in bytes. */
+    private static final int TASK_BYTES = 8;
+
+    /** Memory of a character of a text, in bytes. */
+    private static final int CHAR_BYTES = 2;
+
     /** Validates the components. */
     public WorkSpec {
         Objects.requireNonNull(id, "id");
@@ -97,6 +112,21 @@
         return !storedIn.isEmpty();
     }
 
+    /**
+     * Estimates the memory that the job takes up while it is open.
+     *
+     * @return the memory in bytes
+     */
+    public long memoryBytes() {
+        long bytes = JOB_BYTES + (long) CHAR_BYTES * payload.length();
+        for (StepSpec step : steps) {
+            bytes += STEP_BYTES + (long) PREDECESSOR_BYTES * step.after().size();
+            bytes += (long) TASK_BYTES * step.tasks();
+            bytes += (long) CHAR_BYTES * (step.label().length() + step.rack().length());
+        }
+        return bytes;
+    }
+
     /**
      * Returns the estimated run time of the longest chain of dependent steps.
      *
--- /dev/null
+++ b/decisions/src/test/java/org/wagtailproxy/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the limits on clients. */
+package org.wagtailproxy.limits;
--- a/decisions/src/test/java/org/wagtailproxy/queue/QueueTableTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/queue/QueueTableTest.java
@@ -16,8 +16,7 @@
                     List.of(
                             queue("short", "a.example", "/x/"),
                             queue("long", "a.example", "/x/y/")),
-                    1000,
-                    1000);
+                    new RequestLimits(1000, 1000, 1000));
 
     private static QueueEntry queue(String name, String host, String prefix) {
         return new QueueEntry(
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -7,11 +7,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
-import java.util.TreeMap;
-import java.util.UUID;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.leadership.HomeProcess;
@@ -24,10 +20,8 @@
 import org.wagtailproxy.peer.PeerTransport;
 import org.wagtailproxy.scheduling.ClaimMode;
 import org.wagtailproxy.scheduling.FencingTokenSource;
-import org.wagtailproxy.scheduling.SchedulerState;
 import org.wagtailproxy.scheduling.SpillOver;
 import org.wagtailproxy.serve.EventLoop;
-import org.wagtailproxy.wire.KeeperRecord;
 import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobCondition;
 import org.wagtailproxy.workload.JobId;
@@ -73,12 +67,6 @@
         default void onCallersDoubted() {}
     }
 
-    /**
-     * Time without an answer of the store after which another instance should coordinate the stored
-     * jobs.
-     */
-    private static final long STORE_UNREACHABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
-
     private final Closer mCloser = Closer.create();
     private final DispatcherSettings mSettings;
     private final EventLoop mLoop;
@@ -95,6 +83,7 @@
     private final StoredJobClient mStoredJobClient;
     private final PoolMembership mPool;
     private final HomeMonitor mHomes;
+    private final StoreReachability mStoreReachability;
     private Collection<ServerEntry> mServers = List.of();
     private boolean mStoreReachable;
     private long mStoreChangedNanos;
@@ -112,6 +101,7 @@
         mListener = listener;
         PeerTransport client = mCloser.register(context.peerTransport());
         mDecisions = new DecisionLog(log, metrics);
+        mStoreReachability = new StoreReachability(loop);
         LifeSigns lifeSigns = new LifeSigns(new ClockEvents());
         mElection =
                 new LeaderElection(
@@ -143,15 +133,12 @@
         mStoredJobClient =
                 new StoredJobClient(loop, mElection, client, mLeaderScheduler, mStoredJobsMonitor);
         mPool = newPoolMembership();
-        mJobRelay =
-                new JobRelay(
-                        settings,
-                        loop,
-                        mElection,
-                        client,
-                        mLeaderScheduler,
-                        withdrawals,
-                        mDecisions);
+        mJobRelay = newJobRelay(client, withdrawals);
+    }
+
+    private JobRelay newJobRelay(PeerTransport client, JobWithdrawals withdrawals) {
+        return new JobRelay(
+                mSettings, mLoop, mElection, client, mLeaderScheduler, withdrawals, mDecisions);
     }
 
     private RemoteJobForwarder newForwarder(
@@ -180,8 +167,7 @@
 
     private StoredJobCoordinator newCoordinator(
             DispatcherContext context, EventLog log, StoredJobCoordinator.Schedulers schedulers) {
-        return new StoredJobCoordinator(
-                mLoop, context.store(), log, coordinatorRecord(mSettings), schedulers);
+        return new StoredJobCoordinator(mLoop, context.store(), log, mSettings, schedulers);
     }
 
     private PoolMembership newPoolMembership() {
@@ -393,13 +379,6 @@
         mStoredJobClient.countPending(queue, answer);
     }
 
-    private static KeeperRecord coordinatorRecord(DispatcherSettings settings) {
-        return KeeperRecord.newBuilder()
-                .setName(settings.name().value())
-                .setIncarnation(UUID.randomUUID().toString())
-                .build();
-    }
-
     /**
      * Returns the number of open jobs whose callers wait here, and of those forwarded to other data
      * centres.
@@ -434,20 +413,7 @@
      * @return the state, never null
      */
     public DispatchState state() {
-        int heldServers = 0;
-        long freeCpuMillis = 0;
-        long usedCpuMillis = 0;
-        Map<Integer, Integer> waiting = new TreeMap<>();
-        for (SchedulerState scheduler : mLeaderScheduler.state()) {
-            heldServers += scheduler.heldServers();
-            freeCpuMillis += scheduler.freeCpuMillis();
-            usedCpuMillis += scheduler.usedCpuMillis();
-            scheduler
-                    .waitingByPriority()
-                    .forEach((priority, jobs) -> waiting.merge(priority, jobs, Integer::sum));
-        }
-        return new DispatchState(
-                openJobs(), isLeader(), heldServers, freeCpuMillis, usedCpuMillis, waiting);
+        return DispatchState.of(openJobs(), isLeader(), mLeaderScheduler.state());
     }
 
     /** Steps down because the process is about to stop; other instances continue the jobs. */
@@ -474,15 +440,11 @@
      * @param reachable true if it answers
      */
     public void updateStoreReachable(boolean reachable) {
-        if (reachable || mStoreReachable) {
-            mStoreChangedNanos = mLoop.nowNanos();
-        }
-        mStoreReachable = reachable;
+        mStoreReachability.update(reachable);
     }
 
     private boolean isStoreUnreachable() {
-        boolean timeoutPassed = mLoop.nowNanos() - mStoreChangedNanos > STORE_UNREACHABLE_NANOS;
-        return mStoredJobClient.hasSignOfStoredJobs() && !mStoreReachable && timeoutPassed;
+        return mStoredJobClient.hasSignOfStoredJobs() && mStoreReachability.isLost();
     }
 
     private void tick() {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DispatcherSettings.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DispatcherSettings.java
@@ -6,6 +6,7 @@
 import org.wagtailproxy.identity.Incarnation;
 import org.wagtailproxy.leadership.HomeProcess;
 import org.wagtailproxy.leadership.InstanceName;
+import org.wagtailproxy.limits.InstanceLimits;
 import org.wagtailproxy.scheduling.LeaseTiming;
 import org.wagtailproxy.scheduling.SchedulerTuning;
 
@@ -19,6 +20,7 @@
  * @param processorMillis its processor capacity in thousandths of a core, 0 if it is not known
  * @param timing the times of leases, not null
  * @param tuning the parameters of scheduling decisions, not null
+ * @param limits the limits on what jobs take up, not null
  */
 public record DispatcherSettings(
         InstanceName name,
@@ -27,7 +29,8 @@
         HostAddress peerAddress,
         long processorMillis,
         LeaseTiming timing,
-        SchedulerTuning tuning) {
+        SchedulerTuning tuning,
+        InstanceLimits limits) {
 
     /** Checks that no component is null. */
     public DispatcherSettings {
@@ -37,6 +40,37 @@
         Objects.requireNonNull(peerAddress, "peerAddress");
         Objects.requireNonNull(timing, "timing");
         Objects.requireNonNull(tuning, "tuning");
+        Objects.requireNonNull(limits, "limits");
+    }
+
+    /**
+     * Creates settings with the default limits.
+     *
+     * @param name the name of its instance, not null
+     * @param incarnation the process that it runs in, not null
+     * @param dataCentre the data centre of its instance, not null
+     * @param peerAddress the address that it listens on for other instances, not null
+     * @param processorMillis its processor capacity in thousandths of a core, 0 if not known
+     * @param timing the times of leases, not null
+     * @param tuning the parameters of scheduling decisions, not null
+     */
+    public DispatcherSettings(
+            InstanceName name,
+            Incarnation incarnation,
+            DataCentre dataCentre,
+            HostAddress peerAddress,
+            long processorMillis,
+            LeaseTiming timing,
+            SchedulerTuning tuning) {
+        this(
+                name,
+                incarnation,
+                dataCentre,
+                peerAddress,
+                processorMillis,
+                timing,
+                tuning,
+                InstanceLimits.defaults());
     }
 
     /**
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -66,7 +66,7 @@
     private final HomeLiveness mHomes;
     private final StoredJobCoordinator mCoordinator;
     private final Map<ServiceName, ServiceScheduler> mSchedulers = new TreeMap<>();
-    private final Map<JobId, PendingJob> mPendingJobs = new HashMap<>();
+    private final PendingJobs mPendingJobs;
     private final SchedulerEvents mSchedulerEvents;
     private Collection<ServerEntry> mServers = List.of();
     private DataCentreScope mScope = DataCentreScope.ALL;
@@ -102,6 +102,7 @@
                 new CommandSender(
                         context.commandTransport(), log, this::nowForPlacement, this::sendCommands);
         mTokens = tokens;
+        mPendingJobs = new PendingJobs(settings.limits().jobMemoryBytes());
         mLog = log;
         mForwarder = forwarder;
         mListener = listener;
@@ -188,7 +189,13 @@
         if (mForwarder.join(spec.id(), home, progress, answer)) {
             return;
         }
-        PendingJob pendingJob = mPendingJobs.computeIfAbsent(spec.id(), id -> new PendingJob(spec));
+        Option<WorkOutcome> refusal = mPendingJobs.refusal(spec, progress);
+        if (refusal.isDefined()) {
+            mLog.jobEnded(spec.id(), refusal.get(), true);
+            answer.accept(Either.right(refusal.get()));
+            return;
+        }
+        PendingJob pendingJob = mPendingJobs.getOrAdd(spec);
         pendingJob.addHome(home, !mayForward, answer);
         pendingJob.updateSubmission(arrivedNanos, deadlineNanos, mayForward);
         ServiceScheduler scheduler = scheduler(spec.service());
@@ -402,7 +409,7 @@
     }
 
     private void handOverJobs(BiPredicate<PendingJob, HomeProcess> isLost) {
-        for (Map.Entry<JobId, PendingJob> each : List.copyOf(mPendingJobs.entrySet())) {
+        for (Map.Entry<JobId, PendingJob> each : mPendingJobs.all()) {
             for (HomeProcess home : List.copyOf(each.getValue().homes().keySet())) {
                 if (isLost.test(each.getValue(), home)) {
                     handOver(each.getKey(), each.getValue(), home);
@@ -484,9 +491,7 @@
             progressByJob.putAll(scheduler.stepDown());
         }
         mSchedulers.forEach(this::updateServersOf);
-        List<Map.Entry<JobId, PendingJob>> pendingJobs = new ArrayList<>(mPendingJobs.entrySet());
-        mPendingJobs.clear();
-        for (Map.Entry<JobId, PendingJob> each : pendingJobs) {
+        for (Map.Entry<JobId, PendingJob> each : mPendingJobs.removeAll()) {
             mLog.jobHandedOver(each.getKey());
             WorkProgress progress = progressByJob.getOrDefault(each.getKey(), WorkProgress.NONE);
             each.getValue().handBack(progress);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PendingJob.java
@@ -27,6 +27,7 @@
     private final ServiceName mService;
     private final int mPriority;
     private final long mObjectiveMillis;
+    private final long mMemoryBytes;
     private final Map<HomeProcess, Consumer<Either<WorkProgress, WorkOutcome>>> mHomes =
             new LinkedHashMap<>();
     private final Set<HomeProcess> mForwarders = new HashSet<>();
@@ -39,6 +40,12 @@
         mService = spec.service();
         mPriority = spec.terms().priority();
         mObjectiveMillis = spec.objectiveMillis();
+        mMemoryBytes = spec.memoryBytes();
+    }
+
+    /** Returns the memory that the job takes up, in bytes. */
+    long memoryBytes() {
+        return mMemoryBytes;
     }
 
     /**
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/SchedulerEvents.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/SchedulerEvents.java
@@ -1,7 +1,6 @@
 package org.wagtailproxy.dispatcher;
 
 import io.vavr.control.Either;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -22,7 +21,7 @@
 final class SchedulerEvents implements SchedulerListener {
 
     private final DecisionLog mLog;
-    private final Map<JobId, PendingJob> mPendingJobs;
+    private final PendingJobs mPendingJobs;
     private final StoredJobCoordinator mCoordinator;
     private final LongSupplier mClock;
     private final Consumer<ServerId> mOnServerLost;
@@ -36,7 +35,7 @@
      */
     SchedulerEvents(
             DecisionLog log,
-            Map<JobId, PendingJob> pendingJobs,
+            PendingJobs pendingJobs,
             StoredJobCoordinator coordinator,
             LongSupplier clock,
             Consumer<ServerId> onServerLost) {
@@ -85,7 +84,7 @@
             RunEnd end,
             long tookMillis,
             long estimateMillis) {
-        boolean endLogged = mPendingJobs.containsKey(task.job());
+        boolean endLogged = mPendingJobs.contains(task.job());
         mLog.runEnded(task, attempt, server, end, tookMillis, estimateMillis, endLogged);
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
@@ -6,9 +6,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wagtailproxy.identity.ServiceName;
+import org.wagtailproxy.limits.JobMemory;
 import org.wagtailproxy.observe.EventField;
 import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.EventName;
@@ -67,6 +69,10 @@
      */
     private static final long MAX_QUERY_WAIT_MILLIS = 120;
 
+    /** The answer while the stored jobs take up all memory for them. */
+    private static final WorkOutcome MEMORY_FULL =
+            WorkOutcome.refused("job memory full", RETRY_AFTER_MILLIS);
+
     private final EventLoop mLoop;
     private final VersionedStore mStore;
     private final EventLog mLog;
@@ -78,6 +84,7 @@
     private Option<CoordinatorTerm> mTerm = Option.none();
     private boolean mJobsRead;
     private boolean mWriteScheduled;
+    private final JobMemory mMemory;
 
     /** Access to the schedulers that run the stored jobs. */
     interface Schedulers {
@@ -106,12 +113,17 @@
             EventLoop loop,
             VersionedStore store,
             EventLog log,
-            KeeperRecord self,
+            DispatcherSettings settings,
             Schedulers schedulers) {
         mLoop = loop;
         mStore = store;
         mLog = log;
-        mSelf = self;
+        mSelf =
+                KeeperRecord.newBuilder()
+                        .setName(settings.name().value())
+                        .setIncarnation(UUID.randomUUID().toString())
+                        .build();
+        mMemory = JobMemory.of(settings.limits().storedJobMemoryBytes());
         mSchedulers = schedulers;
     }
 
@@ -143,6 +155,7 @@
         mQueue.clear();
         List<StoredJobEntry> entries = new ArrayList<>(mEntries.values());
         mEntries.clear();
+        mMemory.release(mMemory.usedBytes());
         for (StoredJobEntry entry : entries) {
             // The outstanding write may still succeed, and the next coordinator then runs the job.
             WorkProgress possibleProgress = WorkProgress.NONE.plusAttempts(1);
@@ -172,7 +185,7 @@
             return;
         }
         if (!mJobsRead) {
-            mEarlySubmissions.add(new EarlySubmission(spec, arrivedNanos, answer));
+            submitEarly(new EarlySubmission(spec, arrivedNanos, answer));
             return;
         }
         StoredJobEntry existing = mEntries.get(spec.id());
@@ -195,18 +208,46 @@
             return;
         }
         StoredJobEntry entry = new StoredJobEntry(StoredJob.of(spec));
+        if (!mMemory.hasCapacity(entry.mJob.memoryBytes())) {
+            answer.accept(Either.right(MEMORY_FULL));
+            return;
+        }
         entry.mSubmitAnswers.add(answer);
-        mEntries.put(spec.id(), entry);
+        addEntry(entry);
         mQueue.add(new JobChange(entry.mJob, 0, false));
         writePending();
     }
 
+    /** Keeps a submission until the stored jobs are read. */
+    private void submitEarly(EarlySubmission submission) {
+        long bytes = submission.spec().memoryBytes();
+        for (EarlySubmission other : mEarlySubmissions) {
+            bytes += other.spec().memoryBytes();
+        }
+        if (mMemory.hasCapacity(bytes)) {
+            mEarlySubmissions.add(submission);
+        } else {
+            submission.answer().accept(Either.right(MEMORY_FULL));
+        }
+    }
+
+    private void addEntry(StoredJobEntry entry) {
+        mEntries.put(entry.mJob.spec().id(), entry);
+        countMemory(entry, entry.mJob.memoryBytes());
+    }
+
+    private void countMemory(StoredJobEntry entry, long bytes) {
+        mMemory.release(entry.mMemoryBytes);
+        mMemory.add(bytes);
+        entry.mMemoryBytes = bytes;
+    }
+
     /** Queues a changed job to be written to the store. */
     void onJobChanged(StoredJob job, long changeNumber) {
         StoredJobEntry entry = mEntries.get(job.spec().id());
         if (entry != null) {
-            entry.mJob = job;
-            mQueue.add(new JobChange(job, changeNumber, false));
+            entry.mJob = job.isEnded() ? job.withoutWork() : job;
+            mQueue.add(new JobChange(entry.mJob, changeNumber, false));
             writePending();
         }
     }
@@ -352,7 +393,7 @@
         JobId id = change.job().spec().id();
         StoredJobEntry entry = mEntries.get(id);
         if (change.removed()) {
-            mEntries.remove(id);
+            mMemory.release(mEntries.remove(id).mMemoryBytes);
             return;
         }
         mLog.event(EventName.JOB_SAVED)
@@ -365,6 +406,7 @@
         ServiceScheduler scheduler = mSchedulers.forService(change.job().spec().service());
         if (change.job().isEnded()) {
             entry.mEndedNanos = mLoop.nowNanos();
+            countMemory(entry, entry.mJob.memoryBytes());
             entry.mCancelAnswers.forEach(answer -> answer.accept(condition(id)));
             entry.mCancelAnswers.clear();
             entry.mWaitingQueries.forEach(query -> query.answer(condition(id)));
@@ -385,10 +427,10 @@
             mJobsRead = true;
             int attempt = Math.toIntExact(term.generation() * MAX_ATTEMPTS_PER_TERM);
             for (StoredJob job : jobs) {
-                StoredJobEntry entry = new StoredJobEntry(job);
+                StoredJobEntry entry = new StoredJobEntry(job.isEnded() ? job.withoutWork() : job);
                 entry.mSavedState = Option.some(job.state());
                 entry.mEndedNanos = mLoop.nowNanos();
-                mEntries.put(job.spec().id(), entry);
+                addEntry(entry);
             }
             for (StoredJob job : jobs) {
                 if (!job.isEnded()) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobEntry.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobEntry.java
@@ -21,6 +21,10 @@
     Option<StoredJob.State> mSavedState = Option.none();
 
     long mEndedNanos;
+
+    /** The memory that is counted for the job, in bytes. */
+    long mMemoryBytes;
+
     final List<Consumer<Either<WorkProgress, WorkOutcome>>> mSubmitAnswers = new ArrayList<>();
     final List<Consumer<JobCondition>> mCancelAnswers = new ArrayList<>();
     final List<WaitingQuery> mWaitingQueries = new ArrayList<>();
--- a/proxy/src/main/java/org/wagtailproxy/observe/DispatchMetrics.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/DispatchMetrics.java
@@ -79,6 +79,21 @@
     private final Gauge mWaiting =
             gauge("wagtailproxy_waiting_jobs", "Jobs that have not begun.", "priority");
 
+    private final Counter mLimited =
+            counter(
+                    "wagtailproxy_limited_clients",
+                    "Clients that were refused or disconnected because of a limit.",
+                    "listener",
+                    "limit");
+
+    private final Gauge mCallerConnections =
+            gauge("wagtailproxy_caller_connections", "Open connections of callers.");
+
+    private final Gauge mCallerMemory =
+            gauge(
+                    "wagtailproxy_caller_memory_bytes",
+                    "Memory that requests and responses of callers take up.");
+
     private final Gauge mOpen = gauge("wagtailproxy_open_jobs", "Jobs whose callers wait here.");
 
     /** 1 while the instance controls backend servers as a leader. */
@@ -192,6 +207,27 @@
         mEvents.labelValues(event).inc();
     }
 
+    /**
+     * Counts a client that was refused or disconnected because of a limit.
+     *
+     * @param listener the listener as a label value, not null
+     * @param limit the limit as a label value, not null
+     */
+    public void clientLimited(String listener, String limit) {
+        mLimited.labelValues(listener, limit).inc();
+    }
+
+    /**
+     * Sets what callers take up at present.
+     *
+     * @param connections the number of open connections
+     * @param memoryBytes the memory of their requests and responses in bytes
+     */
+    public void setCallerLoad(int connections, long memoryBytes) {
+        mCallerConnections.set(connections);
+        mCallerMemory.set(memoryBytes);
+    }
+
     /**
      * Counts records that were dropped before the metrics were created.
      *
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventField.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventField.java
@@ -44,6 +44,8 @@
     PRIORITY("priority"),
     /** The objective of a job: milliseconds within which its caller expects the answer. */
     OBJECTIVE("objective"),
+    /** The bound of a limit, in the unit of the limit. */
+    BOUND("bound"),
     /** A duration in milliseconds. */
     MILLISECONDS("milliseconds");
 
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
@@ -98,8 +98,14 @@
     INSTANCE_OVERLOADED,
     /** A version of the configuration has become active ("in force"). */
     CONFIGURATION_IN_FORCE,
+    /** The backend servers of a data centre get no new tasks from now on. */
+    EVACUATION_STARTED,
+    /** The backend servers of a data centre get tasks again. */
+    EVACUATION_ENDED,
     /** An entry of the store cannot be read and is ignored. */
     ENTRY_UNREADABLE,
+    /** Clients were refused or disconnected because of a limit. */
+    CLIENTS_LIMITED,
     /** The settings were reloaded. */
     SETTINGS_RELOADED,
     /** Lines were dropped because the output of the log was not read fast enough. */
--- a/proxy/src/main/java/org/wagtailproxy/peer/FrameCodec.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/FrameCodec.java
@@ -18,7 +18,9 @@
 final class FrameCodec extends ChannelDuplexHandler {
 
     private static final int LENGTH_BYTES = 4;
-    private static final int MAX_FRAME_BYTES = 32 * 1024 * 1024;
+
+    /** Maximum size of a frame unless the limits of an instance set another one. */
+    static final int MAX_FRAME_BYTES = 32 * 1024 * 1024;
 
     private final ByteCounter mByteCounter;
 
@@ -26,10 +28,9 @@
         mByteCounter = byteCounter;
     }
 
-    static void install(ChannelPipeline pipeline, ByteCounter byteCounter) {
+    static void install(ChannelPipeline pipeline, int maxFrameBytes, ByteCounter byteCounter) {
         pipeline.addLast(
-                new LengthFieldBasedFrameDecoder(
-                        MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+                new LengthFieldBasedFrameDecoder(maxFrameBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
         pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
         pipeline.addLast(new FrameCodec(byteCounter));
     }
@@ -59,6 +60,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.fireExceptionCaught(cause);
         context.close();
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/peer/NettyPeerTransport.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/NettyPeerTransport.java
@@ -3,6 +3,7 @@
 import com.google.common.io.Closer;
 import io.netty.channel.EventLoopGroup;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Objects;
@@ -17,11 +18,14 @@
     private final Closer mCloser = Closer.create();
     private final EventLoopGroup mGroup;
     private final ByteCounter mMetrics;
+    private final Option<PeerLimits> mLimits;
     private final PeerClient mClient;
 
-    private NettyPeerTransport(String source, EventLoopGroup group, ByteCounter metrics) {
+    private NettyPeerTransport(
+            String source, EventLoopGroup group, ByteCounter metrics, Option<PeerLimits> limits) {
         mGroup = group;
         mMetrics = metrics;
+        mLimits = limits;
         mClient = mCloser.register(PeerClient.of(source, group, metrics));
     }
 
@@ -35,7 +39,22 @@
      */
     public static NettyPeerTransport of(String source, EventLoopGroup group, ByteCounter metrics) {
         Objects.requireNonNull(group, "group");
-        return new NettyPeerTransport(source, group, metrics);
+        return new NettyPeerTransport(source, group, metrics, Option.none());
+    }
+
+    /**
+     * Creates a transport without connections that limits those that it accepts.
+     *
+     * @param source the local host address of connections, not null
+     * @param group the event loop for input and output, a single one; not null
+     * @param metrics the counter of sent and received bytes, not null
+     * @param limits the limits, not null
+     * @return the transport, never null
+     */
+    public static NettyPeerTransport of(
+            String source, EventLoopGroup group, ByteCounter metrics, PeerLimits limits) {
+        Objects.requireNonNull(group, "group");
+        return new NettyPeerTransport(source, group, metrics, Option.some(limits));
     }
 
     @Override
@@ -51,7 +70,7 @@
 
     @Override
     public void listen(HostAddress address, PeerRequestHandler handler) {
-        mCloser.register(PeerServer.start(address, mGroup, handler, mMetrics));
+        mCloser.register(PeerServer.start(address, mGroup, handler, mMetrics, mLimits));
     }
 
     @Override
--- a/proxy/src/main/java/org/wagtailproxy/peer/PeerClient.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/PeerClient.java
@@ -62,7 +62,10 @@
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
-                                        FrameCodec.install(channel.pipeline(), metrics);
+                                        FrameCodec.install(
+                                                channel.pipeline(),
+                                                FrameCodec.MAX_FRAME_BYTES,
+                                                metrics);
                                     }
                                 });
         return new PeerClient(bootstrap);
--- a/proxy/src/main/java/org/wagtailproxy/peer/PeerServer.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/PeerServer.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import io.vavr.control.Option;
 import java.io.Closeable;
 import java.util.Objects;
 import org.wagtailproxy.identity.HostAddress;
@@ -42,7 +43,30 @@
             EventLoopGroup group,
             PeerRequestHandler handler,
             ByteCounter metrics) {
+        return start(address, group, handler, metrics, Option.none());
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param address the address to listen on, not null
+     * @param group the event loops for input and output, a single one if there are limits; not null
+     * @param handler the handler of requests, not null
+     * @param metrics the counter of sent and received bytes, not null
+     * @param limits the limits on connections, none to accept all; not null
+     * @return the server, never null
+     */
+    public static PeerServer start(
+            HostAddress address,
+            EventLoopGroup group,
+            PeerRequestHandler handler,
+            ByteCounter metrics,
+            Option<PeerLimits> limits) {
         Objects.requireNonNull(handler, "handler");
+        Option<PeerConnectionLimiter> limiter = limits.map(PeerConnectionLimiter::new);
+        int maxFrameBytes =
+                limiter.map(PeerConnectionLimiter::maxFrameBytes)
+                        .getOrElse(FrameCodec.MAX_FRAME_BYTES);
         ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
@@ -55,7 +79,9 @@
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
                                         open.add(channel);
-                                        FrameCodec.install(channel.pipeline(), metrics);
+                                        FrameCodec.install(
+                                                channel.pipeline(), maxFrameBytes, metrics);
+                                        limiter.forEach(each -> each.limit(channel));
                                         channel.pipeline().addLast(new RequestHandler(handler));
                                     }
                                 });
@@ -82,6 +108,11 @@
             mHandler = handler;
         }
 
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, Envelope request) {
             int correlation = request.getCorrelation();
