--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -50,6 +50,7 @@
     private final List<ServerCommand> mCommands = new ArrayList<>();
     private final DirectoryListing mListing;
     private long mIncarnationStartMillis;
+    private boolean mEvacuated;
 
     /** True from a restart of the server until it has accepted a token above all earlier ones. */
     private boolean mUnfencedAfterRestart;
@@ -136,6 +137,20 @@
         }
     }
 
+    /** Updates whether the data centre of the server is evacuated, so that it gets no new tasks. */
+    void updateEvacuated(boolean evacuated) {
+        mEvacuated = evacuated;
+    }
+
+    boolean isEvacuated() {
+        return mEvacuated;
+    }
+
+    /** Checks whether the server is draining or no longer listed. */
+    boolean isLeaving() {
+        return mListing.isLeaving();
+    }
+
     /** Checks whether the server is no longer listed and has no tracked runs. */
     boolean isRemovable() {
         return mListing.isDelisted() && mRuns.isEmpty();
@@ -151,7 +166,8 @@
                 && mRuns.orphans().isEmpty()
                 && !mReachability.isUnresponsive()
                 && mLease.isClockKnown()
-                && !mListing.isLeaving();
+                && !mListing.isLeaving()
+                && !mEvacuated;
     }
 
     /**
@@ -159,7 +175,7 @@
      * orphaned runs of an earlier leader whose jobs are still to be handed over.
      */
     boolean isBecomingAvailable(long nowNanos) {
-        if (isUnresponsive() || mListing.isLeaving()) {
+        if (isUnresponsive() || mListing.isLeaving() || mEvacuated) {
             return false;
         }
         return mClaim.isClaimingWithin(mTiming.adoptMillis(), nowNanos)
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerSet.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerSet.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
+import org.wagtailproxy.fleet.Evacuations;
 import org.wagtailproxy.fleet.ServerCommand;
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.fleet.ServerId;
@@ -24,6 +25,7 @@
     private final int mMinHealthyOneIn;
     private final Map<ServerId, BackendServer> mServers = new TreeMap<>();
     private Set<ServerId> mListed = Set.of();
+    private Evacuations mEvacuations = Evacuations.UNKNOWN;
 
     ServerSet(
             LeaseTiming timing,
@@ -46,6 +48,7 @@
         }
         for (BackendServer server : mServers.values()) {
             server.updateEntry(listed.get(server.entry().id()));
+            server.updateEvacuated(mEvacuations.contains(server.entry().dataCentre()));
         }
         mServers.values().removeIf(BackendServer::isRemovable);
         boolean removed = !listed.keySet().containsAll(mListed);
@@ -53,6 +56,25 @@
         return removed;
     }
 
+    void updateEvacuations(Evacuations evacuations) {
+        mEvacuations = evacuations;
+        for (BackendServer server : mServers.values()) {
+            server.updateEvacuated(evacuations.contains(server.entry().dataCentre()));
+        }
+    }
+
+    /** Checks whether there are servers but all of those that stay are evacuated. */
+    boolean areAllEvacuated() {
+        boolean anyEvacuated = false;
+        for (BackendServer server : mServers.values()) {
+            if (!server.isLeaving() && !server.isEvacuated()) {
+                return false;
+            }
+            anyEvacuated |= server.isEvacuated();
+        }
+        return anyEvacuated;
+    }
+
     void updateClaims(Function<ServerEntry, ClaimMode> claims) {
         for (BackendServer server : mServers.values()) {
             server.updateClaim(claims.apply(server.entry()));
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -1,6 +1,5 @@
 package org.wagtailproxy.scheduling;
 
-import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -56,6 +55,7 @@
     private final DuplicateRunGuard mDuplicateRunGuard;
     private final JobRegistry mJobs = new JobRegistry();
     private final StoredJobScheduling mStoredJobs;
+    private final EvacuationScheduling mEvacuation;
 
     private ServiceScheduler(
             LeaseTiming timing,
@@ -75,7 +75,9 @@
                         tokens,
                         new RunEventHandler(mJobs, listener, this::endAndNotify),
                         tuning.minHealthyOneIn());
-        mStoredJobs = new StoredJobScheduling(this, mJobs, mServers, listener);
+        mStoredJobs =
+                new StoredJobScheduling(this, mLoadShedder, tuning, mJobs, mServers, listener);
+        mEvacuation = new EvacuationScheduling(this, mJobs, mServers);
     }
 
     /**
@@ -255,6 +257,15 @@
         return mStoredJobs;
     }
 
+    /**
+     * Returns the operations for the evacuation of data centres.
+     *
+     * @return the same object each time, never null
+     */
+    public EvacuationScheduling evacuation() {
+        return mEvacuation;
+    }
+
     /**
      * Returns the phase of a job.
      *
@@ -478,7 +489,7 @@
      * Returns the open jobs with waiting tasks, without those whose inherited runs may still be
      * active.
      */
-    private List<ScheduledJob> placeableJobs(long nowNanos) {
+    List<ScheduledJob> placeableJobs(long nowNanos) {
         List<ScheduledJob> queue = new ArrayList<>();
         for (ScheduledJob job : mJobs.all()) {
             if (!job.isEnded()
@@ -526,7 +537,7 @@
                             WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "out of time"),
                             nowNanos);
                 } else {
-                    refuse(job, forecast(nowNanos), nowNanos);
+                    refuse(job, nowNanos);
                 }
             }
         }
@@ -539,7 +550,7 @@
                 nowNanos);
     }
 
-    private CapacityForecast forecast(long nowNanos) {
+    CapacityForecast forecast(long nowNanos) {
         return new CapacityForecast(
                 mServers.usable(nowNanos),
                 mServers.becomingAvailable(nowNanos),
@@ -547,26 +558,11 @@
                 nowNanos);
     }
 
-    /**
-     * Returns the retry delay in milliseconds if a job that is not registered would be refused,
-     * none if it would be accepted; see {@link StoredJobScheduling#retryDelayIfRefused}.
-     */
-    Option<Long> retryMillisIfRefused(WorkSpec spec, long arrivedNanos, long nowNanos) {
-        ScheduledJob job =
-                new ScheduledJob(
-                        spec,
-                        WorkProgress.NONE,
-                        arrivedNanos,
-                        ScheduledJob.NEVER_NANOS,
-                        nowNanos,
-                        mTuning.responseDelayMillis());
-        CapacityForecast forecast = forecast(nowNanos);
-        return mLoadShedder.isUnattainable(job, placeableJobs(nowNanos), forecast, nowNanos)
-                ? Option.some(retryMillis(forecast, nowNanos))
-                : Option.none();
+    void refuse(ScheduledJob job, long nowNanos) {
+        refuse(job, forecast(nowNanos), nowNanos);
     }
 
-    private long retryMillis(CapacityForecast forecast, long nowNanos) {
+    long retryMillis(CapacityForecast forecast, long nowNanos) {
         double waitMillis = LoadShedder.waitMillis(placeableJobs(nowNanos), forecast);
         return Math.round(Math.min(waitMillis, mTuning.maxRetryMillis()));
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/SpillOver.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/SpillOver.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.wagtailproxy.fleet.Evacuations;
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.workload.StepSpec;
 import org.wagtailproxy.workload.WorkSpec;
@@ -24,12 +25,19 @@
     private static final long MAX_REPORT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final Map<DataCentre, Report> mReports = new TreeMap<>();
+    private Evacuations mEvacuations = Evacuations.UNKNOWN;
 
     /** Capacity that the leader of a data centre reported, less what was sent there since. */
     private static final class Report {
         private double mFreeCpuMillis;
         private long mQueueMillis;
         private long mReceivedNanos;
+
+        private boolean isLessLoadedThan(Report other) {
+            return mQueueMillis == other.mQueueMillis
+                    ? mFreeCpuMillis > other.mFreeCpuMillis
+                    : mQueueMillis < other.mQueueMillis;
+        }
     }
 
     /** Creates an instance without reports. */
@@ -69,17 +77,13 @@
      * @return the data centre with the most free capacity, none if none has enough
      */
     public Option<DataCentre> chooseDataCentre(WorkSpec spec, long nowNanos) {
-        double requiredCpuMillis = 0;
-        for (StepSpec step : spec.steps()) {
-            requiredCpuMillis =
-                    Math.max(requiredCpuMillis, (double) step.tasks() * step.demand().cpuMillis());
-        }
+        double requiredCpuMillis = requiredCpuMillis(spec);
         DataCentre best = null;
         double maxFreeCpuMillis = requiredCpuMillis;
         for (Map.Entry<DataCentre, Report> entry : mReports.entrySet()) {
             Report report = entry.getValue();
-            boolean current = nowNanos - report.mReceivedNanos < MAX_REPORT_AGE_NANOS;
-            if (current && report.mQueueMillis == 0 && report.mFreeCpuMillis > maxFreeCpuMillis) {
+            boolean usable = isUsable(entry.getKey(), report, nowNanos);
+            if (usable && report.mQueueMillis == 0 && report.mFreeCpuMillis > maxFreeCpuMillis) {
                 best = entry.getKey();
                 maxFreeCpuMillis = report.mFreeCpuMillis;
             }
@@ -89,4 +93,81 @@
         }
         return Option.of(best);
     }
+
+    /**
+     * Updates the data centres whose backend servers get no new tasks, which take no jobs.
+     *
+     * @param evacuations the evacuated data centres, not null
+     */
+    public void updateEvacuations(Evacuations evacuations) {
+        mEvacuations = evacuations;
+    }
+
+    /**
+     * Selects the data centre that takes a job of an evacuated one and deducts the job's demand
+     * from its free capacity. The callers of the evacuated data centre have nothing else, so no
+     * capacity is reserved for others, and a queue is no reason to leave a data centre out if the
+     * job can wait for it.
+     *
+     * @param spec the job, not null
+     * @param maxWaitMillis the time for which the job can wait, in milliseconds
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the data centre with the shortest queue, then with the most free capacity; none if no
+     *     queue is short enough
+     */
+    public Option<DataCentre> chooseForEvacuated(WorkSpec spec, long maxWaitMillis, long nowNanos) {
+        DataCentre best = null;
+        Report bestReport = null;
+        for (Map.Entry<DataCentre, Report> entry : mReports.entrySet()) {
+            Report report = entry.getValue();
+            if (!isUsable(entry.getKey(), report, nowNanos)
+                    || report.mQueueMillis > Math.max(0, maxWaitMillis)) {
+                continue;
+            }
+            if (bestReport == null || report.isLessLoadedThan(bestReport)) {
+                best = entry.getKey();
+                bestReport = report;
+            }
+        }
+        if (bestReport != null) {
+            bestReport.mFreeCpuMillis -= requiredCpuMillis(spec);
+        }
+        return Option.of(best);
+    }
+
+    /**
+     * Checks whether it is known that no data centre can start a job of an evacuated one in time.
+     *
+     * @param maxWaitMillis the time for which the job can wait, in milliseconds
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return false if one can, or if none has reported lately although one is not evacuated
+     */
+    public boolean isUnattainable(long maxWaitMillis, long nowNanos) {
+        boolean known = true;
+        for (Map.Entry<DataCentre, Report> entry : mReports.entrySet()) {
+            if (mEvacuations.contains(entry.getKey())) {
+                continue;
+            }
+            boolean usable = isUsable(entry.getKey(), entry.getValue(), nowNanos);
+            if (usable && entry.getValue().mQueueMillis <= Math.max(0, maxWaitMillis)) {
+                return false;
+            }
+            known &= usable;
+        }
+        return known;
+    }
+
+    private boolean isUsable(DataCentre dataCentre, Report report, long nowNanos) {
+        boolean current = nowNanos - report.mReceivedNanos < MAX_REPORT_AGE_NANOS;
+        return current && !mEvacuations.contains(dataCentre);
+    }
+
+    private static double requiredCpuMillis(WorkSpec spec) {
+        double requiredCpuMillis = 0;
+        for (StepSpec step : spec.steps()) {
+            requiredCpuMillis =
+                    Math.max(requiredCpuMillis, (double) step.tasks() * step.demand().cpuMillis());
+        }
+        return requiredCpuMillis;
+    }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/StoredJobScheduling.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/StoredJobScheduling.java
@@ -1,9 +1,11 @@
 package org.wagtailproxy.scheduling;
 
 import io.vavr.control.Option;
+import java.util.List;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.StoredJob;
 import org.wagtailproxy.workload.WorkOutcome;
+import org.wagtailproxy.workload.WorkProgress;
 import org.wagtailproxy.workload.WorkSpec;
 
 /**
@@ -20,16 +22,22 @@
 public final class StoredJobScheduling {
 
     private final ServiceScheduler mScheduler;
+    private final LoadShedder mLoadShedder;
+    private final SchedulerTuning mTuning;
     private final JobRegistry mJobs;
     private final ServerSet mServers;
     private final SchedulerListener mListener;
 
     StoredJobScheduling(
             ServiceScheduler scheduler,
+            LoadShedder loadShedder,
+            SchedulerTuning tuning,
             JobRegistry jobs,
             ServerSet servers,
             SchedulerListener listener) {
         mScheduler = scheduler;
+        mLoadShedder = loadShedder;
+        mTuning = tuning;
         mJobs = jobs;
         mServers = servers;
         mListener = listener;
@@ -47,7 +55,19 @@
      */
     public Option<Long> retryDelayIfRefused(WorkSpec spec, long arrivedNanos, long nowNanos) {
         synchronized (mScheduler) {
-            return mScheduler.retryMillisIfRefused(spec, arrivedNanos, nowNanos);
+            ScheduledJob job =
+                    new ScheduledJob(
+                            spec,
+                            WorkProgress.NONE,
+                            arrivedNanos,
+                            ScheduledJob.NEVER_NANOS,
+                            nowNanos,
+                            mTuning.responseDelayMillis());
+            CapacityForecast forecast = mScheduler.forecast(nowNanos);
+            List<ScheduledJob> queue = mScheduler.placeableJobs(nowNanos);
+            return mLoadShedder.isUnattainable(job, queue, forecast, nowNanos)
+                    ? Option.some(mScheduler.retryMillis(forecast, nowNanos))
+                    : Option.none();
         }
     }
 
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -191,6 +191,8 @@
         ClaimMode mClaim = ClaimMode.FIRST;
         long mToken;
         int mPolls;
+        int mOwnStarts;
+        DataCentre mDataCentre = DataCentre.of("pwani-a");
         long mIncarnationStartMillis = 5;
         long mWorkMillis = 60;
 
@@ -223,7 +225,7 @@
                     mId,
                     SERVICE,
                     HostAddress.of("10.0.0.1", 1000),
-                    DataCentre.of("pwani-a"),
+                    mDataCentre,
                     8,
                     ResourceAmount.of(mCpu, 65536, 0),
                     Set.of("a"),
@@ -358,6 +360,7 @@
             }
             mLeaseMillis = Math.max(mLeaseMillis, lease);
             mStarts++;
+            mOwnStarts++;
             int done = start.checkpoint().isEmpty() ? 0 : Integer.parseInt(start.checkpoint());
             mRunning.put(start.task(), new Run(start.attempt(), mWorkMillis - done));
             checkNotDuplicated(start.task());
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/SpillOverTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/SpillOverTest.java
@@ -5,7 +5,9 @@
 
 import io.vavr.control.Option;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wagtailproxy.fleet.Evacuations;
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.ServiceName;
 import org.wagtailproxy.workload.JobId;
@@ -63,4 +65,50 @@
         spill.removeReport(PUNO);
         assertThat(spill.chooseDataCentre(job(1), 501 * NANOS_PER_MILLI).isDefined(), is(false));
     }
+
+    @Test
+    void testEvacuatedDataCentreGetsNoJob() {
+        SpillOver spill = new SpillOver();
+        spill.updateReport(PUNO, 500_000, 0, 0);
+        spill.updateReport(CUSCO, 100_000, 0, 0);
+        spill.updateEvacuations(new Evacuations(1, Set.of(PUNO)));
+        assertThat(spill.chooseDataCentre(job(1), NANOS_PER_MILLI), is(Option.some(CUSCO)));
+        assertThat(spill.chooseForEvacuated(job(1), 50, NANOS_PER_MILLI), is(Option.some(CUSCO)));
+        spill.updateEvacuations(new Evacuations(2, Set.of()));
+        assertThat(spill.chooseDataCentre(job(1), NANOS_PER_MILLI), is(Option.some(PUNO)));
+    }
+
+    @Test
+    void testJobsOfEvacuatedDataCentreAreSpreadOverTheOthers() {
+        SpillOver spill = new SpillOver();
+        spill.updateReport(PUNO, 200_000, 0, 0);
+        spill.updateReport(CUSCO, 200_000, 0, 0);
+        int[] jobs = new int[2];
+        for (int job = 0; job < 40; job++) {
+            Option<DataCentre> chosen = spill.chooseForEvacuated(job(2), 50, NANOS_PER_MILLI);
+            jobs[chosen.get().equals(PUNO) ? 0 : 1]++;
+        }
+        assertThat(jobs[0], is(20));
+        assertThat(jobs[1], is(20));
+    }
+
+    @Test
+    void testJobOfEvacuatedDataCentreGoesToQueueThatItCanWaitFor() {
+        SpillOver spill = new SpillOver();
+        spill.updateReport(PUNO, 0, 80, 0);
+        spill.updateReport(CUSCO, 0, 30, 0);
+        assertThat(spill.chooseForEvacuated(job(1), 50, NANOS_PER_MILLI), is(Option.some(CUSCO)));
+        assertThat(spill.chooseForEvacuated(job(1), 20, NANOS_PER_MILLI), is(Option.none()));
+        assertThat(spill.isUnattainable(20, NANOS_PER_MILLI), is(true));
+        assertThat(spill.isUnattainable(50, NANOS_PER_MILLI), is(false));
+    }
+
+    @Test
+    void testOldReportDoesNotShowThatAJobIsUnattainable() {
+        SpillOver spill = new SpillOver();
+        spill.updateReport(PUNO, 0, 80, 0);
+        assertThat(spill.isUnattainable(20, 500 * NANOS_PER_MILLI), is(false));
+        spill.updateEvacuations(new Evacuations(1, Set.of(PUNO)));
+        assertThat(spill.isUnattainable(20, 500 * NANOS_PER_MILLI), is(true));
+    }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -8,8 +8,11 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.Consumer;
+import org.wagtailproxy.fleet.Evacuations;
 import org.wagtailproxy.fleet.ServerEntry;
+import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.leadership.HomeProcess;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.InstanceRecord;
@@ -83,10 +86,9 @@
     private final StoredJobClient mStoredJobClient;
     private final PoolMembership mPool;
     private final HomeMonitor mHomes;
+    private final EvacuationTracker mEvacuations;
     private final StoreReachability mStoreReachability;
     private Collection<ServerEntry> mServers = List.of();
-    private boolean mStoreReachable;
-    private long mStoreChangedNanos;
 
     private Dispatcher(
             DispatcherSettings settings,
@@ -101,13 +103,21 @@
         mListener = listener;
         PeerTransport client = mCloser.register(context.peerTransport());
         mDecisions = new DecisionLog(log, metrics);
-        mStoreReachability = new StoreReachability(loop);
         LifeSigns lifeSigns = new LifeSigns(new ClockEvents());
+        mEvacuations = new EvacuationTracker(log);
+        mStoreReachability = new StoreReachability(loop);
         mElection =
                 new LeaderElection(
-                        settings, loop, client, mTokens, log, lifeSigns, new ElectionEvents());
+                        settings,
+                        loop,
+                        client,
+                        mTokens,
+                        log,
+                        lifeSigns,
+                        mEvacuations,
+                        new ElectionEvents());
         SpillOver spillOver = new SpillOver();
-        mRemote = new RemoteLeaders(loop, client, spillOver);
+        mRemote = new RemoteLeaders(loop, client, spillOver, mEvacuations);
         mHomes =
                 new HomeMonitor(
                         settings.home(),
@@ -160,6 +170,7 @@
 
     /** Starts what calls this object from the event loop; only once it is complete. */
     private void start() {
+        mEvacuations.setListener(mLeaderScheduler::updateEvacuations);
         startListening(mClient);
         mStoredJobsMonitor.start(mPool::onGuardRead);
         mLoop.schedule(LeaderElection.TICK_MILLIS, this::tick);
@@ -299,6 +310,24 @@
         mElection.updateConfiguration(version, document);
     }
 
+    /**
+     * Updates the data centres that the operator evacuates. Peers are told, and older ones ignored.
+     *
+     * @param evacuations the data centres as they were read from the store, not null
+     */
+    public void updateEvacuations(Evacuations evacuations) {
+        mEvacuations.update(evacuations, "store");
+    }
+
+    /**
+     * Returns the data centres whose backend servers get no new tasks.
+     *
+     * @return the data centres, never null
+     */
+    public Set<DataCentre> evacuatedDataCentres() {
+        return mEvacuations.current().dataCentres();
+    }
+
     /**
      * Submits a job, or adds the caller to the open job with the same id.
      *
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -96,6 +96,7 @@
     private final EventLog mLog;
     private final Listener mListener;
     private final LifeSigns mLifeSigns;
+    private final EvacuationTracker mEvacuations;
     private final PeerTable mPeers = new PeerTable();
     private final MessageAge mMessageAge = new MessageAge();
     private long mSeniority = UNREGISTERED;
@@ -128,6 +129,7 @@
             FencingTokenSource tokens,
             EventLog log,
             LifeSigns lifeSigns,
+            EvacuationTracker evacuations,
             Listener listener) {
         mSettings = settings;
         mLoop = loop;
@@ -135,6 +137,7 @@
         mTokens = tokens;
         mLog = log;
         mLifeSigns = lifeSigns;
+        mEvacuations = evacuations;
         mListener = listener;
         mOverloadDetector = new OverloadDetector(loop.nowNanos());
     }
@@ -161,7 +164,7 @@
         mScope = scope;
         mLarge = large;
         mPeers.setLarge(large);
-        mPeers.updateRegistered(others, samePool, hasMultiplePools());
+        mPeers.updateRegistered(others, samePool, !mScope.equals(DataCentreScope.ALL));
         if (mLeader.exists(leader -> !isSelf(leader) && mPeers.find(leader.name()).isEmpty())) {
             electLeader();
         }
@@ -299,10 +302,6 @@
         mPeers.recordFollowing(name, mSettings.name());
     }
 
-    private boolean hasMultiplePools() {
-        return !mScope.equals(DataCentreScope.ALL);
-    }
-
     /** Returns the backend servers on which a leader may start tasks. */
     DataCentreScope scope(Peer leader) {
         return isSelf(leader) ? ownScope() : mPeers.scope(leader.name());
@@ -487,6 +486,7 @@
 
     private void updatePeerStatus(Presence presence) {
         mTokens.observe(presence.getHighestToken());
+        mEvacuations.onPresence(presence);
         Option<PeerStatus> status = PresenceMessages.status(presence);
         if (status.exists(each -> mPeers.followsOutsidePool(each, mSettings.name()))) {
             mListener.onPeerFollowsOutsidePool();
@@ -580,7 +580,8 @@
 
     /** Returns the presence that this instance reports to its peers. */
     Presence.Builder presence() {
-        return Presence.newBuilder()
+        return mEvacuations
+                .addTo(Presence.newBuilder())
                 .setName(mSettings.name().value())
                 .setIncarnation(MessageConverter.incarnation(mSettings.incarnation()))
                 .setDataCentre(mSettings.dataCentre().value())
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -12,6 +12,7 @@
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.wagtailproxy.fleet.Evacuations;
 import org.wagtailproxy.fleet.ServerCommand;
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.fleet.ServerId;
@@ -70,6 +71,7 @@
     private final SchedulerEvents mSchedulerEvents;
     private Collection<ServerEntry> mServers = List.of();
     private DataCentreScope mScope = DataCentreScope.ALL;
+    private Evacuations mEvacuations = Evacuations.UNKNOWN;
     private boolean mTickScheduled;
 
     /** Whether there may be stored jobs that have not been read; assumed until the first tick. */
@@ -146,6 +148,14 @@
         sendCommands();
     }
 
+    /** Updates the data centres whose backend servers get no new tasks. */
+    void updateEvacuations(Evacuations evacuations) {
+        mEvacuations = evacuations;
+        mForwarder.updateEvacuations(evacuations);
+        mSchedulers.values().forEach(scheduler -> scheduler.evacuation().update(evacuations));
+        tickSchedulers();
+    }
+
     /** Updates the data centres whose backend servers this instance may use. */
     void updateScope(DataCentreScope scope) {
         mScope = scope;
@@ -204,7 +214,7 @@
             mListener.onJobOfLostLeader();
         }
         if (scheduler.phase(spec.id()) == JobPhase.WAITING) {
-            forwardIfPossible(scheduler, spec);
+            forwardIfPossible(scheduler, spec, nowNanos);
             scheduler.refuseIfUnattainable(spec.id(), nowNanos);
         }
         sendCommands();
@@ -285,16 +295,26 @@
      */
     private void forwardOrRefuse(ServiceScheduler scheduler, long nowNanos) {
         for (WorkSpec spec : scheduler.unstartedJobs()) {
-            forwardIfPossible(scheduler, spec);
+            forwardIfPossible(scheduler, spec, nowNanos);
         }
         scheduler.refuseUnattainable(nowNanos);
     }
 
-    private void forwardIfPossible(ServiceScheduler scheduler, WorkSpec spec) {
+    /**
+     * Forwards a job to a data centre with free capacity. Refuses it at once if all servers here
+     * are evacuated and no other data centre can start it in time.
+     */
+    private void forwardIfPossible(ServiceScheduler scheduler, WorkSpec spec, long nowNanos) {
         PendingJob pendingJob = mPendingJobs.get(spec.id());
-        if (pendingJob != null && pendingJob.mayForward() && mForwarder.forward(spec, pendingJob)) {
+        if (pendingJob == null) {
+            return;
+        }
+        boolean evacuated = scheduler.evacuation().isComplete();
+        if (pendingJob.mayForward() && mForwarder.forward(spec, pendingJob, evacuated)) {
             scheduler.removeUnstarted(spec.id());
             mPendingJobs.remove(spec.id());
+        } else if (evacuated && mForwarder.isUnattainableElsewhere(spec, pendingJob)) {
+            scheduler.evacuation().refuseUnstarted(spec.id(), nowNanos);
         }
     }
 
@@ -509,6 +529,7 @@
                                     mSettings.tuning(),
                                     mSchedulerEvents);
                     scheduler.updateScope(mScope);
+                    scheduler.evacuation().update(mEvacuations);
                     updateServersOf(name, scheduler);
                     scheduler.assumeIncompleteServerList(mServersIncompleteUntilNanos);
                     scheduler.storedJobs().setUnreadJobsPossible(mUnreadJobsPossible, now());
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.fleet.Evacuations;
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.leadership.HomeProcess;
@@ -124,9 +125,13 @@
     }
 
     @Override
-    public boolean forward(WorkSpec spec, PendingJob pendingJob) {
+    public boolean forward(WorkSpec spec, PendingJob pendingJob, boolean evacuated) {
         long nowNanos = mLoop.nowNanos();
-        Option<DataCentre> target = mSpillOver.chooseDataCentre(spec, nowNanos);
+        Option<DataCentre> target =
+                evacuated
+                        ? mSpillOver.chooseForEvacuated(
+                                spec, maxWaitMillis(spec, pendingJob, nowNanos), nowNanos)
+                        : mSpillOver.chooseDataCentre(spec, nowNanos);
         Option<HostAddress> leader = target.flatMap(mRemoteLeaders::leaderAddress);
         if (leader.isEmpty()) {
             return false;
@@ -138,6 +143,24 @@
         return true;
     }
 
+    @Override
+    public void updateEvacuations(Evacuations evacuations) {
+        mSpillOver.updateEvacuations(evacuations);
+    }
+
+    @Override
+    public boolean isUnattainableElsewhere(WorkSpec spec, PendingJob pendingJob) {
+        long nowNanos = mLoop.nowNanos();
+        return !pendingJob.mayForward()
+                || mSpillOver.isUnattainable(maxWaitMillis(spec, pendingJob, nowNanos), nowNanos);
+    }
+
+    /** Returns the time for which a job may wait and still meet its objective. */
+    private static long maxWaitMillis(WorkSpec spec, PendingJob pendingJob, long nowNanos) {
+        long ageMillis = (nowNanos - pendingJob.arrivedNanos()) / NANOS_PER_MILLI;
+        return spec.objectiveMillis() - spec.criticalPathMillis() - ageMillis;
+    }
+
     @Override
     public boolean join(
             JobId id,
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
@@ -34,6 +34,7 @@
     private final EventLoop mLoop;
     private final PeerTransport mClient;
     private final SpillOver mSpillOver;
+    private final EvacuationTracker mEvacuations;
     private final Map<DataCentre, ProbeTarget> mTargets = new TreeMap<>();
     private final Map<InstanceName, ReportedClock> mClocks = new HashMap<>();
 
@@ -63,10 +64,15 @@
         }
     }
 
-    RemoteLeaders(EventLoop loop, PeerTransport client, SpillOver spillOver) {
+    RemoteLeaders(
+            EventLoop loop,
+            PeerTransport client,
+            SpillOver spillOver,
+            EvacuationTracker evacuations) {
         mLoop = loop;
         mClient = client;
         mSpillOver = spillOver;
+        mEvacuations = evacuations;
     }
 
     /** Updates the registered instances that follow other leaders. */
@@ -163,6 +169,7 @@
             return;
         }
         Presence presence = answer.get().getPresence();
+        mEvacuations.onPresence(presence);
         mClocks.put(probed.name(), new ReportedClock(presence.getClockNanos(), mLoop.nowNanos()));
         if (presence.getFollows().equals(presence.getName()) && !presence.getDraining()) {
             target.mLeader = Option.some(probed);
--- a/proxy/src/main/java/org/wagtailproxy/observe/DispatchMetrics.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/DispatchMetrics.java
@@ -8,6 +8,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Collection;
 import java.util.Map;
 
 /**
@@ -86,6 +87,12 @@
                     "listener",
                     "limit");
 
+    private final Gauge mEvacuated =
+            gauge(
+                    "wagtailproxy_evacuated_data_centres",
+                    "1 for each data centre whose servers get no new tasks.",
+                    "data_centre");
+
     private final Gauge mCallerConnections =
             gauge("wagtailproxy_caller_connections", "Open connections of callers.");
 
@@ -217,6 +224,16 @@
         mLimited.labelValues(listener, limit).inc();
     }
 
+    /**
+     * Sets the data centres whose backend servers get no new tasks.
+     *
+     * @param names the data centres as label values, not null
+     */
+    public void setEvacuatedDataCentres(Collection<String> names) {
+        mEvacuated.clear();
+        names.forEach(name -> mEvacuated.labelValues(name).set(1));
+    }
+
     /**
      * Sets what callers take up at present.
      *
--- a/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
+++ b/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
@@ -146,6 +146,15 @@
         return mItems.values();
     }
 
+    /**
+     * Returns the revision of the store that the copy contains.
+     *
+     * @return the revision, 0 before all items have been read
+     */
+    public long revision() {
+        return mRevision;
+    }
+
     /**
      * Returns the age of the copy.
      *
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/HomeMonitorTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/HomeMonitorTest.java
@@ -44,14 +44,16 @@
                         1000,
                         LeaseTiming.of(1000),
                         SchedulerTuning.defaults());
+        EventLog log = EventLog.of("n1", "pwani-a", "1", (level, message, cause) -> {});
         LeaderElection election =
                 new LeaderElection(
                         settings,
                         mProcess,
                         mNetwork.transport(mProcess),
                         FencingTokenSource.of("n1"),
-                        EventLog.of("n1", "pwani-a", "1", (level, message, cause) -> {}),
+                        log,
                         mLifeSigns,
+                        new EvacuationTracker(log),
                         null);
         return new HomeMonitor(
                 settings.home(),
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/RemoteLeadersTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/RemoteLeadersTest.java
@@ -14,6 +14,7 @@
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.InstanceRecord;
+import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.peer.PeerRequestHandler;
 import org.wagtailproxy.peer.PeerTransport;
 import org.wagtailproxy.scheduling.SpillOver;
@@ -29,7 +30,13 @@
     private final SimulatedProcess mProcess =
             new SimulatedProcess(mTime, new SimulatedNetwork.Host("n1", "pwani-a"));
     private final HeldTransport mTransport = new HeldTransport();
-    private final RemoteLeaders mLeaders = new RemoteLeaders(mProcess, mTransport, new SpillOver());
+    private final RemoteLeaders mLeaders =
+            new RemoteLeaders(
+                    mProcess,
+                    mTransport,
+                    new SpillOver(),
+                    new EvacuationTracker(
+                            EventLog.of("n1", "pwani-a", "1", (level, message, cause) -> {})));
 
     /** Holds the answer to the last call until the test gives it. */
     private static final class HeldTransport implements PeerTransport {
--- a/wire/src/main/java/org/wagtailproxy/wire/Peer.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Peer.java
@@ -251,7 +251,7 @@
       "als\030\005 \003(\0132\027.wagtailproxy.wire.Seal\022*\n\007me" +
       "mbers\030\006 \003(\0132\031.wagtailproxy.wire.Member\"I" +
       "\n\010Resource\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017" +
-      "\n\007version\030\003 \001(\004\022\020\n\010document\030\004 \001(\014\"\316\003\n\010Pr" +
+      "\n\007version\030\003 \001(\004\022\020\n\010document\030\004 \001(\014\"\213\004\n\010Pr" +
       "esence\022\014\n\004name\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(" +
       "\t\022\024\n\014peer_address\030\003 \001(\t\022\021\n\tseniority\030\004 \001" +
       "(\006\022\017\n\007follows\030\005 \001(\t\022\020\n\010draining\030\006 \001(\010\022\025\n" +
@@ -263,54 +263,55 @@
       "CentreScope\022\023\n\013clock_nanos\030\017 \001(\020\022\022\n\nover" +
       "loaded\030\020 \001(\010\022\034\n\024receiver_clock_nanos\0302 \001" +
       "(\020\022!\n\031receiver_clock_age_millis\0303 \001(\004\022\023\n" +
-      "\013incarnation\0304 \001(\014\"J\n\017DataCentreScope\022\017\n" +
-      "\007limited\030\001 \001(\010\022\024\n\014data_centres\030\002 \003(\t\022\020\n\010" +
-      "unlisted\030( \001(\010\"\232\003\n\nSubmitWork\022\013\n\003job\030\001 \001" +
-      "(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007payload\030\003 \001(\t\022*\n\005" +
-      "steps\030\004 \003(\0132\033.wagtailproxy.wire.WorkStep" +
-      "\022\020\n\010priority\030\005 \001(\r\022\024\n\014slack_factor\030\006 \001(\001" +
-      "\022\025\n\rtarget_millis\030\007 \001(\004\022\025\n\rmost_failures" +
-      "\030\010 \001(\r\022\022\n\nage_millis\030\t \001(\004\022\027\n\017patience_m" +
-      "illis\030\n \001(\004\022\014\n\004home\030\013 \001(\t\0221\n\010progress\030\014 " +
-      "\001(\0132\037.wagtailproxy.wire.WorkProgress\022\021\n\t" +
-      "forwarded\030\r \001(\010\022\021\n\tstored_in\030\016 \001(\t\022\017\n\007la" +
-      "sting\030\017 \001(\010\022\034\n\024receiver_clock_nanos\030\020 \001(" +
-      "\020\022\030\n\020home_incarnation\030\021 \001(\014\"\273\001\n\010WorkStep" +
-      "\022\r\n\005tasks\030\001 \001(\r\022\022\n\ncpu_millis\030\002 \001(\004\022\030\n\020m" +
-      "emory_megabytes\030\003 \001(\004\022\024\n\014accelerators\030\004 " +
-      "\001(\004\022\027\n\017estimate_millis\030\005 \001(\004\022\r\n\005after\030\006 " +
-      "\003(\r\022\r\n\005label\030\007 \001(\t\022\014\n\004rack\030\010 \001(\t\022\027\n\017most" +
-      "_per_server\030\t \001(\r\"\220\001\n\014WorkProgress\022\027\n\017hi" +
-      "ghest_attempt\030\001 \001(\r\022\014\n\004done\030\002 \003(\r\022\017\n\007run" +
-      "s_on\030\003 \003(\t\022\025\n\rruns_on_known\030\004 \001(\010\0221\n\005sco" +
-      "pe\030\005 \001(\0132\".wagtailproxy.wire.DataCentreS" +
-      "cope\"\201\002\n\nWorkAnswer\0220\n\004kind\030\001 \001(\0162\".wagt" +
-      "ailproxy.wire.WorkAnswer.Kind\022\016\n\006reason\030" +
-      "\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(\004\0221\n\010pro" +
-      "gress\030\004 \001(\0132\037.wagtailproxy.wire.WorkProg" +
-      "ress\"b\n\004Kind\022\013\n\007UNKNOWN\020\000\022\014\n\010COMPLETE\020\001\022" +
-      "\n\n\006FAILED\020\002\022\013\n\007REFUSED\020\003\022\r\n\tABANDONED\020\004\022" +
-      "\t\n\005MOVED\020\005\022\014\n\010ACCEPTED\020\006\"C\n\014WithdrawWork" +
-      "\022\013\n\003job\030\001 \001(\t\022\014\n\004home\030\002 \001(\t\022\030\n\020home_inca" +
-      "rnation\030\003 \001(\014\"\034\n\rWorkForwarded\022\013\n\003job\030\001 " +
-      "\001(\t\"4\n\006AskJob\022\013\n\003job\030\001 \001(\t\022\r\n\005queue\030\002 \001(" +
-      "\t\022\016\n\006cancel\030\003 \001(\010\"\275\001\n\007JobTold\0227\n\tconditi" +
-      "on\030\001 \001(\0162$.wagtailproxy.wire.JobTold.Con" +
-      "dition\022\017\n\007pending\030\002 \001(\r\"h\n\tCondition\022\017\n\013" +
-      "UNAVAILABLE\020\000\022\010\n\004GONE\020\001\022\n\n\006QUEUED\020\002\022\013\n\007R" +
-      "UNNING\020\003\022\014\n\010COMPLETE\020\004\022\n\n\006FAILED\020\005\022\r\n\tCA" +
-      "NCELLED\020\006\"\340\001\n\tJobRecord\022+\n\004work\030\001 \001(\0132\035." +
-      "wagtailproxy.wire.SubmitWork\0221\n\005state\030\002 " +
-      "\001(\0162\".wagtailproxy.wire.JobRecord.State\022" +
-      "\014\n\004done\030\003 \003(\r\022\020\n\010failures\030\004 \003(\r\022\027\n\017faile" +
-      "d_attempts\030\005 \003(\r\":\n\005State\022\010\n\004OPEN\020\000\022\014\n\010C" +
-      "OMPLETE\020\001\022\n\n\006FAILED\020\002\022\r\n\tCANCELLED\020\003\"\246\001\n" +
-      "\014KeeperRecord\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnati" +
-      "on\030\002 \001(\t\022\022\n\ngeneration\030\003 \001(\004\0222\n\004jobs\030\004 \001" +
-      "(\0162$.wagtailproxy.wire.KeeperRecord.Jobs" +
-      "\"+\n\004Jobs\022\013\n\007UNKNOWN\020\000\022\010\n\004NONE\020\001\022\014\n\010POSSI" +
-      "BLE\020\002B\033\n\025org.wagtailproxy.wireH\001P\001b\006prot" +
-      "o3"
+      "\013incarnation\0304 \001(\014\022\033\n\023evacuation_revisio" +
+      "n\0305 \001(\006\022\036\n\026evacuated_data_centres\0306 \003(\t\"" +
+      "J\n\017DataCentreScope\022\017\n\007limited\030\001 \001(\010\022\024\n\014d" +
+      "ata_centres\030\002 \003(\t\022\020\n\010unlisted\030( \001(\010\"\232\003\n\n" +
+      "SubmitWork\022\013\n\003job\030\001 \001(\t\022\017\n\007service\030\002 \001(\t" +
+      "\022\017\n\007payload\030\003 \001(\t\022*\n\005steps\030\004 \003(\0132\033.wagta" +
+      "ilproxy.wire.WorkStep\022\020\n\010priority\030\005 \001(\r\022" +
+      "\024\n\014slack_factor\030\006 \001(\001\022\025\n\rtarget_millis\030\007" +
+      " \001(\004\022\025\n\rmost_failures\030\010 \001(\r\022\022\n\nage_milli" +
+      "s\030\t \001(\004\022\027\n\017patience_millis\030\n \001(\004\022\014\n\004home" +
+      "\030\013 \001(\t\0221\n\010progress\030\014 \001(\0132\037.wagtailproxy." +
+      "wire.WorkProgress\022\021\n\tforwarded\030\r \001(\010\022\021\n\t" +
+      "stored_in\030\016 \001(\t\022\017\n\007lasting\030\017 \001(\010\022\034\n\024rece" +
+      "iver_clock_nanos\030\020 \001(\020\022\030\n\020home_incarnati" +
+      "on\030\021 \001(\014\"\273\001\n\010WorkStep\022\r\n\005tasks\030\001 \001(\r\022\022\n\n" +
+      "cpu_millis\030\002 \001(\004\022\030\n\020memory_megabytes\030\003 \001" +
+      "(\004\022\024\n\014accelerators\030\004 \001(\004\022\027\n\017estimate_mil" +
+      "lis\030\005 \001(\004\022\r\n\005after\030\006 \003(\r\022\r\n\005label\030\007 \001(\t\022" +
+      "\014\n\004rack\030\010 \001(\t\022\027\n\017most_per_server\030\t \001(\r\"\220" +
+      "\001\n\014WorkProgress\022\027\n\017highest_attempt\030\001 \001(\r" +
+      "\022\014\n\004done\030\002 \003(\r\022\017\n\007runs_on\030\003 \003(\t\022\025\n\rruns_" +
+      "on_known\030\004 \001(\010\0221\n\005scope\030\005 \001(\0132\".wagtailp" +
+      "roxy.wire.DataCentreScope\"\201\002\n\nWorkAnswer" +
+      "\0220\n\004kind\030\001 \001(\0162\".wagtailproxy.wire.WorkA" +
+      "nswer.Kind\022\016\n\006reason\030\002 \001(\t\022\032\n\022retry_afte" +
+      "r_millis\030\003 \001(\004\0221\n\010progress\030\004 \001(\0132\037.wagta" +
+      "ilproxy.wire.WorkProgress\"b\n\004Kind\022\013\n\007UNK" +
+      "NOWN\020\000\022\014\n\010COMPLETE\020\001\022\n\n\006FAILED\020\002\022\013\n\007REFU" +
+      "SED\020\003\022\r\n\tABANDONED\020\004\022\t\n\005MOVED\020\005\022\014\n\010ACCEP" +
+      "TED\020\006\"C\n\014WithdrawWork\022\013\n\003job\030\001 \001(\t\022\014\n\004ho" +
+      "me\030\002 \001(\t\022\030\n\020home_incarnation\030\003 \001(\014\"\034\n\rWo" +
+      "rkForwarded\022\013\n\003job\030\001 \001(\t\"4\n\006AskJob\022\013\n\003jo" +
+      "b\030\001 \001(\t\022\r\n\005queue\030\002 \001(\t\022\016\n\006cancel\030\003 \001(\010\"\275" +
+      "\001\n\007JobTold\0227\n\tcondition\030\001 \001(\0162$.wagtailp" +
+      "roxy.wire.JobTold.Condition\022\017\n\007pending\030\002" +
+      " \001(\r\"h\n\tCondition\022\017\n\013UNAVAILABLE\020\000\022\010\n\004GO" +
+      "NE\020\001\022\n\n\006QUEUED\020\002\022\013\n\007RUNNING\020\003\022\014\n\010COMPLET" +
+      "E\020\004\022\n\n\006FAILED\020\005\022\r\n\tCANCELLED\020\006\"\340\001\n\tJobRe" +
+      "cord\022+\n\004work\030\001 \001(\0132\035.wagtailproxy.wire.S" +
+      "ubmitWork\0221\n\005state\030\002 \001(\0162\".wagtailproxy." +
+      "wire.JobRecord.State\022\014\n\004done\030\003 \003(\r\022\020\n\010fa" +
+      "ilures\030\004 \003(\r\022\027\n\017failed_attempts\030\005 \003(\r\":\n" +
+      "\005State\022\010\n\004OPEN\020\000\022\014\n\010COMPLETE\020\001\022\n\n\006FAILED" +
+      "\020\002\022\r\n\tCANCELLED\020\003\"\246\001\n\014KeeperRecord\022\014\n\004na" +
+      "me\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\022\n\ngenerat" +
+      "ion\030\003 \001(\004\0222\n\004jobs\030\004 \001(\0162$.wagtailproxy.w" +
+      "ire.KeeperRecord.Jobs\"+\n\004Jobs\022\013\n\007UNKNOWN" +
+      "\020\000\022\010\n\004NONE\020\001\022\014\n\010POSSIBLE\020\002B\033\n\025org.wagtai" +
+      "lproxy.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -423,7 +424,7 @@
     internal_static_wagtailproxy_wire_Presence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wagtailproxy_wire_Presence_descriptor,
-        new java.lang.String[] { "Name", "DataCentre", "PeerAddress", "Seniority", "Follows", "Draining", "HighestToken", "ConfigurationVersion", "Configuration", "FreeCpuMillis", "QueueMillis", "KeepsJobs", "Storeless", "Scope", "ClockNanos", "Overloaded", "ReceiverClockNanos", "ReceiverClockAgeMillis", "Incarnation", });
+        new java.lang.String[] { "Name", "DataCentre", "PeerAddress", "Seniority", "Follows", "Draining", "HighestToken", "ConfigurationVersion", "Configuration", "FreeCpuMillis", "QueueMillis", "KeepsJobs", "Storeless", "Scope", "ClockNanos", "Overloaded", "ReceiverClockNanos", "ReceiverClockAgeMillis", "Incarnation", "EvacuationRevision", "EvacuatedDataCentres", });
     internal_static_wagtailproxy_wire_DataCentreScope_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_wagtailproxy_wire_DataCentreScope_fieldAccessorTable = new
--- a/wire/src/main/java/org/wagtailproxy/wire/Presence.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Presence.java
@@ -38,6 +38,8 @@
     follows_ = "";
     configuration_ = com.google.protobuf.ByteString.EMPTY;
     incarnation_ = com.google.protobuf.ByteString.EMPTY;
+    evacuatedDataCentres_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -452,6 +454,59 @@
     return incarnation_;
   }
 
+  public static final int EVACUATION_REVISION_FIELD_NUMBER = 53;
+  private long evacuationRevision_ = 0L;
+  /**
+   * <pre>
+   * The data centres that get no new tasks, and the revision of the store at which they were read,
+   * 0 if they were not.
+   * </pre>
+   *
+   * <code>fixed64 evacuation_revision = 53;</code>
+   * @return The evacuationRevision.
+   */
+  @java.lang.Override
+  public long getEvacuationRevision() {
+    return evacuationRevision_;
+  }
+
+  public static final int EVACUATED_DATA_CENTRES_FIELD_NUMBER = 54;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList evacuatedDataCentres_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <code>repeated string evacuated_data_centres = 54;</code>
+   * @return A list containing the evacuatedDataCentres.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getEvacuatedDataCentresList() {
+    return evacuatedDataCentres_;
+  }
+  /**
+   * <code>repeated string evacuated_data_centres = 54;</code>
+   * @return The count of evacuatedDataCentres.
+   */
+  public int getEvacuatedDataCentresCount() {
+    return evacuatedDataCentres_.size();
+  }
+  /**
+   * <code>repeated string evacuated_data_centres = 54;</code>
+   * @param index The index of the element to return.
+   * @return The evacuatedDataCentres at the given index.
+   */
+  public java.lang.String getEvacuatedDataCentres(int index) {
+    return evacuatedDataCentres_.get(index);
+  }
+  /**
+   * <code>repeated string evacuated_data_centres = 54;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the evacuatedDataCentres at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getEvacuatedDataCentresBytes(int index) {
+    return evacuatedDataCentres_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -523,6 +578,12 @@
     if (!incarnation_.isEmpty()) {
       output.writeBytes(52, incarnation_);
     }
+    if (evacuationRevision_ != 0L) {
+      output.writeFixed64(53, evacuationRevision_);
+    }
+    for (int i = 0; i < evacuatedDataCentres_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 54, evacuatedDataCentres_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -599,6 +660,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(52, incarnation_);
     }
+    if (evacuationRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(53, evacuationRevision_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < evacuatedDataCentres_.size(); i++) {
+        dataSize += computeStringSizeNoTag(evacuatedDataCentres_.getRaw(i));
+      }
+      size += dataSize;
+      size += 2 * getEvacuatedDataCentresList().size();
+    }
     return size;
   }
   @java.lang.Override
@@ -664,6 +737,10 @@
         != other.getReceiverClockAgeMillis()) return false;
     if (!getIncarnation()
         .equals(other.getIncarnation())) return false;
+    if (getEvacuationRevision()
+        != other.getEvacuationRevision()) return false;
+    if (!getEvacuatedDataCentresList()
+        .equals(other.getEvacuatedDataCentresList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -727,6 +804,13 @@
         getReceiverClockAgeMillis());
     hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
     hash = (53 * hash) + getIncarnation().hashCode();
+    hash = (37 * hash) + EVACUATION_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEvacuationRevision());
+    if (getEvacuatedDataCentresCount() > 0) {
+      hash = (37 * hash) + EVACUATED_DATA_CENTRES_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuatedDataCentresList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -891,6 +975,9 @@
       receiverClockNanos_ = 0L;
       receiverClockAgeMillis_ = 0L;
       incarnation_ = com.google.protobuf.ByteString.EMPTY;
+      evacuationRevision_ = 0L;
+      evacuatedDataCentres_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -985,6 +1072,13 @@
       if (((from_bitField0_ & 0x00040000) != 0)) {
         result.incarnation_ = incarnation_;
       }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.evacuationRevision_ = evacuationRevision_;
+      }
+      if (((from_bitField0_ & 0x00100000) != 0)) {
+        evacuatedDataCentres_.makeImmutable();
+        result.evacuatedDataCentres_ = evacuatedDataCentres_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1065,6 +1159,19 @@
       if (!other.getIncarnation().isEmpty()) {
         setIncarnation(other.getIncarnation());
       }
+      if (other.getEvacuationRevision() != 0L) {
+        setEvacuationRevision(other.getEvacuationRevision());
+      }
+      if (!other.evacuatedDataCentres_.isEmpty()) {
+        if (evacuatedDataCentres_.isEmpty()) {
+          evacuatedDataCentres_ = other.evacuatedDataCentres_;
+          bitField0_ |= 0x00100000;
+        } else {
+          ensureEvacuatedDataCentresIsMutable();
+          evacuatedDataCentres_.addAll(other.evacuatedDataCentres_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1186,6 +1293,16 @@
               bitField0_ |= 0x00040000;
               break;
             } // case 418
+            case 425: {
+              evacuationRevision_ = input.readFixed64();
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 425
+            case 434: {
+              ensureEvacuatedDataCentresIsMutable();
+              evacuatedDataCentres_.add(input.readStringRequireUtf8());
+              break;
+            } // case 434
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2225,6 +2342,164 @@
       return this;
     }
 
+    private long evacuationRevision_ ;
+    /**
+     * <pre>
+     * The data centres that get no new tasks, and the revision of the store at which they were read,
+     * 0 if they were not.
+     * </pre>
+     *
+     * <code>fixed64 evacuation_revision = 53;</code>
+     * @return The evacuationRevision.
+     */
+    @java.lang.Override
+    public long getEvacuationRevision() {
+      return evacuationRevision_;
+    }
+    /**
+     * <pre>
+     * The data centres that get no new tasks, and the revision of the store at which they were read,
+     * 0 if they were not.
+     * </pre>
+     *
+     * <code>fixed64 evacuation_revision = 53;</code>
+     * @param value The evacuationRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvacuationRevision(long value) {
+
+      evacuationRevision_ = value;
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The data centres that get no new tasks, and the revision of the store at which they were read,
+     * 0 if they were not.
+     * </pre>
+     *
+     * <code>fixed64 evacuation_revision = 53;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvacuationRevision() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      evacuationRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList evacuatedDataCentres_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureEvacuatedDataCentresIsMutable() {
+      if (!evacuatedDataCentres_.isModifiable()) {
+        evacuatedDataCentres_ = new com.google.protobuf.LazyStringArrayList(evacuatedDataCentres_);
+      }
+      bitField0_ |= 0x00100000;
+    }
+    /**
+     * <code>repeated string evacuated_data_centres = 54;</code>
+     * @return A list containing the evacuatedDataCentres.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getEvacuatedDataCentresList() {
+      evacuatedDataCentres_.makeImmutable();
+      return evacuatedDataCentres_;
+    }
+    /**
+     * <code>repeated string evacuated_data_centres = 54;</code>
+     * @return The count of evacuatedDataCentres.
+     */
+    public int getEvacuatedDataCentresCount() {
+      return evacuatedDataCentres_.size();
+    }
+    /**
+     * <code>repeated string evacuated_data_centres = 54;</code>
+     * @param index The index of the element to return.
+     * @return The evacuatedDataCentres at the given index.
+     */
+    public java.lang.String getEvacuatedDataCentres(int index) {
+      return evacuatedDataCentres_.get(index);
+    }
+    /**
+     * <code>repeated string evacuated_data_centres = 54;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the evacuatedDataCentres at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getEvacuatedDataCentresBytes(int index) {
+      return evacuatedDataCentres_.getByteString(index);
+    }
+    /**
+     * <code>repeated string evacuated_data_centres = 54;</code>
+     * @param index The index to set the value at.
+     * @param value The evacuatedDataCentres to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvacuatedDataCentres(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureEvacuatedDataCentresIsMutable();
+      evacuatedDataCentres_.set(index, value);
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string evacuated_data_centres = 54;</code>
+     * @param value The evacuatedDataCentres to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEvacuatedDataCentres(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureEvacuatedDataCentresIsMutable();
+      evacuatedDataCentres_.add(value);
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string evacuated_data_centres = 54;</code>
+     * @param values The evacuatedDataCentres to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllEvacuatedDataCentres(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureEvacuatedDataCentresIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, evacuatedDataCentres_);
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string evacuated_data_centres = 54;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvacuatedDataCentres() {
+      evacuatedDataCentres_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00100000);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string evacuated_data_centres = 54;</code>
+     * @param value The bytes of the evacuatedDataCentres to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEvacuatedDataCentresBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureEvacuatedDataCentresIsMutable();
+      evacuatedDataCentres_.add(value);
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wagtailproxy.wire.Presence)
   }
 
--- a/wire/src/main/java/org/wagtailproxy/wire/PresenceOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/PresenceOrBuilder.java
@@ -213,4 +213,40 @@
    * @return The incarnation.
    */
   com.google.protobuf.ByteString getIncarnation();
+
+  /**
+   * <pre>
+   * The data centres that get no new tasks, and the revision of the store at which they were read,
+   * 0 if they were not.
+   * </pre>
+   *
+   * <code>fixed64 evacuation_revision = 53;</code>
+   * @return The evacuationRevision.
+   */
+  long getEvacuationRevision();
+
+  /**
+   * <code>repeated string evacuated_data_centres = 54;</code>
+   * @return A list containing the evacuatedDataCentres.
+   */
+  java.util.List<java.lang.String>
+      getEvacuatedDataCentresList();
+  /**
+   * <code>repeated string evacuated_data_centres = 54;</code>
+   * @return The count of evacuatedDataCentres.
+   */
+  int getEvacuatedDataCentresCount();
+  /**
+   * <code>repeated string evacuated_data_centres = 54;</code>
+   * @param index The index of the element to return.
+   * @return The evacuatedDataCentres at the given index.
+   */
+  java.lang.String getEvacuatedDataCentres(int index);
+  /**
+   * <code>repeated string evacuated_data_centres = 54;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the evacuatedDataCentres at the given index.
+   */
+  com.google.protobuf.ByteString
+      getEvacuatedDataCentresBytes(int index);
 }
