Take a job as unsent if its leader refuses the connection

Cause: a home that submitted a job to a leader whose address refuses connections counted the job as possibly started. The next leader waited for leases of runs that cannot exist, and its refusal became 504. A job that no leader had received was also answered 504 at its deadline and at the end of the process.

A job that was never submitted is refused (429 with Retry-After). What callers see: service or a true refusal instead of 504 when leaders die.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRelay.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wagtailproxy.failure.Failure;
+import org.wagtailproxy.failure.FailureKind;
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.Peer;
 import org.wagtailproxy.peer.MessageConverter;
@@ -53,6 +54,10 @@
     private static final long HAND_OVER_MILLIS =
             LeaderElection.PROBE_TIMEOUT.toMillis() + LeaderElection.TICK_MILLIS;
 
+    /** Time within which a leader that refuses connections is found to be dead by its probes. */
+    private static final long REFUSAL_VALID_NANOS =
+            TimeUnit.MILLISECONDS.toNanos(3 * LeaderElection.TICK_MILLIS);
+
     private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final DispatcherSettings mSettings;
@@ -81,6 +86,11 @@
         /** Data centres in which the leader may have started tasks since it has the job. */
         private DataCentreScope mLeaderScope = DataCentreScope.EMPTY;
 
+        /** The leader that has refused a connection for the last submission, and when. */
+        private Option<InstanceName> mRefusingLeader = Option.none();
+
+        private long mRefusedNanos;
+
         private int mSubmissionCount;
         private boolean mMayHaveStarted;
         private boolean mAwaitsHandOver;
@@ -164,10 +174,17 @@
     void abandonAll() {
         for (HomeJob job : List.copyOf(mJobs.values())) {
             withdrawFromLeader(job);
-            finish(job, WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "process ends"));
+            finish(job, unfinished(job, "process ends"));
         }
     }
 
+    /** Returns the outcome of a job that no leader has ended; no leader may have received it. */
+    private static WorkOutcome unfinished(HomeJob job, String reason) {
+        return job.mSubmissionCount == 0
+                ? WorkOutcome.refused(reason, NO_LEADER_RETRY_MILLIS)
+                : WorkOutcome.of(WorkOutcome.Kind.ABANDONED, reason);
+    }
+
     boolean isOpen(JobId id) {
         return mJobs.containsKey(id);
     }
@@ -250,7 +267,7 @@
         for (HomeJob job : new ArrayList<>(mJobs.values())) {
             if (nowNanos > job.mDeadlineNanos + ANSWER_SLACK_MILLIS * NANOS_PER_MILLI) {
                 withdrawFromLeader(job);
-                finish(job, WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "no answer in time"));
+                finish(job, unfinished(job, "no answer in time"));
             } else if (job.mSubmissionCount == 0 && isUnattainable(job, nowNanos)) {
                 finish(job, WorkOutcome.refused("no leader in time", NO_LEADER_RETRY_MILLIS));
             } else if (job.mLeader == null) {
@@ -270,7 +287,7 @@
             return;
         }
         Peer leader = mElection.leader().get();
-        if (!hasCallers(job, leader)) {
+        if (isRefusedBy(leader, job) || !hasCallers(job, leader)) {
             return;
         }
         if (job.mFormerLeader != null && !job.mFormerLeader.name().equals(leader.name())) {
@@ -362,11 +379,34 @@
         } else if (mJobs.get(job.mSpec.id()) == job
                 && job.mSubmissionCount == submissionCount
                 && job.mLeader != null) {
+            if (result.isLeft() && result.getLeft().kind() == FailureKind.PEER_REFUSED) {
+                onNotSent(job);
+                return;
+            }
             onLeaderLost(
                     job, result.isLeft() ? result.getLeft().kind().slug() : "unreadable answer");
         }
     }
 
+    /**
+     * Leaves a job to the next leader as it was. No connection to this one was opened, so it has
+     * not received the submission and has started nothing; the next one need not wait for its runs
+     * to end, and may refuse the job.
+     */
+    private void onNotSent(HomeJob job) {
+        mLog.jobMoved(job.mSpec.id(), Option.some(job.mLeader.name()), "not sent");
+        job.mRefusingLeader = Option.some(job.mLeader.name());
+        job.mRefusedNanos = mLoop.nowNanos();
+        job.mLeader = null;
+        job.mProgress = job.mSubmittedProgress;
+    }
+
+    /** Checks whether the leader has just refused a connection and is probably being replaced. */
+    private boolean isRefusedBy(Peer leader, HomeJob job) {
+        return job.mRefusingLeader.contains(leader.name())
+                && mLoop.nowNanos() - job.mRefusedNanos < REFUSAL_VALID_NANOS;
+    }
+
     /** Adds what an earlier submission has led to; a later one may have crossed its hand-over. */
     private static void onLateHandOver(HomeJob job, WorkProgress handedOver) {
         job.mSubmittedProgress = job.mSubmittedProgress.merge(handedOver);
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/JobRelayTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/JobRelayTest.java
@@ -1,14 +1,19 @@
 package org.wagtailproxy.dispatcher;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
 import org.wagtailproxy.workload.StepSpec;
+import org.wagtailproxy.workload.WorkOutcome;
 import org.wagtailproxy.workload.WorkSpec;
 
 class JobRelayTest {
@@ -34,19 +39,43 @@
         assertThat(submissions(), hasSize(1));
     }
 
-    private SimulatedInstance submitAndKillLeader() {
+    /** Guards against jobs that wait for the leases of runs that their dead leader cannot have. */
+    @Test
+    void testJobThatNeverReachedItsLeaderIsNewToTheNextOne() {
         mFleet.mTime.run(READY_MILLIS);
-        SimulatedInstance home =
-                mFleet.upInstances().stream()
-                        .filter(each -> !each.isLeader())
-                        .findFirst()
-                        .orElseThrow();
+        SimulatedInstance home = follower();
+        killLeader();
+        mFleet.mTime.run(READY_MILLIS + 10);
+        List<WorkOutcome> outcomes = new ArrayList<>();
         home.process()
-                .execute(() -> home.dispatcher().submit(job(), 4000, "caller", outcome -> {}));
-        mFleet.mTime.run(READY_MILLIS + 50);
+                .execute(() -> home.dispatcher().submit(job(), 4000, "caller", outcomes::add));
+        mFleet.mTime.run(READY_MILLIS + 2500);
+        assertThat(submissions(), hasSize(greaterThan(1)));
+        assertThat(submissions(), everyItem(containsString("attempt=0")));
+        assertThat(outcomes, hasSize(1));
+        assertThat(outcomes.get(0).kind(), is(WorkOutcome.Kind.COMPLETE));
+    }
+
+    private SimulatedInstance follower() {
+        return mFleet.upInstances().stream()
+                .filter(each -> !each.isLeader())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private void killLeader() {
         mFleet.upInstances().stream()
                 .filter(SimulatedInstance::isLeader)
                 .forEach(SimulatedInstance::kill);
+    }
+
+    private SimulatedInstance submitAndKillLeader() {
+        mFleet.mTime.run(READY_MILLIS);
+        SimulatedInstance home = follower();
+        home.process()
+                .execute(() -> home.dispatcher().submit(job(), 4000, "caller", outcome -> {}));
+        mFleet.mTime.run(READY_MILLIS + 50);
+        killLeader();
         return home;
     }
 
