--- a/decisions/src/main/java/org/wagtailproxy/limits/InstanceLimits.java
+++ b/decisions/src/main/java/org/wagtailproxy/limits/InstanceLimits.java
@@ -51,7 +51,9 @@
     private static final int CALLER_HEAP_DIVISOR = 8;
     private static final int PEER_HEAP_DIVISOR = 12;
     private static final int JOB_HEAP_DIVISOR = 12;
-    private static final int STORED_JOB_HEAP_DIVISOR = 8;
+
+    /** The ended jobs of 150 s at the second site's rate take up half of it. */
+    private static final int STORED_JOB_HEAP_DIVISOR = 6;
 
     /** Checks the components. */
     public InstanceLimits {
--- a/decisions/src/main/java/org/wagtailproxy/workload/StoredJob.java
+++ b/decisions/src/main/java/org/wagtailproxy/workload/StoredJob.java
@@ -24,6 +24,13 @@
     /** Memory of a task that is done or has failed, in bytes. */
     private static final long TASK_PROGRESS_BYTES = 64;
 
+    /** Memory of a job that has ended, whose work is not kept, in bytes. */
+    private static final long ENDED_JOB_BYTES = 400;
+
+    /** Stands for the steps of jobs whose work is not kept. */
+    private static final List<StepSpec> NO_STEPS =
+            List.of(StepSpec.of(1, ResourceAmount.of(0, 0, 0), 1));
+
     /** State of a stored job. */
     public enum State {
         /** The tasks of the job are running or waiting. */
@@ -78,7 +85,7 @@
                         spec.id(),
                         spec.service(),
                         "",
-                        List.of(StepSpec.of(1, ResourceAmount.of(0, 0, 0), 1)),
+                        NO_STEPS,
                         spec.terms(),
                         spec.storedIn(),
                         spec.longRunning());
@@ -91,6 +98,9 @@
      * @return the memory in bytes
      */
     public long memoryBytes() {
+        if (spec.steps() == NO_STEPS) {
+            return ENDED_JOB_BYTES;
+        }
         long tasks = 0;
         for (StepSpec step : spec.steps()) {
             tasks += step.tasks();
