--- /dev/null
+++ b/proxy/src/test/java/org/wagtailproxy/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the connections between instances. */
+package org.wagtailproxy.peer;
