Do not refuse a job while the other data centres are not known

Cause: without a report of any other data centre a job of an evacuated one was refused at once, also just after a change of leaders.

Change: it is refused at once only if every other data centre that is not evacuated has reported a queue that is too long, or there is none.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/SpillOver.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/SpillOver.java
@@ -1,6 +1,7 @@
 package org.wagtailproxy.scheduling;
 
 import io.vavr.control.Option;
+import java.util.Collection;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -138,23 +139,24 @@
     /**
      * Checks whether it is known that no data centre can start a job of an evacuated one in time.
      *
+     * @param others the other data centres, not null
      * @param maxWaitMillis the time for which the job can wait, in milliseconds
      * @param nowNanos the monotonic time in nanoseconds
-     * @return false if one can, or if none has reported lately although one is not evacuated
+     * @return false if one can, or if one that is not evacuated has not reported lately
      */
-    public boolean isUnattainable(long maxWaitMillis, long nowNanos) {
-        boolean known = true;
-        for (Map.Entry<DataCentre, Report> entry : mReports.entrySet()) {
-            if (mEvacuations.contains(entry.getKey())) {
+    public boolean isUnattainable(
+            Collection<DataCentre> others, long maxWaitMillis, long nowNanos) {
+        for (DataCentre other : others) {
+            if (mEvacuations.contains(other)) {
                 continue;
             }
-            boolean usable = isUsable(entry.getKey(), entry.getValue(), nowNanos);
-            if (usable && entry.getValue().mQueueMillis <= Math.max(0, maxWaitMillis)) {
+            Report report = mReports.get(other);
+            boolean known = report != null && isUsable(other, report, nowNanos);
+            if (!known || report.mQueueMillis <= Math.max(0, maxWaitMillis)) {
                 return false;
             }
-            known &= usable;
         }
-        return known;
+        return true;
     }
 
     private boolean isUsable(DataCentre dataCentre, Report report, long nowNanos) {
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/SpillOverTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/SpillOverTest.java
@@ -20,6 +20,7 @@
 
     private static final DataCentre PUNO = DataCentre.of("puno");
     private static final DataCentre CUSCO = DataCentre.of("cusco");
+    private static final Set<DataCentre> OTHERS = Set.of(PUNO, CUSCO);
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private static WorkSpec job(int tasks) {
@@ -99,16 +100,20 @@
         spill.updateReport(CUSCO, 0, 30, 0);
         assertThat(spill.chooseForEvacuated(job(1), 50, NANOS_PER_MILLI), is(Option.some(CUSCO)));
         assertThat(spill.chooseForEvacuated(job(1), 20, NANOS_PER_MILLI), is(Option.none()));
-        assertThat(spill.isUnattainable(20, NANOS_PER_MILLI), is(true));
-        assertThat(spill.isUnattainable(50, NANOS_PER_MILLI), is(false));
+        assertThat(spill.isUnattainable(OTHERS, 20, NANOS_PER_MILLI), is(true));
+        assertThat(spill.isUnattainable(OTHERS, 50, NANOS_PER_MILLI), is(false));
     }
 
     @Test
-    void testOldReportDoesNotShowThatAJobIsUnattainable() {
+    void testMissingOrOldReportDoesNotShowThatAJobIsUnattainable() {
         SpillOver spill = new SpillOver();
         spill.updateReport(PUNO, 0, 80, 0);
-        assertThat(spill.isUnattainable(20, 500 * NANOS_PER_MILLI), is(false));
-        spill.updateEvacuations(new Evacuations(1, Set.of(PUNO)));
-        assertThat(spill.isUnattainable(20, 500 * NANOS_PER_MILLI), is(true));
+        assertThat(spill.isUnattainable(OTHERS, 20, NANOS_PER_MILLI), is(false));
+        spill.updateReport(CUSCO, 0, 80, 0);
+        assertThat(spill.isUnattainable(OTHERS, 20, NANOS_PER_MILLI), is(true));
+        assertThat(spill.isUnattainable(OTHERS, 20, 500 * NANOS_PER_MILLI), is(false));
+        spill.updateEvacuations(new Evacuations(1, OTHERS));
+        assertThat(spill.isUnattainable(OTHERS, 20, 500 * NANOS_PER_MILLI), is(true));
+        assertThat(spill.isUnattainable(Set.of(), 20, NANOS_PER_MILLI), is(true));
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteJobForwarder.java
@@ -152,7 +152,10 @@
     public boolean isUnattainableElsewhere(WorkSpec spec, PendingJob pendingJob) {
         long nowNanos = mLoop.nowNanos();
         return !pendingJob.mayForward()
-                || mSpillOver.isUnattainable(maxWaitMillis(spec, pendingJob, nowNanos), nowNanos);
+                || mSpillOver.isUnattainable(
+                        mRemoteLeaders.dataCentres(),
+                        maxWaitMillis(spec, pendingJob, nowNanos),
+                        nowNanos);
     }
 
     /** Returns the time for which a job may wait and still meet its objective. */
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/RemoteLeaders.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.identity.DataCentre;
@@ -91,6 +92,11 @@
                                 instances);
     }
 
+    /** Returns the data centres that have a leader of their own. */
+    Set<DataCentre> dataCentres() {
+        return mTargets.keySet();
+    }
+
     /** Returns the address that the leader of a data centre listens on, none if it is not known. */
     Option<HostAddress> leaderAddress(DataCentre dataCentre) {
         return Option.of(mTargets.get(dataCentre))
