Move the HTTP server from the platform's adapter to the product

Cause: the limits on clients and the turns hold for the platform's interfaces only; the product's own interface uses the server of the JDK, which has neither. The module platform only translates.

Change: the server with its decoder, limits and turns lies in proxy, and takes the names of the header lines and the answers to refused requests from its handler. The platform's names, JSON and empty refusals stay in the adapter, whose HttpServer translates. Nothing changes for callers.

--- a/platform/src/main/java/org/wagtailproxy/adapter/http/ClientConnection.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/ClientConnection.java
@@ -1,4 +1,4 @@
-package org.wagtailproxy.adapter.http;
+package org.wagtailproxy.http;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -16,7 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
-import org.wagtailproxy.adapter.http.HttpServer.Exchange;
+import org.wagtailproxy.http.HttpServer.Exchange;
 import org.wagtailproxy.limits.ClientLoad;
 import org.wagtailproxy.limits.ExceededLimit;
 
@@ -49,7 +49,6 @@
     private static final int STATUS_UNAVAILABLE = 503;
     private static final int STATUS_INTERNAL_ERROR = 500;
     private static final long RETRY_AFTER_SECONDS = 1;
-    private static final byte[] EMPTY_BODY = {};
 
     private final SocketChannel mChannel;
     private final HttpServer mServer;
@@ -274,21 +273,22 @@
         try {
             mServer.handle(exchange);
         } catch (RuntimeException defect) {
-            exchange.respond(STATUS_INTERNAL_ERROR, EMPTY_BODY);
+            exchange.respond(HttpAnswer.empty(STATUS_INTERNAL_ERROR));
             throw defect;
         }
     }
 
-    void respond(Exchange exchange, int status, byte[] body, long retryAfterSeconds) {
+    void respond(Exchange exchange, HttpAnswer answer, Runnable onSent) {
         boolean last = mServer.closesAfterResponse() || !exchange.request().keepAlive();
         mCurrentExchange = null;
         mAccount.release(exchange.memoryBytes());
-        FullHttpResponse response = response(status, body, retryAfterSeconds, last);
+        FullHttpResponse response = response(answer, last);
         if (exchange.method().equals("HEAD")) {
             response = response.replace(Unpooled.EMPTY_BUFFER);
         }
-        mServer.countResponse(body.length);
-        ChannelFuture written = write(response, body.length);
+        mServer.countResponse(answer.body().length);
+        ChannelFuture written = write(response, answer.body().length);
+        written.addListener(done -> onSent.run());
         if (last) {
             written.addListener(done -> close());
             return;
@@ -301,11 +301,12 @@
 
     private void refuse() {
         mRefused = true;
-        boolean mayReturn =
-                mRefusalStatus == STATUS_TOO_MANY_REQUESTS || mRefusalStatus == STATUS_UNAVAILABLE;
-        long retryAfterSeconds = mayReturn ? RETRY_AFTER_SECONDS : 0;
-        write(response(mRefusalStatus, EMPTY_BODY, retryAfterSeconds, true), 0)
-                .addListener(done -> mChannel.shutdownOutput());
+        HttpAnswer refusal = mServer.refusal(mRefusalStatus);
+        FullHttpResponse response = response(refusal, true);
+        if (mRefusalStatus == STATUS_TOO_MANY_REQUESTS || mRefusalStatus == STATUS_UNAVAILABLE) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+        }
+        write(response, refusal.body().length).addListener(done -> mChannel.shutdownOutput());
         mChannel.eventLoop().schedule(this::close, LINGER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -323,20 +324,14 @@
                         });
     }
 
-    private static FullHttpResponse response(
-            int status, byte[] body, long retryAfterSeconds, boolean last) {
+    private static FullHttpResponse response(HttpAnswer answer, boolean last) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(status),
-                        Unpooled.wrappedBuffer(body));
-        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        if (body.length > 0) {
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        }
-        if (retryAfterSeconds > 0) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
-        }
+                        HttpResponseStatus.valueOf(answer.status()),
+                        Unpooled.wrappedBuffer(answer.body()));
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
+        answer.headers().forEach((name, value) -> response.headers().set(name, value));
         if (last) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/platform/src/main/java/org/wagtailproxy/adapter/http/InputTurns.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/InputTurns.java
@@ -1,4 +1,4 @@
-package org.wagtailproxy.adapter.http;
+package org.wagtailproxy.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
--- a/platform/src/main/java/org/wagtailproxy/adapter/http/RequestDecoder.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/RequestDecoder.java
@@ -1,8 +1,9 @@
-package org.wagtailproxy.adapter.http;
+package org.wagtailproxy.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import java.util.List;
 import org.wagtailproxy.limits.ClientLimits;
@@ -13,13 +14,13 @@
     private boolean mInHeader;
     private long mReceivedBytes;
 
-    RequestDecoder(ClientLimits limits) {
+    RequestDecoder(ClientLimits limits, HttpHeadersFactory headersFactory) {
         super(
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(limits.maxHeaderBytes())
                         .setMaxHeaderSize(limits.maxHeaderBytes())
-                        .setHeadersFactory(SelectedHeaders.FACTORY)
-                        .setTrailersFactory(SelectedHeaders.FACTORY));
+                        .setHeadersFactory(headersFactory)
+                        .setTrailersFactory(headersFactory));
     }
 
     /** Checks whether there is input that does not belong to a decoded part of a request. */
--- a/platform/src/main/java/org/wagtailproxy/adapter/http/SelectedHeaders.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/SelectedHeaders.java
@@ -1,4 +1,4 @@
-package org.wagtailproxy.adapter.http;
+package org.wagtailproxy.http;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderValidationUtil;
@@ -16,24 +16,6 @@
  */
 final class SelectedHeaders extends DefaultHttpHeaders {
 
-    /** Creates the headers of requests. Checks names and values as the library does by default. */
-    static final HttpHeadersFactory FACTORY =
-            new HttpHeadersFactory() {
-                @Override
-                public HttpHeaders newHeaders() {
-                    return new SelectedHeaders();
-                }
-
-                @Override
-                public HttpHeaders newEmptyHeaders() {
-                    return new SelectedHeaders();
-                }
-            };
-
-    /** Names of lines that handlers read. The first value of each counts. */
-    private static final Set<String> HANDLER_NAMES =
-            Set.of("x-wagtailproxy-timeout-ms", "x-wagtailproxy-expected-instance");
-
     /** Longest name that is looked up; avoids copies of long names. */
     private static final int MAX_NAME_CHARS = 64;
 
@@ -46,6 +28,33 @@
     /** The position of the first character that is not allowed, if there is none. */
     private static final int VALID = -1;
 
+    private final Set<String> mHandlerNames;
+
+    private SelectedHeaders(Set<String> handlerNames) {
+        mHandlerNames = handlerNames;
+    }
+
+    /**
+     * Returns a factory of headers that check names and values as the library's do by default.
+     *
+     * @param handlerNames the names in lower case that handlers read; the first value of each
+     *     counts
+     */
+    static HttpHeadersFactory factory(Set<String> handlerNames) {
+        Set<String> names = Set.copyOf(handlerNames);
+        return new HttpHeadersFactory() {
+            @Override
+            public HttpHeaders newHeaders() {
+                return new SelectedHeaders(names);
+            }
+
+            @Override
+            public HttpHeaders newEmptyHeaders() {
+                return new SelectedHeaders(names);
+            }
+        };
+    }
+
     @Override
     public HttpHeaders add(CharSequence name, Object value) {
         addSelected(name, value.toString());
@@ -105,7 +114,7 @@
     }
 
     private void addFirst(String name, String value) {
-        if (HANDLER_NAMES.contains(name) && !contains(name)) {
+        if (mHandlerNames.contains(name) && !contains(name)) {
             super.add(name, value);
         }
     }
