Receive the callers of wagtailproxy serve on an event loop

What callers saw: beside 400 connections with half a header or half a body, an ordinary request waited for 20 s and was then reset with the others. Beside 60 bodies of 4 MB, threads of the process ended for want of memory.

Cause: the server of the JDK reads headers and bodies on a thread for each call, of which there are 64, and closes all requests older than 20 s, queued ones among them. What it reads has no bound in all.

Change: HttpListener uses the product's HTTP server, with its limits and turns, on an event loop of its own; routes run on the same threads as before, with requests that have been received completely. An answer counts as open until it has been sent or its caller has left, as a planned stop waits for it.

--- a/decisions/src/main/java/org/wagtailproxy/failure/FailureKind.java
+++ b/decisions/src/main/java/org/wagtailproxy/failure/FailureKind.java
@@ -10,8 +10,14 @@
     TOO_MANY_TASKS(400, Executed.NO),
     /** The request body is larger than allowed. */
     BODY_TOO_LARGE(413, Executed.NO),
-    /** The request body was not received completely. */
-    BODY_TRUNCATED(400, Executed.NO),
+    /** The request target is longer than allowed. */
+    TARGET_TOO_LONG(414, Executed.NO),
+    /** The header lines are larger than allowed. */
+    HEADERS_TOO_LARGE(431, Executed.NO),
+    /** The caller has sent too much before an earlier request was answered. */
+    READ_AHEAD_EXCEEDED(429, Executed.NO),
+    /** The requests of all callers take up too much memory. */
+    CALLER_MEMORY_FULL(503, Executed.NO),
     /** No such address exists. */
     NO_SUCH_ADDRESS(404, Executed.NO),
     /** The service is not declared. */
--- a/decisions/src/main/java/org/wagtailproxy/limits/InstanceLimits.java
+++ b/decisions/src/main/java/org/wagtailproxy/limits/InstanceLimits.java
@@ -70,9 +70,8 @@
      * @return the limits, never null
      */
     public static InstanceLimits of(long heapBytes, int descriptors) {
-        int sockets = Math.max(1, descriptors - FILE_DESCRIPTORS);
-        int callers = Math.max(1, (int) (sockets * CALLER_SHARE));
-        int peers = Math.max(1, (int) (sockets * PEER_SHARE));
+        int callers = callerConnections(descriptors);
+        int peers = shareOfSockets(descriptors, PEER_SHARE);
         long peerBytes = Math.max(MAX_FRAME_BYTES, heapBytes / PEER_HEAP_DIVISOR);
         return new InstanceLimits(
                 ClientLimits.of(callers, heapBytes / CALLER_HEAP_DIVISOR, MAX_BODY_BYTES),
@@ -82,6 +81,20 @@
                 heapBytes / STORED_JOB_HEAP_DIVISOR);
     }
 
+    /**
+     * Returns the number of connections of callers that is within the means of a process.
+     *
+     * @param descriptors the maximum number of descriptors
+     * @return the number, at least 1
+     */
+    public static int callerConnections(int descriptors) {
+        return shareOfSockets(descriptors, CALLER_SHARE);
+    }
+
+    private static int shareOfSockets(int descriptors, double share) {
+        return Math.max(1, (int) ((descriptors - FILE_DESCRIPTORS) * share));
+    }
+
     /**
      * Creates the limits of this process, on a machine of the smallest kind.
      *
--- a/proxy/src/main/java/org/wagtailproxy/caller/JobRoutes.java
+++ b/proxy/src/main/java/org/wagtailproxy/caller/JobRoutes.java
@@ -117,7 +117,7 @@
         if (!checkServing(call)) {
             return;
         }
-        Either<Failure, JobSpec> spec = call.body().flatMap(body -> parseSingleRequest(call, body));
+        Either<Failure, JobSpec> spec = parseSingleRequest(call, call.body());
         if (spec.isLeft()) {
             call.refuse(spec.getLeft());
             return;
@@ -137,7 +137,7 @@
         return switch (call.method()) {
             case "GET" -> Either.right(JobRequest.of(read, name, wait.get()));
             case "DELETE" -> Either.right(JobRequest.of(JobOperation.CANCEL, name, 0));
-            case "PUT" -> call.body().map(body -> JobRequest.submit(name, body));
+            case "PUT" -> Either.right(JobRequest.submit(name, call.body()));
             default -> Either.left(Failure.of(FailureKind.NO_SUCH_ADDRESS, "no such method"));
         };
     }
--- a/proxy/src/main/java/org/wagtailproxy/http/HttpCall.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/HttpCall.java
@@ -1,18 +1,19 @@
 package org.wagtailproxy.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.sun.net.httpserver.HttpExchange;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.io.IOException;
-import java.io.InputStream;
+import io.vavr.control.Try;
+import java.net.URI;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 import org.wagtailproxy.document.Json;
 import org.wagtailproxy.document.Problems;
 import org.wagtailproxy.failure.Failure;
@@ -21,31 +22,25 @@
 /** Represents one HTTP request and its answer, which may be sent from any thread. */
 public final class HttpCall {
 
-    /**
-     * Maximum number of bytes beyond the limit that are read and discarded. The rest of a larger
-     * body stays unread, so that the connection is reset.
-     */
-    private static final long MAX_DISCARDED_BYTES = 16L * 1024 * 1024;
-
-    private static final int DISCARD_BUFFER_BYTES = 8192;
-
     private static final int OK = 200;
 
-    private final HttpExchange mExchange;
-    private final int mBodyLimit;
-    private final AtomicInteger mOpenCalls;
-    private final BooleanSupplier mClosing;
+    private final HttpServer.Exchange mExchange;
+    private final Executor mLoop;
+    private final Runnable mOnEnd;
+    private final Map<String, String> mAnswerHeaders = new HashMap<>();
     private final AtomicBoolean mAnswered = new AtomicBoolean();
 
-    HttpCall(
-            HttpExchange exchange,
-            int bodyLimit,
-            AtomicInteger openCalls,
-            BooleanSupplier closing) {
-        mClosing = closing;
+    /**
+     * Creates a call.
+     *
+     * @param exchange the request and its response, which is sent on the event loop
+     * @param loop the event loop
+     * @param onEnd runs on the event loop when the answer has been sent or will never be
+     */
+    HttpCall(HttpServer.Exchange exchange, Executor loop, Runnable onEnd) {
         mExchange = exchange;
-        mBodyLimit = bodyLimit;
-        mOpenCalls = openCalls;
+        mLoop = loop;
+        mOnEnd = onEnd;
     }
 
     /**
@@ -54,16 +49,16 @@
      * @return the method in upper case, never null
      */
     public String method() {
-        return mExchange.getRequestMethod();
+        return mExchange.method();
     }
 
     /**
      * Returns the non-empty segments of the path.
      *
-     * @return the decoded segments, never null
+     * @return the decoded segments, none if the request target is malformed; never null
      */
     public List<String> path() {
-        String path = mExchange.getRequestURI().getRawPath();
+        String path = target().map(URI::getRawPath).getOrElse("");
         return Arrays.stream(path.split("/"))
                 .filter(segment -> !segment.isEmpty())
                 .map(HttpCall::decode)
@@ -77,10 +72,7 @@
      * @return the first value, none if the parameter is missing
      */
     public Option<String> parameter(String name) {
-        String query = mExchange.getRequestURI().getRawQuery();
-        if (query == null) {
-            return Option.none();
-        }
+        String query = target().flatMap(uri -> Option.of(uri.getRawQuery())).getOrElse("");
         for (String pair : query.split("&")) {
             if (pair.startsWith(name + "=")) {
                 return Option.some(decode(pair.substring(name.length() + 1)));
@@ -116,41 +108,23 @@
      * @return the first value, none if the header is missing
      */
     public Option<String> header(String name) {
-        return Option.of(mExchange.getRequestHeaders().getFirst(name));
+        String value = mExchange.header(name);
+        return value.isEmpty() ? Option.none() : Option.some(value);
     }
 
     /**
-     * Reads and discards the rest of a body that is too large. Closing a connection with unread
-     * bytes resets it, and the reset may destroy the answer before the caller has read it.
+     * Returns the body of the request.
+     *
+     * @return the body, never null
      */
-    private static void discard(InputStream stream) throws IOException {
-        byte[] buffer = new byte[DISCARD_BUFFER_BYTES];
-        long left = MAX_DISCARDED_BYTES;
-        int read = 0;
-        while (left > 0 && read >= 0) {
-            read = stream.read(buffer);
-            left -= Math.max(0, read);
-        }
+    public byte[] body() {
+        return mExchange.body();
     }
 
-    /**
-     * Reads the body of the request. Blocks until it has arrived.
-     *
-     * @return the body, or a failure if it is too large or incomplete
-     */
-    public Either<Failure, byte[]> body() {
-        try (InputStream stream = mExchange.getRequestBody()) {
-            byte[] body = stream.readNBytes(mBodyLimit + 1);
-            if (body.length > mBodyLimit) {
-                discard(stream);
-                return Either.left(
-                        Failure.of(FailureKind.BODY_TOO_LARGE, "at most " + mBodyLimit + " bytes"));
-            }
-            return Either.right(body);
-        } catch (IOException failure) {
-            return Either.left(
-                    Failure.of(FailureKind.BODY_TRUNCATED, "the body did not arrive whole"));
-        }
+    private Option<URI> target() {
+        return Try.of(() -> URI.create(mExchange.uri()))
+                .toOption()
+                .filter(uri -> uri.getRawPath() != null);
     }
 
     /**
@@ -160,7 +134,7 @@
      * @param value the value of the header, not null
      */
     public void setAnswerHeader(String name, String value) {
-        mExchange.getResponseHeaders().set(name, value);
+        mAnswerHeaders.put(name, value);
     }
 
     /**
@@ -192,19 +166,13 @@
         if (!mAnswered.compareAndSet(false, true)) {
             return;
         }
-        try (HttpExchange exchange = mExchange) {
-            exchange.getResponseHeaders().set("Content-Type", mediaType);
-            if (mClosing.getAsBoolean()) {
-                exchange.getResponseHeaders().set("Connection", "close");
-            }
-            exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
-            if (body.length > 0) {
-                exchange.getResponseBody().write(body);
-            }
-        } catch (IOException gone) {
-            mExchange.close();
-        } finally {
-            mOpenCalls.decrementAndGet();
+        mAnswerHeaders.put("Content-Type", mediaType);
+        HttpAnswer answer = HttpListener.answer(status, mAnswerHeaders, body);
+        try {
+            mLoop.execute(() -> mExchange.respond(answer, mOnEnd));
+        } catch (RejectedExecutionException closed) {
+            // The instance has stopped, and its connections are closed.
+            mOnEnd.run();
         }
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/operator/ResourceRoutes.java
+++ b/proxy/src/main/java/org/wagtailproxy/operator/ResourceRoutes.java
@@ -105,8 +105,7 @@
     }
 
     private void put(HttpCall call, ResourceId id) {
-        Either<Failure, JsonNode> spec =
-                call.body().flatMap(body -> ResourceDocuments.check(id, body));
+        Either<Failure, JsonNode> spec = ResourceDocuments.check(id, call.body());
         if (spec.isLeft()) {
             call.refuse(spec.getLeft());
             return;
--- a/proxy/src/main/java/org/wagtailproxy/serve/Instance.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/Instance.java
@@ -300,7 +300,7 @@
         return HttpListener.start(
                 mSettings.instance().callerListenAddress(),
                 routes,
-                mSettings.limits().bodyBytes(),
+                mSettings.limits().callers(),
                 mExecutors.mHttp,
                 mLog);
     }
--- a/proxy/src/main/java/org/wagtailproxy/serve/InstanceExecutors.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/InstanceExecutors.java
@@ -26,7 +26,7 @@
     /** Runs work that never blocks for long. */
     final ExecutorService mWorkers;
 
-    /** Runs HTTP exchanges, which may wait for a slow sender. */
+    /** Runs HTTP calls that have been received completely. */
     final ExecutorService mHttp;
 
     /** Runs work that blocks until the platform answers or an event occurs. */
--- a/proxy/src/main/java/org/wagtailproxy/serve/Main.java
+++ b/proxy/src/main/java/org/wagtailproxy/serve/Main.java
@@ -14,7 +14,6 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.apache.logging.log4j.LogManager;
-import org.wagtailproxy.http.HttpListener;
 import org.wagtailproxy.settings.Settings;
 import org.wagtailproxy.settings.SettingsProblem;
 import org.wagtailproxy.settings.SettingsReader;
@@ -32,7 +31,6 @@
      * @param arguments the command line, not null
      */
     public static void main(String[] arguments) {
-        HttpListener.setSystemProperties();
         System.exit(run(arguments, System.out, System.err));
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/settings/Settings.java
+++ b/proxy/src/main/java/org/wagtailproxy/settings/Settings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
+import org.wagtailproxy.limits.ClientLimits;
 import org.wagtailproxy.membership.MembershipTiming;
 
 /**
@@ -90,11 +91,13 @@
      * @param drainTimeout the maximum time that a planned stop waits for jobs
      * @param claimsPerSecond the maximum rate of claims for names without a session
      * @param idleConnection how long an idle connection to a backend server stays open
+     * @param callers the limits on callers and operators
      */
     public record LimitSettings(
             int bodyBytes,
             long outcomeBytes,
             Duration drainTimeout,
             int claimsPerSecond,
-            Duration idleConnection) {}
+            Duration idleConnection,
+            ClientLimits callers) {}
 }
--- a/proxy/src/main/java/org/wagtailproxy/settings/SettingsReader.java
+++ b/proxy/src/main/java/org/wagtailproxy/settings/SettingsReader.java
@@ -1,9 +1,11 @@
 package org.wagtailproxy.settings;
 
+import com.sun.management.UnixOperatingSystemMXBean;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.IOException;
 import java.io.Reader;
+import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -19,6 +21,8 @@
 import org.wagtailproxy.identity.DataCentre;
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.identity.Names;
+import org.wagtailproxy.limits.ClientLimits;
+import org.wagtailproxy.limits.InstanceLimits;
 import org.wagtailproxy.membership.MembershipTiming;
 import org.wagtailproxy.settings.Settings.InstanceSettings;
 import org.wagtailproxy.settings.Settings.LimitSettings;
@@ -60,7 +64,19 @@
                             "outcome-memory",
                             "drain-timeout",
                             "claims-per-second",
-                            "idle-connection"));
+                            "idle-connection",
+                            "connections",
+                            "caller-memory",
+                            "read-ahead",
+                            "header-size",
+                            "header-timeout",
+                            "request-timeout"));
+
+    /** The part of the heap that requests and answers of callers may take up. */
+    private static final int CALLER_HEAP_DIVISOR = 4;
+
+    /** Memory for callers beside the largest body. */
+    private static final int MIN_CALLER_BYTES = 1_000_000;
 
     private final Map<String, String> mValues = new HashMap<>();
     private final List<SettingsProblem> mProblems = new ArrayList<>();
@@ -208,12 +224,37 @@
     }
 
     private LimitSettings limits() {
+        int bodyBytes = (int) size("limits.body-size", "4MB", 1_000, 16_000_000);
         return new LimitSettings(
-                (int) size("limits.body-size", "4MB", 1_000, 16_000_000),
+                bodyBytes,
                 size("limits.outcome-memory", "256MB", 1_000_000, 4_000_000_000L),
                 duration("limits.drain-timeout", "30s", "1s", "10min"),
                 (int) number("limits.claims-per-second", "20", 1, 1000),
-                duration("limits.idle-connection", "1s", "1s", "1min"));
+                duration("limits.idle-connection", "1s", "1s", "1min"),
+                callers(bodyBytes));
+    }
+
+    /** Reads the limits on callers, which are within the means of the process. */
+    private ClientLimits callers(int bodyBytes) {
+        long maxMemoryBytes = Runtime.getRuntime().maxMemory() / CALLER_HEAP_DIVISOR;
+        int connections = (int) number("limits.connections", "4000", 1, 4000);
+        long memoryBytes = size("limits.caller-memory", "256MB", 1_000_000, 4_000_000_000L);
+        return new ClientLimits(
+                Math.min(connections, InstanceLimits.callerConnections(maxDescriptors())),
+                Math.max(bodyBytes + MIN_CALLER_BYTES, Math.min(memoryBytes, maxMemoryBytes)),
+                size("limits.read-ahead", "5MB", 1_000, 64_000_000),
+                (int) size("limits.header-size", "384KB", 1_000, 1_000_000),
+                bodyBytes,
+                duration("limits.header-timeout", "20s", "1s", "1min").toMillis(),
+                duration("limits.request-timeout", "1min", "1s", "10min").toMillis());
+    }
+
+    private static int maxDescriptors() {
+        if (ManagementFactory.getOperatingSystemMXBean()
+                instanceof UnixOperatingSystemMXBean unix) {
+            return (int) Math.min(Integer.MAX_VALUE, unix.getMaxFileDescriptorCount());
+        }
+        return Integer.MAX_VALUE;
     }
 
     private List<HostAddress> seeds() {
