Read the connections of the peer port in turn

What callers saw: beside something that is no instance and sends small messages on 60 connections to the peer port, an ordinary request got no answer within 20 s.

Cause: up to 1 MB of each connection was read in one pass of the event loop; of empty messages that is 260,000 for each.

Change: PeerTurns gives the connections of an instance's peer port turns of 1 MB, as before, and a pass 4 MB of all of them, where each message counts 256 bytes. The passes of the event loop move to LoopTurns, which the HTTP server uses too.

--- a/proxy/src/main/java/org/wagtailproxy/http/ClientConnection.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/ClientConnection.java
@@ -19,6 +19,7 @@
 import org.wagtailproxy.http.HttpServer.Exchange;
 import org.wagtailproxy.limits.ClientLoad;
 import org.wagtailproxy.limits.ExceededLimit;
+import org.wagtailproxy.turns.InputTurns;
 
 /**
  * A client's connection. Its requests are handled one after another, and read and handled in turn
@@ -42,6 +43,9 @@
      */
     private static final long LINGER_MILLIS = 1000;
 
+    /** Bytes after which others are read. */
+    static final int TURN_BYTES = 16_384;
+
     /** Objects of a response without its body. */
     private static final int RESPONSE_BYTES = 700;
 
@@ -73,7 +77,7 @@
     ClientConnection(SocketChannel channel, HttpServer server) {
         mChannel = channel;
         mServer = server;
-        mInput = new InputTurns(() -> mIsReadingDue || mServer.mayRead(), mServer::countRead);
+        mInput = new InputTurns(TURN_BYTES, new InputBudget());
         channel.config().setRecvByteBufAllocator(mInput);
     }
 
@@ -349,6 +353,25 @@
         }
     }
 
+    /** Lets the connection be read when it is its turn, or others leave enough of the pass. */
+    private final class InputBudget implements InputTurns.Budget {
+
+        @Override
+        public boolean mayBegin() {
+            return mIsReadingDue || mServer.mayRead();
+        }
+
+        @Override
+        public boolean mayGoOn() {
+            return true;
+        }
+
+        @Override
+        public void onRead(int bytes) {
+            mServer.countRead(bytes);
+        }
+    }
+
     /** Drops the input that follows a rejected request. */
     private static final class InputDiscarder extends ChannelInboundHandlerAdapter {
 
--- a/proxy/src/main/java/org/wagtailproxy/http/HttpServer.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/HttpServer.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -20,8 +19,8 @@
 import org.wagtailproxy.identity.HostAddress;
 import org.wagtailproxy.limits.ClientLimits;
 import org.wagtailproxy.limits.ClientLoad;
-import org.wagtailproxy.limits.ConnectionTurns;
 import org.wagtailproxy.limits.ExceededLimit;
+import org.wagtailproxy.turns.LoopTurns;
 
 /**
  * Accepts HTTP requests, passes them to a handler and detects when a client disconnects before the
@@ -98,24 +97,21 @@
     private final ClientLoad mLoad;
     private final LimitListener mLimitListener;
     private final Set<ClientConnection> mConnections = new HashSet<>();
-    private final ConnectionTurns<ClientConnection> mReadingTurns =
-            ConnectionTurns.of(READ_BYTES_PER_PASS);
-    private final ConnectionTurns<ClientConnection> mHandlingTurns =
-            ConnectionTurns.of(HANDLED_BYTES_PER_PASS);
-    private final SingleThreadEventLoop mLoop;
+    private final LoopTurns<ClientConnection> mReadingTurns;
+    private final LoopTurns<ClientConnection> mHandlingTurns;
     private Channel mServerChannel;
     private boolean mCloseAfterResponse;
     private boolean mTickScheduled;
-    private boolean mTurnsScheduled;
-    private boolean mPassEndScheduled;
     private long mDisconnectsDetectedNanos = System.nanoTime() - ClientConnection.READ_VALID_NANOS;
 
     private HttpServer(
-            SingleThreadEventLoop loop,
+            EventLoopGroup group,
             Handler handler,
             ClientLimits limits,
             LimitListener limitListener) {
-        mLoop = loop;
+        mReadingTurns = LoopTurns.of(group, READ_BYTES_PER_PASS, ClientConnection::takeReadingTurn);
+        mHandlingTurns =
+                LoopTurns.of(group, HANDLED_BYTES_PER_PASS, ClientConnection::takeHandlingTurn);
         mHandler = handler;
         mHeadersFactory = SelectedHeaders.factory(handler.headerNames());
         mLoad = ClientLoad.of(limits);
@@ -140,7 +136,7 @@
             LimitListener limitListener) {
         HttpServer server =
                 new HttpServer(
-                        (SingleThreadEventLoop) group.next(),
+                        group,
                         Objects.requireNonNull(handler, "handler"),
                         Objects.requireNonNull(limits, "limits"),
                         Objects.requireNonNull(limitListener, "limitListener"));
@@ -243,7 +239,7 @@
                 continue;
             }
             while (!connection.isKnownToBeOpen() && connection.isActive() && remainingBytes > 0) {
-                remainingBytes -= InputTurns.TURN_BYTES;
+                remainingBytes -= ClientConnection.TURN_BYTES;
             }
             if (!connection.isKnownToBeOpen()) {
                 connection.closeAsDisconnected();
@@ -293,75 +289,22 @@
 
     void awaitReading(ClientConnection connection, boolean newcomer) {
         mReadingTurns.add(connection, newcomer);
-        scheduleTurns();
     }
 
     void awaitHandling(ClientConnection connection, boolean newcomer) {
         mHandlingTurns.add(connection, newcomer);
-        scheduleTurns();
     }
 
     void countRead(int bytes) {
         mReadingTurns.spend(bytes);
-        schedulePassEnd();
     }
 
     void countHandled(int bodyBytes) {
         mHandlingTurns.spend(REQUEST_WORK_BYTES + bodyBytes);
-        schedulePassEnd();
     }
 
     void countResponse(int bodyBytes) {
         mHandlingTurns.spend(bodyBytes);
-        schedulePassEnd();
-    }
-
-    private void scheduleTurns() {
-        if (!mTurnsScheduled) {
-            mTurnsScheduled = true;
-            mLoop.execute(this::takeTurns);
-        }
-    }
-
-    private void schedulePassEnd() {
-        if (!mPassEndScheduled) {
-            mPassEndScheduled = true;
-            mLoop.executeAfterEventLoopIteration(this::endPass);
-        }
-    }
-
-    private void takeTurns() {
-        try {
-            while (mHandlingTurns.hasBudget() && !mHandlingTurns.isEmpty()) {
-                mHandlingTurns.next().takeHandlingTurn();
-            }
-            while (mReadingTurns.hasBudget() && !mReadingTurns.isEmpty()) {
-                mReadingTurns.next().takeReadingTurn();
-            }
-        } finally {
-            // A defect of the handler ends this task, but not the turns of other connections.
-            mTurnsScheduled = false;
-            scheduleRemainingTurns();
-        }
-    }
-
-    /** Schedules turns if there is a budget for them. Otherwise the end of the pass does so. */
-    private void scheduleRemainingTurns() {
-        boolean isHandlingDue = mHandlingTurns.hasBudget() && !mHandlingTurns.isEmpty();
-        boolean isReadingDue = mReadingTurns.hasBudget() && !mReadingTurns.isEmpty();
-        if (isHandlingDue || isReadingDue) {
-            scheduleTurns();
-        }
-    }
-
-    /** Lets the event loop attend to its other connections before the next turns. */
-    private void endPass() {
-        mPassEndScheduled = false;
-        mReadingTurns.startPass();
-        mHandlingTurns.startPass();
-        if (!mReadingTurns.isEmpty() || !mHandlingTurns.isEmpty()) {
-            scheduleTurns();
-        }
     }
 
     HttpAnswer refusal(int status) {
--- a/proxy/src/main/java/org/wagtailproxy/peer/PeerServer.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/PeerServer.java
@@ -67,6 +67,7 @@
         int maxFrameBytes =
                 limiter.map(PeerConnectionLimiter::maxFrameBytes)
                         .getOrElse(FrameCodec.MAX_FRAME_BYTES);
+        Option<PeerTurns> turns = limits.map(each -> new PeerTurns(group));
         ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
@@ -82,6 +83,7 @@
                                         FrameCodec.install(
                                                 channel.pipeline(), maxFrameBytes, metrics);
                                         limiter.forEach(each -> each.limit(channel));
+                                        turns.forEach(each -> each.add(channel));
                                         channel.pipeline().addLast(new RequestHandler(handler));
                                     }
                                 });
--- a/proxy/src/main/java/org/wagtailproxy/http/InputTurns.java
+++ b/proxy/src/main/java/org/wagtailproxy/turns/InputTurns.java
@@ -1,4 +1,4 @@
-package org.wagtailproxy.http;
+package org.wagtailproxy.turns;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -6,48 +6,83 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.RecvByteBufAllocator;
-import java.util.function.BooleanSupplier;
-import java.util.function.IntConsumer;
+import java.util.Objects;
 
 /**
  * Limits how much is read of one connection at a time, and tells whether anything is left. A
  * connection is read until nothing is left if that is little, so that its reset is noticed together
  * with the requests before it.
  */
-final class InputTurns implements RecvByteBufAllocator {
-
-    /** Bytes after which the turn of a connection ends. */
-    static final int TURN_BYTES = 16_384;
+public final class InputTurns implements RecvByteBufAllocator {
 
     private static final int MIN_READ_BYTES = 64;
     private static final int FIRST_READ_BYTES = 2048;
 
-    private final RecvByteBufAllocator mSizes =
-            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, TURN_BYTES);
-    private final BooleanSupplier mMayRead;
-    private final IntConsumer mOnRead;
+    /** The largest read of the library by default. */
+    private static final int MAX_READ_BYTES = 65_536;
+
+    private final int mMaxTurnBytes;
+    private final RecvByteBufAllocator mSizes;
+    private final Budget mBudget;
     private int mTurnBytes;
     private boolean mDrained = true;
     private boolean mDeferred;
 
+    /** Decides whether a connection is read. */
+    public interface Budget {
+
+        /**
+         * Checks whether a turn may begin.
+         *
+         * @return false if the connection has to wait
+         */
+        boolean mayBegin();
+
+        /**
+         * Checks whether a turn may go on that has not read as much as it may.
+         *
+         * @return false if it has to end
+         */
+        boolean mayGoOn();
+
+        /**
+         * Is called after each read.
+         *
+         * @param bytes the number of bytes, above 0
+         */
+        void onRead(int bytes);
+    }
+
     /**
      * Creates the turns of a connection.
      *
-     * @param mayRead whether the connection may be read now, not null
-     * @param onRead receives the number of bytes of each read, not null
+     * @param maxTurnBytes the bytes after which a turn ends, at least 64
+     * @param budget decides when the connection is read, not null
      */
-    InputTurns(BooleanSupplier mayRead, IntConsumer onRead) {
-        mMayRead = mayRead;
-        mOnRead = onRead;
+    public InputTurns(int maxTurnBytes, Budget budget) {
+        int maxReadBytes = Math.min(maxTurnBytes, MAX_READ_BYTES);
+        mMaxTurnBytes = maxTurnBytes;
+        mSizes =
+                new AdaptiveRecvByteBufAllocator(
+                        MIN_READ_BYTES, Math.min(FIRST_READ_BYTES, maxReadBytes), maxReadBytes);
+        mBudget = Objects.requireNonNull(budget, "budget");
     }
 
-    /** Checks whether the last turn has left nothing to read. */
-    boolean isDrained() {
+    /**
+     * Checks whether the last turn has left nothing to read.
+     *
+     * @return false if something may be left
+     */
+    public boolean isDrained() {
         return mDrained;
     }
 
-    /** Checks whether nothing was read in the last turn since the connection has to wait. */
-    boolean isDeferred() {
+    /**
+     * Checks whether nothing was read in the last turn since the connection has to wait.
+     *
+     * @return true if the turn could not begin
+     */
+    public boolean isDeferred() {
         return mDeferred;
     }
 
@@ -70,7 +105,7 @@
             super.reset(config);
             mTurnBytes = 0;
             mDrained = false;
-            mDeferred = !mMayRead.getAsBoolean();
+            mDeferred = !mBudget.mayBegin();
         }
 
         @Override
@@ -84,7 +119,7 @@
             super.lastBytesRead(bytes);
             if (bytes > 0) {
                 mTurnBytes += bytes;
-                mOnRead.accept(bytes);
+                mBudget.onRead(bytes);
             } else {
                 mDrained = !mDeferred;
             }
@@ -92,7 +127,7 @@
 
         @Override
         public boolean continueReading() {
-            return mTurnBytes < TURN_BYTES;
+            return mTurnBytes < mMaxTurnBytes && mBudget.mayGoOn();
         }
     }
 }
