Bound the tokens of documents that callers of wagtailproxy serve send

What callers saw: nothing traced. A job or resource of 4 MB may consist of 1.3 million empty lists, which take up some 60 bytes each once they are parsed, on up to 64 threads at a time.

Cause: documents of callers were parsed like those of the platform, without the bound on tokens that the platform's callers have had since.

A document beyond a limit is refused with that limit, no longer as "not JSON".

--- a/integration-tests/src/test/java/org/wagtailproxy/integration/UncontrolledCallersIT.java
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/UncontrolledCallersIT.java
@@ -111,6 +111,12 @@
         assertServesBeside(LARGE_BODIES, put(LARGE_BODY_BYTES), 1);
     }
 
+    @Test
+    void testManyTokensKeepNoCallerWaiting() throws Exception {
+        String tokens = "[],".repeat(LARGE_BODY_BYTES / 3 - 10);
+        assertServesBeside(LARGE_BODIES, put("{\"a\":[" + tokens + "0]}"), 1);
+    }
+
     @Test
     void testLargestBodyIsReadInCalm() throws Exception {
         // The body is not a resource, which only shows once it has been read.
@@ -179,11 +185,15 @@
     }
 
     private static byte[] put(int bodyBytes) {
+        return put("x".repeat(bodyBytes));
+    }
+
+    private static byte[] put(String body) {
         return bytes(
                 "PUT /v1/resources/service/a HTTP/1.1\r\nHost: a\r\nContent-Length: "
-                        + bodyBytes
+                        + body.length()
                         + "\r\n\r\n"
-                        + "x".repeat(bodyBytes));
+                        + body);
     }
 
     private static byte[] bytes(String text) {
--- a/proxy/src/main/java/org/wagtailproxy/document/JobDocuments.java
+++ b/proxy/src/main/java/org/wagtailproxy/document/JobDocuments.java
@@ -39,7 +39,7 @@
      * @return the specification of the job, or the reason why it is invalid
      */
     public static Either<Failure, JobSpec> readJob(byte[] body) {
-        return Json.parse(body).flatMap(JobDocuments::readJob);
+        return Json.parseFromCaller(body).flatMap(JobDocuments::readJob);
     }
 
     private static Either<Failure, JobSpec> readJob(JsonNode node) {
--- a/proxy/src/main/java/org/wagtailproxy/document/Json.java
+++ b/proxy/src/main/java/org/wagtailproxy/document/Json.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -80,6 +81,8 @@
                 return Either.right(node);
             }
             return Either.left(malformed("expected a JSON object"));
+        } catch (StreamConstraintsException exceeded) {
+            return Either.left(malformed("beyond a limit: " + exceeded.getOriginalMessage()));
         } catch (JsonProcessingException malformed) {
             long line = malformed.getLocation() == null ? 0 : malformed.getLocation().getLineNr();
             return Either.left(malformed("not JSON, at line " + line));
--- a/proxy/src/main/java/org/wagtailproxy/document/ResourceDocuments.java
+++ b/proxy/src/main/java/org/wagtailproxy/document/ResourceDocuments.java
@@ -61,7 +61,7 @@
      * @return the specification, or the reason why it is invalid
      */
     public static Either<Failure, JsonNode> check(ResourceId id, byte[] spec) {
-        return Json.parse(spec)
+        return Json.parseFromCaller(spec)
                 .flatMap(
                         node ->
                                 id.kind() == ResourceKind.SERVICE
