Leave connections to callers when others hold slow requests

What callers saw: beside 130 clients with one slow job of legal size each, in a process that accepts 120 connections of callers, every new connection was closed without an answer until jobs ended.

Cause: at the maximum of connections one whose request is being handled does not give way, and all of them may have one.

Change: seven eighths of the connections may have a request in hand. For wagtailproxy serve the refusal is too-many-calls, which replaces caller-memory-full.

--- a/decisions/src/main/java/org/wagtailproxy/failure/FailureKind.java
+++ b/decisions/src/main/java/org/wagtailproxy/failure/FailureKind.java
@@ -16,8 +16,8 @@
     HEADERS_TOO_LARGE(431, Executed.NO),
     /** The caller has sent too much before an earlier request was answered. */
     READ_AHEAD_EXCEEDED(429, Executed.NO),
-    /** The requests of all callers take up too much memory. */
-    CALLER_MEMORY_FULL(503, Executed.NO),
+    /** The calls of all callers are too many at a time, or take up too much memory. */
+    TOO_MANY_CALLS(503, Executed.NO),
     /** No such address exists. */
     NO_SUCH_ADDRESS(404, Executed.NO),
     /** The service is not declared. */
--- a/decisions/src/main/java/org/wagtailproxy/limits/ClientLimits.java
+++ b/decisions/src/main/java/org/wagtailproxy/limits/ClientLimits.java
@@ -40,6 +40,9 @@
     /** Default of the memory for requests sent ahead; more than the largest request. */
     public static final long DEFAULT_READ_AHEAD_BYTES = 512 * 1024;
 
+    /** The part of the connections that is left to clients without a request in hand. */
+    private static final int RESERVED_DIVISOR = 8;
+
     /** Validates the components. */
     public ClientLimits {
         if (maxConnections < 1 || maxMemoryBytes < 1 || maxHeaderBytes < 1 || maxBodyBytes < 0) {
@@ -84,15 +87,25 @@
                 Math.max(millis, requestMillis));
     }
 
+    /**
+     * Returns how many requests may be handled at a time.
+     *
+     * @return the number, at least 1
+     */
+    public int maxHandledRequests() {
+        return maxConnections - maxConnections / RESERVED_DIVISOR;
+    }
+
     /**
      * Returns the bound of a limit, for log lines.
      *
      * @param limit the limit, not null
-     * @return the bound as a number of connections, bytes or milliseconds
+     * @return the bound as a number of connections or requests, bytes or milliseconds
      */
     public long boundOf(ExceededLimit limit) {
         return switch (limit) {
             case CONNECTIONS -> maxConnections;
+            case REQUESTS -> maxHandledRequests();
             case MEMORY -> maxMemoryBytes;
             case READ_AHEAD -> maxReadAheadBytes;
             case HEADER_SIZE -> maxHeaderBytes;
--- a/decisions/src/main/java/org/wagtailproxy/limits/ClientLoad.java
+++ b/decisions/src/main/java/org/wagtailproxy/limits/ClientLoad.java
@@ -11,7 +11,9 @@
  * <p>Designed for clients that open connections without end, send requests ahead, do not finish
  * requests or do not read responses, beside ordinary callers with few bytes and short requests. At
  * the maximum of connections the one that has kept the server waiting for longest gives way to a
- * new one. At the maximum of memory the connection with the most gives way to one with less.
+ * new one. At the maximum of memory the connection with the most gives way to one with less. An
+ * eighth of the connections is left to clients whose requests are not being handled, so that
+ * clients with slow requests don't lock others out.
  *
  * <p>Times are counted in ticks, so that a pause of this process is not held against clients. Not
  * thread-safe.
@@ -25,6 +27,7 @@
     private ClientLimits mLimits;
     private long mUsedBytes;
     private long mNextWait;
+    private int mHandledRequests;
 
     /** A connection of a client. */
     public interface Client {
@@ -154,6 +157,7 @@
         private int mRequestTicks;
         private int mUnreadTicks;
         private boolean mHasUnreadResponses;
+        private boolean mHasHandledRequest;
         private boolean mClosed;
 
         private Account(Client client) {
@@ -191,6 +195,29 @@
             mRequestTicks = 0;
         }
 
+        /**
+         * Records that a request of the client begins to be handled.
+         *
+         * @return false if too many others are, and the request has to be refused
+         */
+        public boolean beginRequest() {
+            if (mClosed || mHandledRequests >= mLimits.maxHandledRequests()) {
+                return false;
+            }
+            mHasHandledRequest = true;
+            mHandledRequests++;
+            handleRequest();
+            return true;
+        }
+
+        /** Records that the request has been handled. */
+        public void endRequest() {
+            if (mHasHandledRequest) {
+                mHasHandledRequest = false;
+                mHandledRequests--;
+            }
+        }
+
         /**
          * Records whether responses wait to be read by the client.
          *
@@ -256,6 +283,7 @@
 
         /** Closes the account, because the connection is closed. */
         public void close() {
+            endRequest();
             if (!mClosed) {
                 mUsedBytes -= mHeldBytes;
                 mHeldBytes = 0;
--- a/decisions/src/main/java/org/wagtailproxy/limits/ExceededLimit.java
+++ b/decisions/src/main/java/org/wagtailproxy/limits/ExceededLimit.java
@@ -6,6 +6,8 @@
 public enum ExceededLimit {
     /** The number of connections of the listener. */
     CONNECTIONS,
+    /** The number of requests that are handled at a time. */
+    REQUESTS,
     /** The memory that the clients of the listener take up together. */
     MEMORY,
     /** The size of the requests that a connection has sent ahead of a response. */
--- a/decisions/src/test/java/org/wagtailproxy/limits/ClientLoadTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/limits/ClientLoadTest.java
@@ -57,6 +57,27 @@
         assertThat(mClosed, is(empty()));
     }
 
+    @Test
+    void testConnectionsAreLeftToClientsWithoutRequestInHand() {
+        ClientLoad load = ClientLoad.of(ClientLimits.of(16, MAX_MEMORY, 400));
+        List<ClientLoad.Account> accounts = new ArrayList<>();
+        for (int number = 0; number < 14; number++) {
+            accounts.add(load.open(limit -> mClosed.add("busy")).get());
+            assertThat(accounts.get(number).beginRequest(), is(true));
+        }
+        assertThat(load.open(limit -> mClosed.add("first")).get().beginRequest(), is(false));
+        assertThat(load.open(limit -> mClosed.add("second")).get().beginRequest(), is(false));
+        ClientLoad.Account newcomer = load.open(limit -> mClosed.add("third")).get();
+        assertThat(mClosed, contains("first"));
+        accounts.get(0).endRequest();
+        accounts.get(0).endRequest();
+        assertThat(newcomer.beginRequest(), is(true));
+        accounts.get(1).close();
+        assertThat(accounts.get(0).beginRequest(), is(true));
+        assertThat(accounts.get(0).beginRequest(), is(false));
+        assertThat(accounts.get(1).beginRequest(), is(false));
+    }
+
     @Test
     void testConnectionWithMostMemoryGivesWayToOneWithLess() {
         ClientLoad.Account large = open("large").get();
--- a/proxy/src/main/java/org/wagtailproxy/http/ClientConnection.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/ClientConnection.java
@@ -266,13 +266,25 @@
         if (!mInput.isDrained() || !isKnownToBeOpen()) {
             return;
         }
+        if (!mAccount.beginRequest()) {
+            refuseQueued();
+            return;
+        }
         mCurrentExchange = mQueuedExchanges.poll();
         mQueuedBytes -= mCurrentExchange.queuedBytes();
-        mAccount.handleRequest();
         mServer.countHandled(mCurrentExchange.body().length);
         handle(mCurrentExchange);
     }
 
+    /** Refuses the requests that wait, none of which has been handled. */
+    private void refuseQueued() {
+        mQueuedExchanges.forEach(exchange -> mAccount.release(exchange.memoryBytes()));
+        mQueuedExchanges.clear();
+        mQueuedBytes = 0;
+        mAssembler.reject();
+        onRejected(STATUS_UNAVAILABLE, ExceededLimit.REQUESTS);
+    }
+
     private void handle(Exchange exchange) {
         try {
             mServer.handle(exchange);
@@ -285,6 +297,7 @@
     void respond(Exchange exchange, HttpAnswer answer, Runnable onSent) {
         boolean last = mServer.closesAfterResponse() || !exchange.request().keepAlive();
         mCurrentExchange = null;
+        mAccount.endRequest();
         mAccount.release(exchange.memoryBytes());
         FullHttpResponse response = response(answer, last);
         if (exchange.method().equals("HEAD")) {
--- a/proxy/src/main/java/org/wagtailproxy/http/HttpListener.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/HttpListener.java
@@ -214,7 +214,7 @@
                                 FailureKind.READ_AHEAD_EXCEEDED,
                                 "at most " + mLimits.maxReadAheadBytes() + " bytes ahead");
                 case STATUS_UNAVAILABLE ->
-                        Failure.of(FailureKind.CALLER_MEMORY_FULL, "too many large requests");
+                        Failure.of(FailureKind.TOO_MANY_CALLS, "too many calls at a time");
                 default -> Failure.of(FailureKind.MALFORMED_REQUEST, "not an HTTP request");
             };
         }
