Look only at clients whose requests are in hand when disconnects are asked for

What callers saw: nothing; found by reading. A late process that asks which callers have left also read, and since the turns closed, connections whose requests only wait. Those are read to the end before they are handled, so that closing them gains nothing.

Change: only connections with a request in hand are looked at. Two tests of CrowdedServerTest keep that all clients that have left are detected at once though much is left to read of them, and that connected ones stay; both hold on too.

Result: CrowdedServerTest (10), HttpServerLimitsTest (27), ResetRequestTest (5) and HttpListenerTest (6) are green.

--- a/proxy/src/main/java/org/wagtailproxy/http/ClientConnection.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/ClientConnection.java
@@ -56,12 +56,12 @@
 
     private final SocketChannel mChannel;
     private final HttpServer mServer;
+    private final InputTurns mInput;
     private final Deque<Exchange> mQueuedExchanges = new ArrayDeque<>();
     private ClientLoad.Account mAccount;
     private RequestDecoder mDecoder;
     private RequestAssembler mAssembler;
     private Exchange mCurrentExchange;
-    private final InputTurns mInput;
     private long mQueuedBytes;
     private long mReadNanos = System.nanoTime();
     private int mUnreadResponses;
@@ -114,6 +114,11 @@
         return mChannel.isActive();
     }
 
+    /** Checks whether a request is being handled. */
+    boolean hasRequestInHand() {
+        return mCurrentExchange != null;
+    }
+
     /** Takes the connection's turn to be read. */
     void takeReadingTurn() {
         mAwaitsReading = false;
--- a/proxy/src/main/java/org/wagtailproxy/http/HttpServer.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/HttpServer.java
@@ -224,8 +224,10 @@
     }
 
     /**
-     * Detects which clients with a pending request have disconnected. A busy event loop does so
-     * late. A client counts as disconnected if it has sent so much ahead that this is not known.
+     * Detects which clients have disconnected whose requests are being handled. A busy event loop
+     * does so late. A client counts as disconnected if it has sent so much ahead that this is not
+     * known. Requests that wait to be handled are not looked at, since their connections are read
+     * to the end before.
      */
     public void detectDisconnects() {
         long nowNanos = System.nanoTime();
@@ -235,7 +237,7 @@
         mDisconnectsDetectedNanos = nowNanos;
         long remainingBytes = DETECTION_BYTES;
         for (ClientConnection connection : Set.copyOf(mConnections)) {
-            if (connection.isIdle()) {
+            if (!connection.hasRequestInHand()) {
                 continue;
             }
             while (!connection.isKnownToBeOpen() && connection.isActive() && remainingBytes > 0) {
