--- /dev/null
+++ b/proxy/src/test/java/org/wagtailproxy/document/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the documents of callers and operators. */
+package org.wagtailproxy.document;
--- a/proxy/src/test/java/org/wagtailproxy/settings/SettingsReaderTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/settings/SettingsReaderTest.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.wagtailproxy.limits.ClientLimits;
 import org.wagtailproxy.settings.SettingsProblem.Kind;
 
 class SettingsReaderTest {
@@ -41,6 +42,32 @@
         assertThat(settings.instance().peerListenAddress(), is(settings.instance().peerAddress()));
     }
 
+    @Test
+    void testLimitsOnCallersAreRead() throws IOException {
+        String limits =
+                """
+                [limits]
+                body-size = 1MB
+                connections = 10
+                caller-memory = 3MB
+                read-ahead = 2KB
+                header-size = 8KB
+                header-timeout = 2s
+                request-timeout = 3s
+                """;
+        ClientLimits callers = read(VALID_SETTINGS + limits).get().limits().callers();
+        assertThat(
+                callers,
+                is(new ClientLimits(10, 3_000_000, 2_000, 8_000, 1_000_000, 2_000, 3_000)));
+    }
+
+    @Test
+    void testLimitsOnCallersAllowTheLargestBody() throws IOException {
+        String limits = "[limits]\nbody-size = 16MB\ncaller-memory = 1MB\n";
+        ClientLimits callers = read(VALID_SETTINGS + limits).get().limits().callers();
+        assertThat(callers.maxMemoryBytes(), is(17_000_000L));
+    }
+
     @Test
     void testUnknownSectionIsReported() throws IOException {
         assertThat(problemsWith("[peer]\nx = 1\n"), contains("peer UNKNOWN_SECTION"));
