Test crowds on the peer port of wagtailproxy serve

60 connections with half a message of 30 MB, or with small messages, in a process of 128 MB of heap: green without a change, as the library refuses buffers beyond the maximum of direct memory.

--- a/integration-tests/src/test/java/org/wagtailproxy/integration/UncontrolledCallersIT.java
+++ b/integration-tests/src/test/java/org/wagtailproxy/integration/UncontrolledCallersIT.java
@@ -35,6 +35,7 @@
 
     private static final String HOST = "127.91.0.1";
     private static final int PORT = 8080;
+    private static final int PEER_PORT = 7080;
     private static final String HEAP_SIZE = "128m";
     private static final int MAX_MEMORY_MB = 320;
     private static final int MAX_DESCRIPTORS = 1000;
@@ -76,7 +77,7 @@
                 "name = uncontrolled",
                 "data-centre = here",
                 "caller-address = " + HOST + ":" + PORT,
-                "peer-address = " + HOST + ":7080",
+                "peer-address = " + HOST + ":" + PEER_PORT,
                 "[platform]",
                 "store-address = " + HOST + ":2379",
                 "list-address = " + HOST + ":8001",
@@ -117,6 +118,17 @@
         assertServesBeside(LARGE_BODIES, put("{\"a\":[" + tokens + "0]}"), 1);
     }
 
+    @Test
+    void testHalfMessagesOnPeerPortKeepNoCallerWaiting() throws Exception {
+        byte[] message = ByteBuffer.allocate(LARGE_BODY_BYTES).putInt(30_000_000).array();
+        assertServesBeside(new Crowd(PEER_PORT, LARGE_BODIES, message, 1));
+    }
+
+    @Test
+    void testSmallMessagesOnPeerPortKeepNoCallerWaiting() throws Exception {
+        assertServesBeside(new Crowd(PEER_PORT, LARGE_BODIES, new byte[65_536], 200));
+    }
+
     @Test
     void testLargestBodyIsReadInCalm() throws Exception {
         // The body is not a resource, which only shows once it has been read.
@@ -136,7 +148,10 @@
      */
     private void assertServesBeside(int connections, byte[] request, int requests)
             throws Exception {
-        Crowd crowd = new Crowd(connections, request, requests);
+        assertServesBeside(new Crowd(PORT, connections, request, requests));
+    }
+
+    private void assertServesBeside(Crowd crowd) throws Exception {
         mCloser.register(crowd);
         crowd.awaitSent();
         int closedConnections = crowd.closedConnections();
@@ -225,11 +240,11 @@
         private volatile boolean mHasSent;
         private volatile int mClosedConnections;
 
-        private Crowd(int connections, byte[] request, int requests) {
+        private Crowd(int port, int connections, byte[] request, int requests) {
             mRequest = request;
             mRequests = requests;
             for (int number = 0; number < connections; number++) {
-                mClients.add(new Client());
+                mClients.add(new Client(port));
             }
             mSender = new Thread(this::keepSending);
             mSender.start();
@@ -275,12 +290,17 @@
 
     private static final class Client {
 
+        private final int mPort;
         private SocketChannel mChannel;
         private ByteBuffer mRemaining;
         private int mRemainingRequests;
         private int mClosings;
         private boolean mHasSent;
 
+        private Client(int port) {
+            mPort = port;
+        }
+
         private void send(byte[] request, int requests) {
             try {
                 if (mChannel == null) {
@@ -303,7 +323,7 @@
         private void connect(byte[] request, int requests) throws IOException {
             mChannel = SocketChannel.open();
             mChannel.setOption(StandardSocketOptions.SO_RCVBUF, 4096);
-            mChannel.socket().connect(new InetSocketAddress(HOST, PORT), REQUEST_TIMEOUT_MILLIS);
+            mChannel.socket().connect(new InetSocketAddress(HOST, mPort), REQUEST_TIMEOUT_MILLIS);
             mChannel.configureBlocking(false);
             mRemaining = ByteBuffer.wrap(request);
             mRemainingRequests = requests - 1;
