Read a peer's connection only until a read does not fill its buffer

Cause, by reading: since the peer port has turns, each message of an instance costs one more read, which gets nothing. Only callers need it, as it shows a reset behind their requests.

Change: InputTurns takes from its user what shows that nothing is left.

Result: the tests of the HTTP server and of the peer port are green (54 cases).

--- a/proxy/src/main/java/org/wagtailproxy/http/ClientConnection.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/ClientConnection.java
@@ -77,7 +77,7 @@
     ClientConnection(SocketChannel channel, HttpServer server) {
         mChannel = channel;
         mServer = server;
-        mInput = new InputTurns(TURN_BYTES, new InputBudget());
+        mInput = new InputTurns(TURN_BYTES, InputTurns.End.EMPTY_READ, new InputBudget());
         channel.config().setRecvByteBufAllocator(mInput);
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/peer/PeerTurns.java
+++ b/proxy/src/main/java/org/wagtailproxy/peer/PeerTurns.java
@@ -43,7 +43,8 @@
             implements InputTurns.Budget {
 
         private final SocketChannel mChannel;
-        private final InputTurns mInput = new InputTurns(TURN_BYTES, this);
+        private final InputTurns mInput =
+                new InputTurns(TURN_BYTES, InputTurns.End.PARTIAL_READ, this);
         private boolean mAwaitsTurn;
         private boolean mIsReadingDue;
 
--- a/proxy/src/main/java/org/wagtailproxy/turns/InputTurns.java
+++ b/proxy/src/main/java/org/wagtailproxy/turns/InputTurns.java
@@ -8,11 +8,7 @@
 import io.netty.channel.RecvByteBufAllocator;
 import java.util.Objects;
 
-/**
- * Limits how much is read of one connection at a time, and tells whether anything is left. A
- * connection is read until nothing is left if that is little, so that its reset is noticed together
- * with the requests before it.
- */
+/** Limits how much is read of one connection at a time, and tells whether anything is left. */
 public final class InputTurns implements RecvByteBufAllocator {
 
     private static final int MIN_READ_BYTES = 64;
@@ -22,12 +18,24 @@
     private static final int MAX_READ_BYTES = 65_536;
 
     private final int mMaxTurnBytes;
+    private final End mEnd;
     private final RecvByteBufAllocator mSizes;
     private final Budget mBudget;
     private int mTurnBytes;
     private boolean mDrained = true;
     private boolean mDeferred;
 
+    /** What shows that nothing is left to read. */
+    public enum End {
+        /** A read that does not fill its buffer. */
+        PARTIAL_READ,
+        /**
+         * A read that gets nothing. It shows also that the connection has been reset, together with
+         * the input before that.
+         */
+        EMPTY_READ
+    }
+
     /** Decides whether a connection is read. */
     public interface Budget {
 
@@ -57,11 +65,13 @@
      * Creates the turns of a connection.
      *
      * @param maxTurnBytes the bytes after which a turn ends, at least 64
+     * @param end what shows that nothing is left, not null
      * @param budget decides when the connection is read, not null
      */
-    public InputTurns(int maxTurnBytes, Budget budget) {
+    public InputTurns(int maxTurnBytes, End end, Budget budget) {
         int maxReadBytes = Math.min(maxTurnBytes, MAX_READ_BYTES);
         mMaxTurnBytes = maxTurnBytes;
+        mEnd = Objects.requireNonNull(end, "end");
         mSizes =
                 new AdaptiveRecvByteBufAllocator(
                         MIN_READ_BYTES, Math.min(FIRST_READ_BYTES, maxReadBytes), maxReadBytes);
@@ -119,6 +129,7 @@
             super.lastBytesRead(bytes);
             if (bytes > 0) {
                 mTurnBytes += bytes;
+                mDrained = mEnd == End.PARTIAL_READ && bytes < attemptedBytesRead();
                 mBudget.onRead(bytes);
             } else {
                 mDrained = !mDeferred;
@@ -127,7 +138,7 @@
 
         @Override
         public boolean continueReading() {
-            return mTurnBytes < mMaxTurnBytes && mBudget.mayGoOn();
+            return !mDrained && mTurnBytes < mMaxTurnBytes && mBudget.mayGoOn();
         }
     }
 }
