--- /dev/null
+++ b/review/20/run.sh
@@ -0,0 +1,26 @@
+#!/bin/sh
+# Exits with 1 if rule DRAIN was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
+# disruption out. Plays up to three scenes, until one has a start at the time in
+# question.
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
+scene=$(mktemp)
+trap 'rm -f "$scene"' EXIT
+: > "$folder/record.txt"
+status=2
+end=$(($(date +%s) + 116))
+left=3
+while [ "$left" -gt 0 ]; do
+  left=$((left - 1))
+  seconds=$((end - $(date +%s)))
+  [ "$seconds" -ge 40 ] || break
+  timeout "$seconds" java -Xmx256m \
+    -cp 'target/review-4:platform/target/test-classes:platform/target/classes:platform/target/lib/*' \
+    org.wagtailproxy.adapter.SilentStoreCase "$scene"
+  status=$?
+  cat "$scene" >> "$folder/record.txt"
+  [ "$status" -eq 0 ] || break
+done
+[ "$status" -ne 3 ] || status=0
+[ "$status" -le 1 ] || status=2
+exit "$status"
