--- a/review/20/run.sh
+++ b/review/20/run.sh
@@ -21,6 +21,8 @@
   cat "$scene" >> "$folder/record.txt"
   [ "$status" -eq 0 ] || break
 done
-[ "$status" -ne 3 ] || status=0
-[ "$status" -le 1 ] || status=2
-exit "$status"
+case $status in
+  0 | 3) exit 0 ;;
+  10) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/harness-4/src/org/wagtailproxy/adapter/SilentStoreCase.java
+++ b/review/harness-4/src/org/wagtailproxy/adapter/SilentStoreCase.java
@@ -19,7 +19,7 @@
             record.write("trouble " + trouble);
             try {
                 playScene(record, trouble);
-                status = record.breaks() > 0 ? 1 : 0;
+                status = record.breaks() > 0 ? 10 : 0;
             } catch (Exception failure) {
                 record.write("cannot run: " + failure);
                 failure.printStackTrace();
--- a/review/harness-4/src/org/wagtailproxy/adapter/StaleCoordinatorCase.java
+++ b/review/harness-4/src/org/wagtailproxy/adapter/StaleCoordinatorCase.java
@@ -33,7 +33,7 @@
             try (ReviewFleet fleet = ReviewFleet.create(record)) {
                 Runtime.getRuntime().addShutdownHook(new Thread(fleet::killAll));
                 boolean acknowledged = play(fleet, record, trouble);
-                status = !acknowledged ? NOTHING_SHOWN : record.breaks() > 0 ? 1 : 0;
+                status = !acknowledged ? NOTHING_SHOWN : record.breaks() > 0 ? 10 : 0;
             } catch (Exception failure) {
                 record.write("cannot run: " + failure);
                 failure.printStackTrace();
--- a/review/harness-4/src/review4/Case.java
+++ b/review/harness-4/src/review4/Case.java
@@ -3,9 +3,12 @@
 import java.nio.file.Path;
 import java.util.Map;
 
-/** Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+/** Runs a case: exits with 10 if the rule was broken, 0 if it held, 2 if the case could not run. */
 abstract class Case {
 
+    /** Exit status if the rule was broken; one that the Java launcher itself never uses. */
+    private static final int BROKEN = 10;
+
     protected Record mRecord;
     protected Store mStore;
     protected Fleet mFleet;
@@ -43,7 +46,7 @@
                 each.mStore = new Store();
                 each.mFleet = new Fleet(record, each.mStore, each.instances());
                 boolean broken = each.isBroken();
-                status = broken ? 1 : 0;
+                status = broken ? BROKEN : 0;
                 record.add(broken ? "the rule was broken" : "the rule held");
             } catch (Exception failure) {
                 record.add("the case could not run: %s", failure);
--- a/review/harness-4/src/review4/Fleet.java
+++ b/review/harness-4/src/review4/Fleet.java
@@ -35,16 +35,14 @@
         }
 
         void start() throws Exception {
-            String command;
             Matcher run = RUN.matcher(Files.readString(Path.of("deploy/system.toml")));
             if (!run.find()) {
                 throw new IllegalStateException("no run line in the deploy file");
             }
-            command = run.group(1);
             Path settings = mFolder.resolve(mName + ".conf");
             Files.writeString(settings, settings(this));
             ProcessBuilder builder =
-                    new ProcessBuilder(command.split(" "))
+                    new ProcessBuilder(run.group(1).split(" "))
                             .redirectErrorStream(true)
                             .redirectOutput(
                                     ProcessBuilder.Redirect.appendTo(
@@ -57,19 +55,6 @@
             return Web.call(mHost + ":" + (mFrontPort + 6), "GET", HOST, "/-/ready", "", 500).status()
                     == 200;
         }
-
-        void signal(String name) throws Exception {
-            mRecord.add("signal %s to %s", name, mName);
-            new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid())).start().waitFor();
-        }
-
-        boolean isAlive() {
-            return mProcess != null && mProcess.isAlive();
-        }
-
-        List<String> log() throws Exception {
-            return Files.readAllLines(mFolder.resolve(mName + ".log"));
-        }
     }
 
     private final Record mRecord;
@@ -133,32 +118,10 @@
             }
         }
         mRecord.add("%d instances are ready", mInstances.size());
-        // Traffic starts a while after the machines do; the instances write their first log lines after 4 s.
+        // Traffic starts a while after the machines do.
         Clock.sleep(7000);
     }
 
-    /** Returns the instance that the others follow, as the latest line of its log says. */
-    Instance leader() throws Exception {
-        Instance leader = null;
-        String newest = "";
-        for (Instance instance : mInstances) {
-            for (String line : instance.log()) {
-                if (line.contains("leader-followed") || line.contains("LEADER_FOLLOWED")) {
-                    newest = line;
-                }
-            }
-        }
-        for (Instance instance : mInstances) {
-            if (newest.contains(instance.mName)) {
-                leader = leader == null ? instance : leader;
-            }
-        }
-        if (leader == null) {
-            throw new IllegalStateException("no log names the leader");
-        }
-        return leader;
-    }
-
     private String settings(Instance instance) {
         return String.join(
                 "\n",
--- a/review/harness-4/src/review4/Store.java
+++ b/review/harness-4/src/review4/Store.java
@@ -33,7 +33,6 @@
     private final HttpServer mServer;
     private long mRevision = 100;
     private long mNextLease = 1;
-    private volatile boolean mRefusing;
 
     Store() throws Exception {
         mServer = Web.serve("127.0.0.1", 0, this::handle);
@@ -53,11 +52,6 @@
         return "127.0.0.1:" + mServer.getAddress().getPort();
     }
 
-    /** Answers every call with 503 and does nothing. */
-    void setRefusing(boolean refusing) {
-        mRefusing = refusing;
-    }
-
     /** Writes on behalf of the operator or a runner. */
     synchronized void put(String key, String text) {
         write(key, Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)), 0);
@@ -69,10 +63,6 @@
         notifyAll();
     }
 
-    synchronized List<String> keys(String prefix) {
-        return mItems.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
-    }
-
     private synchronized void endLeases() {
         mLeases.values().removeIf(lease -> System.nanoTime() - lease.mEndNanos > 0);
         for (Item item : List.copyOf(mItems.values())) {
@@ -85,9 +75,6 @@
 
     private Web.Answer handle(Web.Request request) throws Exception {
         Clock.sleep(ANSWER_MILLIS);
-        if (mRefusing) {
-            return new Web.Answer(503, "");
-        }
         String path = request.path();
         if (path.equals("/-/kv-watch")) {
             return watch(request);
