Log majorities, draining servers and why stored jobs are given up

- majority-changed says by how many followers and registered instances a leader counts itself a majority; jobs-given-up has its reason.
- lease-extended says that a leader goes on extending the lease of a server with ends of stored jobs that it may not save.
- server-draining says when an instance has read that a server drains, to be compared with the time at which the store accepted it.

No decision changes.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -56,6 +56,7 @@
     private boolean mUnfencedAfterRestart;
 
     private long mLastPolledNanos = Long.MIN_VALUE;
+    private boolean mUnreadEndsReported;
 
     BackendServer(
             ServerEntry entry,
@@ -412,9 +413,19 @@
                 mReachability.isUnresponsive()
                         || !mRuns.orphans().isEmpty()
                         || !mLease.isClockKnown();
-        return mRuns.isEmpty() || unsafe
-                ? Option.none()
-                : Option.some(mLease.requestUntilMillis(nowNanos));
+        if (mRuns.isEmpty() || unsafe) {
+            return Option.none();
+        }
+        reportUnreadEnds();
+        return Option.some(mLease.requestUntilMillis(nowNanos));
+    }
+
+    private void reportUnreadEnds() {
+        int unread = mRuns.ends().countUnread();
+        if (unread > 0 && !mUnreadEndsReported) {
+            mListener.leaseExtended(this, unread);
+        }
+        mUnreadEndsReported = unread > 0;
     }
 
     private void sendPoll(Option<Long> lease, long waitMillis, long nowNanos) {
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/EndAcknowledgements.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/EndAcknowledgements.java
@@ -67,6 +67,14 @@
         return unread;
     }
 
+    int countUnread() {
+        int unread = 0;
+        for (RetainedEnd retained : mRetained.values()) {
+            unread += retained.changeNumber() == UNREAD ? 1 : 0;
+        }
+        return unread;
+    }
+
     /** Checks whether ends are retained. The server answers any poll at once with these ends. */
     boolean hasRetained() {
         return !mRetained.isEmpty();
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
@@ -75,6 +75,11 @@
         }
     }
 
+    @Override
+    public void leaseExtended(BackendServer server, int unreadEnds) {
+        mListener.leaseExtended(server.entry().id(), unreadEnds);
+    }
+
     @Override
     public void restarted(BackendServer server, long startedMillis) {
         mListener.serverRestarted(server.entry().id(), startedMillis);
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
@@ -63,6 +63,15 @@
      */
     ServerRun adopt(BackendServer server, RunReport report, long reportedNanos, long nowNanos);
 
+    /**
+     * Called when the lease is extended although the server lists ends of jobs that have not been
+     * read here, the first time that it does.
+     *
+     * @param server the server, not null
+     * @param unreadEnds the number of these ends
+     */
+    void leaseExtended(BackendServer server, int unreadEnds);
+
     /**
      * Called when the server is found to have started again under its id.
      *
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/SchedulerListener.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/SchedulerListener.java
@@ -80,6 +80,15 @@
     default void storedRunEndFound(
             TaskId task, int attempt, ServerId server, RunEnd end, FoundEndTreatment treatment) {}
 
+    /**
+     * Called when the lease is extended on a backend server that lists ends of stored jobs which
+     * have not been read here, the first time that it does.
+     *
+     * @param server the backend server, not null
+     * @param unreadEnds the number of these ends
+     */
+    default void leaseExtended(ServerId server, int unreadEnds) {}
+
     /**
      * Called when a backend server is found to have started again under its id.
      *
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
@@ -1,9 +1,13 @@
 package org.wagtailproxy.dispatcher;
 
 import io.vavr.control.Option;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.Locale;
+import java.util.Set;
 import org.wagtailproxy.fleet.PollResult;
 import org.wagtailproxy.fleet.ServerCommand;
+import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.fleet.ServerId;
 import org.wagtailproxy.fleet.StartResult;
 import org.wagtailproxy.identity.DataCentre;
@@ -277,6 +281,39 @@
                 .info();
     }
 
+    /**
+     * Logs whether the group that this instance leads is a majority.
+     *
+     * @param group the number of instances that follow this one, with itself
+     * @param registered the number of instances that are known to be registered
+     */
+    void majorityChanged(boolean isMajority, int group, int registered) {
+        mLog.event(EventName.MAJORITY_CHANGED)
+                .with(EventField.OUTCOME, isMajority ? "majority" : "minority")
+                .with(EventField.COUNT, group)
+                .with(EventField.BOUND, registered)
+                .info();
+    }
+
+    /** Logs that a lease is extended although ends of stored jobs may not be counted here. */
+    void leaseExtended(ServerId server, int unreadEnds) {
+        mLog.event(EventName.LEASE_EXTENDED)
+                .with(EventField.SERVER, server)
+                .with(EventField.COUNT, unreadEnds)
+                .info();
+    }
+
+    /** Logs the servers that are listed as draining and were not before. */
+    void serversListed(Collection<ServerEntry> before, Collection<ServerEntry> now) {
+        Set<ServerId> known = new HashSet<>();
+        before.stream().filter(ServerEntry::draining).forEach(entry -> known.add(entry.id()));
+        for (ServerEntry entry : now) {
+            if (entry.draining() && !known.contains(entry.id())) {
+                mLog.event(EventName.SERVER_DRAINING).with(EventField.SERVER, entry.id()).info();
+            }
+        }
+    }
+
     void serverRestarted(ServerId server, long startedMillis) {
         mLog.event(EventName.SERVER_RESTARTED)
                 .with(EventField.SERVER, server)
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -84,6 +84,7 @@
     private final JobRelay mJobRelay;
     private final StoredJobsMonitor mStoredJobsMonitor;
     private final StoredJobClient mStoredJobClient;
+    private final MajorityMonitor mMajority;
     private final PoolMembership mPool;
     private final HomeMonitor mHomes;
     private final EvacuationTracker mEvacuations;
@@ -101,8 +102,9 @@
         EventLoop loop = context.loop();
         mLoop = loop;
         mListener = listener;
-        PeerTransport client = mCloser.register(context.peerTransport());
+        mClient = mCloser.register(context.peerTransport());
         mDecisions = new DecisionLog(log, metrics);
+        mMajority = new MajorityMonitor(mDecisions);
         LifeSigns lifeSigns = new LifeSigns(new ClockEvents());
         mEvacuations = new EvacuationTracker(log);
         mStoreReachability = new StoreReachability(loop);
@@ -110,14 +112,14 @@
                 new LeaderElection(
                         settings,
                         loop,
-                        client,
+                        mClient,
                         mTokens,
                         log,
                         lifeSigns,
                         mEvacuations,
                         new ElectionEvents());
         SpillOver spillOver = new SpillOver();
-        mRemote = new RemoteLeaders(loop, client, spillOver, mEvacuations);
+        mRemote = new RemoteLeaders(loop, mClient, spillOver, mEvacuations);
         mHomes =
                 new HomeMonitor(
                         settings.home(),
@@ -126,8 +128,8 @@
                         lifeSigns,
                         this::handOverJobsOf,
                         listener::onCallersDoubted);
-        JobWithdrawals withdrawals = new JobWithdrawals(settings, loop, client);
-        mForwarder = newForwarder(settings, client, spillOver, withdrawals);
+        JobWithdrawals withdrawals = new JobWithdrawals(settings, loop, mClient);
+        mForwarder = newForwarder(settings, mClient, spillOver, withdrawals);
         mLeaderScheduler =
                 new LeaderScheduler(
                         settings,
@@ -138,12 +140,11 @@
                         mElection,
                         mHomes,
                         schedulers -> newCoordinator(context, log, schedulers));
-        mClient = client;
         mStoredJobsMonitor = new StoredJobsMonitor(loop, context.store());
         mStoredJobClient =
-                new StoredJobClient(loop, mElection, client, mLeaderScheduler, mStoredJobsMonitor);
+                new StoredJobClient(loop, mElection, mClient, mLeaderScheduler, mStoredJobsMonitor);
         mPool = newPoolMembership();
-        mJobRelay = newJobRelay(client, withdrawals);
+        mJobRelay = newJobRelay(mClient, withdrawals);
     }
 
     private JobRelay newJobRelay(PeerTransport client, JobWithdrawals withdrawals) {
@@ -257,6 +258,7 @@
      * @param entries those of all data centres, not null
      */
     public void updateServers(Collection<ServerEntry> entries) {
+        mDecisions.serversListed(mServers, entries);
         mServers = List.copyOf(entries);
         updateSchedulerServers();
     }
@@ -489,7 +491,8 @@
             mForwarder.withdrawJobsOfLostHomes(mHomes::isWaitingForForwardedJob);
         }
         mLeaderScheduler.updateCoordination(
-                mPool.spansDataCentres() && mElection.isLeaderOfMajority(),
+                mMajority.update(mElection.group(), mElection.registeredInstances())
+                        && mPool.spansDataCentres(),
                 mStoredJobClient.mayHaveStoredJobs());
         boolean mayPlace = mElection.isLeader() && !mElection.hasUnconfirmedPeers();
         boolean forwards = mayPlace || mForwarder.openJobs() > 0;
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -21,7 +21,6 @@
 import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.leadership.Leadership;
 import org.wagtailproxy.leadership.LifeSigns;
-import org.wagtailproxy.leadership.Majority;
 import org.wagtailproxy.leadership.MessageAge;
 import org.wagtailproxy.leadership.OverloadDetector;
 import org.wagtailproxy.leadership.Peer;
@@ -233,15 +232,13 @@
         return mLeader.exists(leader -> mPeers.coordinatesStoredJobs(leader.name()));
     }
 
-    /**
-     * Checks whether this instance leads a majority of the registered instances, and so may
-     * coordinate the stored jobs.
-     */
-    boolean isLeaderOfMajority() {
-        return isLeader() && Majority.isMajority(mGroup, registeredInstances());
+    /** Returns this instance and those that follow it, nothing if it does not lead. */
+    Set<InstanceName> group() {
+        return isLeader() ? mGroup : Set.of();
     }
 
-    private Set<InstanceName> registeredInstances() {
+    /** Returns the instances that are known to be registered. */
+    Set<InstanceName> registeredInstances() {
         Set<InstanceName> registered = new TreeSet<>();
         mPeers.peers().forEach(peer -> registered.add(peer.name()));
         registered.add(mSettings.name());
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -129,7 +129,7 @@
         if (mayCoordinate) {
             mCoordinator.startTerm();
         } else {
-            mCoordinator.abandon();
+            mCoordinator.abandon("no majority");
         }
         mCoordinator.tick();
         mUnreadJobsPossible = storedJobsPossible;
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/SchedulerEvents.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/SchedulerEvents.java
@@ -94,6 +94,11 @@
         mLog.storedRunEndFound(task, attempt, server, end, treatment);
     }
 
+    @Override
+    public void leaseExtended(ServerId server, int unreadEnds) {
+        mLog.leaseExtended(server, unreadEnds);
+    }
+
     @Override
     public void serverRestarted(ServerId server, long startedMillis) {
         mLog.serverRestarted(server, startedMillis);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
@@ -146,8 +146,15 @@
 
     /** Ends the term and leaves the jobs to the next leader; their runs continue. */
     void handOver() {
+        endTerm("no leader");
+    }
+
+    private void endTerm(String reason) {
         if (mJobsRead) {
-            mLog.event(EventName.JOBS_GIVEN_UP).with(EventField.COUNT, mEntries.size()).info();
+            mLog.event(EventName.JOBS_GIVEN_UP)
+                    .with(EventField.COUNT, mEntries.size())
+                    .with(EventField.REASON, reason)
+                    .info();
         }
         mTerm.forEach(CoordinatorTerm::end);
         mTerm = Option.none();
@@ -168,9 +175,9 @@
     }
 
     /** Ends the term because another leader may coordinate the jobs; their runs are stopped. */
-    void abandon() {
+    void abandon(String reason) {
         if (mTerm.isDefined()) {
-            handOver();
+            endTerm(reason);
             mSchedulers.abandonStoredJobs();
         }
     }
@@ -462,7 +469,7 @@
 
         @Override
         public void onTermLost() {
-            abandon();
+            abandon("another coordinator");
         }
     }
 }
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
@@ -76,6 +76,8 @@
     JOBS_KEPT,
     /** This instance is no longer the coordinator of the stored jobs ("gives them up"). */
     JOBS_GIVEN_UP,
+    /** The group that this instance leads has become a majority, or no longer is one. */
+    MAJORITY_CHANGED,
     /** A new state of a stored job was written to the store. */
     JOB_SAVED,
     /** A backend server did not confirm the start of a task. */
@@ -84,6 +86,10 @@
     LOOK_FAILED,
     /** A backend server lists the end of a stored job's run that an earlier leader started. */
     END_FOUND,
+    /** A lease is extended on a backend server that lists ends of stored jobs not read here. */
+    LEASE_EXTENDED,
+    /** The directory says of a backend server that it is draining. */
+    SERVER_DRAINING,
     /** A backend server has started again under its id. */
     SERVER_RESTARTED,
     /** A backend server has accepted the fencing token of this instance. */
