--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -14,7 +14,6 @@
 import org.wagtailproxy.fleet.StartAnswer;
 import org.wagtailproxy.fleet.StartResult;
 import org.wagtailproxy.fleet.StopResult;
-import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.StoredJob;
 import org.wagtailproxy.workload.WorkOutcome;
@@ -55,6 +54,7 @@
     private final DuplicateRunGuard mDuplicateRunGuard;
     private final JobRegistry mJobs = new JobRegistry();
     private final StoredJobScheduling mStoredJobs;
+    private final InheritedJobScheduling mInheritedJobs;
     private final EvacuationScheduling mEvacuation;
 
     private ServiceScheduler(
@@ -77,6 +77,7 @@
                         tuning.minHealthyOneIn());
         mStoredJobs =
                 new StoredJobScheduling(this, mLoadShedder, tuning, mJobs, mServers, listener);
+        mInheritedJobs = new InheritedJobScheduling(this, mJobs, mServers, mDuplicateRunGuard);
         mEvacuation = new EvacuationScheduling(this, mJobs, mServers);
     }
 
@@ -114,16 +115,6 @@
         }
     }
 
-    /**
-     * Updates the data centres whose backend servers this instance may use. A job that an earlier
-     * leader may have started in another one has to wait until leases there have expired.
-     *
-     * @param scope the data centres, not null; all of them at first
-     */
-    public synchronized void updateScope(DataCentreScope scope) {
-        mDuplicateRunGuard.updateScope(scope);
-    }
-
     /**
      * Updates the claim mode of each backend server.
      *
@@ -257,6 +248,15 @@
         return mStoredJobs;
     }
 
+    /**
+     * Returns the operations that decide when tasks of inherited jobs may be placed.
+     *
+     * @return the same object each time, never null
+     */
+    public InheritedJobScheduling inheritedJobs() {
+        return mInheritedJobs;
+    }
+
     /**
      * Returns the operations for the evacuation of data centres.
      *
@@ -399,40 +399,6 @@
         mLastTickNanos = NEVER_NANOS;
     }
 
-    /**
-     * Records that a network partition has healed. Jobs that come from the other side may run on
-     * servers that were missing in the directory on this side. Until the given time, having polled
-     * all known servers is therefore no proof that a job runs nowhere.
-     *
-     * @param untilNanos the monotonic time until which jobs may arrive from the other side
-     */
-    public synchronized void assumeIncompleteServerList(long untilNanos) {
-        mDuplicateRunGuard.assumeIncompleteServerList(untilNanos);
-    }
-
-    /**
-     * Records that no other instance of the pool led at a time, so that no earlier leader has
-     * started tasks of a job that was accepted before.
-     *
-     * @param nanos the monotonic time of the proof in nanoseconds
-     */
-    public synchronized void recordNoOtherLeader(long nanos) {
-        if (mDuplicateRunGuard.recordNoOtherLeader(mJobs.all(), nanos)) {
-            mServers.all().forEach(BackendServer::requestPoll);
-        }
-    }
-
-    /**
-     * Records that the last update of the servers reflects the directory at a time or later.
-     *
-     * @param nanos the monotonic time in nanoseconds
-     * @param trackedSinceNanos the monotonic time since which no server can have been listed and
-     *     removed again without being passed to {@link #updateServers}
-     */
-    public synchronized void recordServerListRead(long nanos, long trackedSinceNanos) {
-        mDuplicateRunGuard.recordListRead(nanos, trackedSinceNanos);
-    }
-
     /**
      * Removes and returns the commands that are to be sent now.
      *
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/LostLeaderTest.java
@@ -259,7 +259,7 @@
 
     @Test
     void testJobOfLeaderOutsideThePoolIsNotStartedOnTheStrengthOfPolls() {
-        mSimulation.mScheduler.updateScope(POOL);
+        mSimulation.mScheduler.inheritedJobs().updateScope(POOL);
         addServers();
         submitLost(WorkProgress.NONE.plusAttempts(64, OTHER_POOL).plusAttempts(64, POOL));
         mSimulation.run(2000);
@@ -271,7 +271,7 @@
 
     @Test
     void testJobOfLeaderOfThePoolIsStartedOnTheStrengthOfPolls() {
-        mSimulation.mScheduler.updateScope(POOL);
+        mSimulation.mScheduler.inheritedJobs().updateScope(POOL);
         addServers();
         submitLost(WorkProgress.NONE.plusAttempts(64, POOL));
         mSimulation.run(300);
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -136,10 +136,12 @@
             mServers.values().forEach(SimulatedServer::step);
             if (mNowMillis % 20 == 0 && !mTicksPaused) {
                 if (!mOtherLeaderPossible) {
-                    mScheduler.recordNoOtherLeader(mPeers.noPeerLedNanos(nowNanos()));
+                    mScheduler
+                            .inheritedJobs()
+                            .recordNoOtherLeader(mPeers.noPeerLedNanos(nowNanos()));
                 }
                 if (!mListOutdated) {
-                    mScheduler.recordServerListRead(nowNanos(), mTrackedSinceNanos);
+                    mScheduler.inheritedJobs().recordServerListRead(nowNanos(), mTrackedSinceNanos);
                 }
                 mScheduler.tick(nowNanos());
                 mScheduler.refuseUnattainable(nowNanos());
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServiceSchedulerTest.java
@@ -377,8 +377,10 @@
         idle.get(0).mUnresponsive = true;
         mSimulation.list();
         long now = mSimulation.nowNanos();
-        mSimulation.mScheduler.assumeIncompleteServerList(
-                now + 3000 * ServerSimulation.NANOS_PER_MILLI);
+        mSimulation
+                .mScheduler
+                .inheritedJobs()
+                .assumeIncompleteServerList(now + 3000 * ServerSimulation.NANOS_PER_MILLI);
         mSimulation.mScheduler.submit(
                 spec(job, 3, 300),
                 progress,
@@ -459,8 +461,10 @@
         servers.get(0).addRunOfEarlierLeader(servers.get(0).mToken, job, 1);
         WorkSpec spec = spec(job, 2, 600);
         long now = mSimulation.nowNanos();
-        mSimulation.mScheduler.assumeIncompleteServerList(
-                now + 3000 * ServerSimulation.NANOS_PER_MILLI);
+        mSimulation
+                .mScheduler
+                .inheritedJobs()
+                .assumeIncompleteServerList(now + 3000 * ServerSimulation.NANOS_PER_MILLI);
         mSimulation.mScheduler.submit(
                 spec,
                 WorkProgress.of(List.of(), 64),
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/UnreliableServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/UnreliableServerSimulation.java
@@ -238,7 +238,7 @@
             pending.forEach(Runnable::run);
             if (mNowMillis % 20 == 0) {
                 if (mChangesLeader) {
-                    mScheduler.recordServerListRead(nowNanos(), Long.MIN_VALUE / 2);
+                    mScheduler.inheritedJobs().recordServerListRead(nowNanos(), Long.MIN_VALUE / 2);
                 }
                 mScheduler.tick(nowNanos());
                 mScheduler.refuseUnattainable(nowNanos());
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -22,7 +22,6 @@
 import org.wagtailproxy.leadership.Leadership;
 import org.wagtailproxy.leadership.LifeSigns;
 import org.wagtailproxy.leadership.MessageAge;
-import org.wagtailproxy.leadership.OverloadDetector;
 import org.wagtailproxy.leadership.Peer;
 import org.wagtailproxy.leadership.PeerProbe;
 import org.wagtailproxy.leadership.PeerStatus;
@@ -108,9 +107,7 @@
     private boolean mDraining;
     private boolean mStoreUnreachable;
     private boolean mCoordinatesStoredJobs;
-    private final OverloadDetector mOverloadDetector;
-    private boolean mOverloaded;
-    private long mTickDueNanos = Long.MAX_VALUE;
+    private final OverloadMonitor mOverload;
 
     private Option<Peer> mLeader = Option.none();
     private Set<InstanceName> mGroup = Set.of();
@@ -138,7 +135,7 @@
         mLifeSigns = lifeSigns;
         mEvacuations = evacuations;
         mListener = listener;
-        mOverloadDetector = new OverloadDetector(loop.nowNanos());
+        mOverload = new OverloadMonitor(loop, log);
     }
 
     /**
@@ -388,27 +385,15 @@
      * @param waitsForHomes true if all peers are to be probed although this instance does not lead
      */
     void tick(boolean waitsForHomes) {
-        detectOverload();
+        if (mOverload.tick()) {
+            sendProbes(true);
+        }
         mPeers.unresponsivePeers(mLoop.nowNanos())
                 .forEach(name -> markUnreachable(name, "silent", true));
         electLeader();
         sendProbes(isLeader() || waitsForHomes);
     }
 
-    private void detectOverload() {
-        long nowNanos = mLoop.nowNanos();
-        boolean overloaded = mOverloadDetector.onTick(mTickDueNanos, nowNanos);
-        mTickDueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS);
-        if (overloaded == mOverloaded) {
-            return;
-        }
-        mOverloaded = overloaded;
-        mLog.event(EventName.INSTANCE_OVERLOADED)
-                .with(EventField.OUTCOME, overloaded ? "overloaded" : "recovered")
-                .warn();
-        sendProbes(true);
-    }
-
     /** Returns the answer to a probe. It carries the configuration if the peer has an older one. */
     Presence.Builder answerProbe(Presence presence) {
         boolean isRestored =
@@ -534,7 +519,7 @@
             return;
         }
         if (leaderChanged) {
-            mOverloadDetector.onWorkChanged(mLoop.nowNanos());
+            mOverload.onWorkChanged();
             mLog.event(EventName.LEADER_FOLLOWED)
                     .with(EventField.PEER, leader.name())
                     .with(EventField.COUNT, group.size())
@@ -571,7 +556,7 @@
                 true,
                 mDraining,
                 mStoreUnreachable,
-                mOverloaded,
+                mOverload.isOverloaded(),
                 mLeader.map(Peer::name));
     }
 
@@ -588,7 +573,7 @@
                 .setDraining(mDraining)
                 .setStoreless(mStoreUnreachable)
                 .setKeepsJobs(mCoordinatesStoredJobs)
-                .setOverloaded(mOverloaded)
+                .setOverloaded(mOverload.isOverloaded())
                 .setScope(WorkMessages.scope(ownScope()))
                 .setClockNanos(mLoop.nowNanos())
                 .setHighestToken(mTokens.highest())
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -2,12 +2,10 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
@@ -60,26 +58,16 @@
     private final DispatcherSettings mSettings;
     private final EventLoop mLoop;
     private final CommandSender mCommandSender;
-    private final FencingTokenSource mTokens;
     private final DecisionLog mLog;
     private final JobForwarder mForwarder;
     private final LeadershipDoubtListener mListener;
     private final HomeLiveness mHomes;
     private final StoredJobCoordinator mCoordinator;
-    private final Map<ServiceName, ServiceScheduler> mSchedulers = new TreeMap<>();
+    private final ServiceSchedulers mSchedulers;
     private final PendingJobs mPendingJobs;
-    private final SchedulerEvents mSchedulerEvents;
-    private Collection<ServerEntry> mServers = List.of();
-    private DataCentreScope mScope = DataCentreScope.ALL;
-    private Evacuations mEvacuations = Evacuations.UNKNOWN;
     private boolean mTickScheduled;
-
-    /** Whether there may be stored jobs that have not been read; assumed until the first tick. */
-    private boolean mUnreadJobsPossible = true;
-
     private long mServerListReadNanos = Long.MIN_VALUE;
     private long mServersTrackedSinceNanos = Long.MAX_VALUE / 2;
-    private long mServersIncompleteUntilNanos = Long.MIN_VALUE;
     private long mLastTickNanos;
     private long mHomesCheckedNanos = Long.MIN_VALUE / 2;
 
@@ -87,7 +75,6 @@
     private boolean mForwardersDoubted;
 
     private final SuspensionDetector mSuspensionDetector;
-    private Function<ServerEntry, ClaimMode> mClaimModes = entry -> ClaimMode.NONE;
 
     LeaderScheduler(
             DispatcherSettings settings,
@@ -103,7 +90,6 @@
         mCommandSender =
                 new CommandSender(
                         context.commandTransport(), log, this::nowForPlacement, this::sendCommands);
-        mTokens = tokens;
         mPendingJobs = new PendingJobs(settings.limits().jobMemoryBytes());
         mLog = log;
         mForwarder = forwarder;
@@ -111,8 +97,14 @@
         mHomes = homes;
         mSuspensionDetector = new SuspensionDetector(mLoop.nowNanos(), mLoop.wallClockMillis());
         mCoordinator = coordinator.apply(new StoredJobSchedulers());
-        mSchedulerEvents =
-                new SchedulerEvents(log, mPendingJobs, mCoordinator, this::now, this::onServerLost);
+        mSchedulers =
+                new ServiceSchedulers(
+                        settings,
+                        tokens,
+                        new SchedulerEvents(
+                                log, mPendingJobs, mCoordinator, this::now, this::onServerLost),
+                        mCoordinator::isCoordinating,
+                        this::now);
     }
 
     StoredJobCoordinator coordinator() {
@@ -132,45 +124,35 @@
             mCoordinator.abandon("no majority");
         }
         mCoordinator.tick();
-        mUnreadJobsPossible = storedJobsPossible;
-        for (ServiceScheduler scheduler : mSchedulers.values()) {
-            scheduler.storedJobs().setUnreadJobsPossible(mUnreadJobsPossible, now());
-        }
+        mSchedulers.setUnreadJobsPossible(storedJobsPossible);
     }
 
     /** Updates the backend servers of the pool. */
     void updateServers(Collection<ServerEntry> entries) {
-        mServers = entries;
-        for (ServerEntry entry : entries) {
-            scheduler(entry.service());
-        }
-        mSchedulers.forEach(this::updateServersOf);
+        mSchedulers.updateServers(entries);
         sendCommands();
     }
 
     /** Updates the data centres whose backend servers get no new tasks. */
     void updateEvacuations(Evacuations evacuations) {
-        mEvacuations = evacuations;
         mForwarder.updateEvacuations(evacuations);
-        mSchedulers.values().forEach(scheduler -> scheduler.evacuation().update(evacuations));
+        mSchedulers.updateEvacuations(evacuations);
         tickSchedulers();
     }
 
     /** Updates the data centres whose backend servers this instance may use. */
     void updateScope(DataCentreScope scope) {
-        mScope = scope;
-        mSchedulers.values().forEach(scheduler -> scheduler.updateScope(scope));
+        mSchedulers.updateScope(scope);
     }
 
     /**
      * Updates the claim modes for the backend servers; steps down if this instance does not lead.
      */
     void updateClaims(Function<ServerEntry, ClaimMode> claimModes, boolean isLeader) {
-        mClaimModes = claimModes;
         if (!isLeader) {
             stepDown();
         }
-        mSchedulers.values().forEach(scheduler -> scheduler.updateClaims(claimModes));
+        mSchedulers.updateClaimModes(claimModes);
         tickSchedulers();
     }
 
@@ -208,7 +190,7 @@
         PendingJob pendingJob = mPendingJobs.getOrAdd(spec);
         pendingJob.addHome(home, !mayForward, answer);
         pendingJob.updateSubmission(arrivedNanos, deadlineNanos, mayForward);
-        ServiceScheduler scheduler = scheduler(spec.service());
+        ServiceScheduler scheduler = mSchedulers.get(spec.service());
         scheduler.submit(spec, progress, arrivedNanos, deadlineNanos, nowNanos);
         if (progress.runsOn().isEmpty()) {
             mListener.onJobOfLostLeader();
@@ -260,7 +242,7 @@
 
     private void onSuspension(long nowNanos) {
         mLastTickNanos = nowNanos - 2 * MAX_TICK_PAUSE_NANOS;
-        mSchedulers.values().forEach(ServiceScheduler::suspendPlacement);
+        mSchedulers.forEach(ServiceScheduler::suspendPlacement);
         mForwardersDoubted = true;
         mListener.onPossibleSuspension();
     }
@@ -335,12 +317,7 @@
     }
 
     private void assumeIncompleteServerList() {
-        mServersIncompleteUntilNanos = now() + PARTITION_RECOVERY_NANOS;
-        mSchedulers
-                .values()
-                .forEach(
-                        scheduler ->
-                                scheduler.assumeIncompleteServerList(mServersIncompleteUntilNanos));
+        mSchedulers.assumeIncompleteServerList(now() + PARTITION_RECOVERY_NANOS);
     }
 
     /** Records that the backend servers are those of the directory at a time or later. */
@@ -374,7 +351,7 @@
         if (pendingJob.homes().isEmpty()) {
             mPendingJobs.remove(job);
             mLog.jobWithdrawn(job, home.name());
-            scheduler(pendingJob.service()).withdraw(job, nowForPlacement());
+            mSchedulers.get(pendingJob.service()).withdraw(job, nowForPlacement());
             sendCommands();
         }
     }
@@ -390,7 +367,7 @@
         if (pendingJob == null) {
             return mForwarder.cancel(job);
         }
-        scheduler(pendingJob.service()).withdraw(job, nowForPlacement());
+        mSchedulers.get(pendingJob.service()).withdraw(job, nowForPlacement());
         sendCommands();
         WorkOutcome outcome = WorkOutcome.of(WorkOutcome.Kind.ABANDONED, "cancelled");
         mLog.jobEnded(job, outcome, true);
@@ -446,7 +423,7 @@
         long nowNanos = now();
         if (!mListener.hasUnconfirmedPeers()) {
             handOverJobsOfLostHomes();
-            mSchedulers.values().forEach(scheduler -> scheduler.tick(nowNanos));
+            mSchedulers.forEach(scheduler -> scheduler.tick(nowNanos));
         }
         sendCommands();
     }
@@ -460,7 +437,7 @@
         }
         mPendingJobs.remove(job);
         mLog.jobHandedOver(job);
-        answer.accept(Either.left(scheduler(pendingJob.service()).handOver(job, now())));
+        answer.accept(Either.left(mSchedulers.get(pendingJob.service()).handOver(job, now())));
         sendCommands();
     }
 
@@ -469,9 +446,11 @@
         mLastTickNanos = nowNanos;
         handOverJobsOfLostHomes();
         long noOtherLeaderNanos = mListener.noOtherLeaderNanos();
-        for (ServiceScheduler scheduler : mSchedulers.values()) {
-            scheduler.recordNoOtherLeader(noOtherLeaderNanos);
-            scheduler.recordServerListRead(mServerListReadNanos, mServersTrackedSinceNanos);
+        for (ServiceScheduler scheduler : mSchedulers.all()) {
+            scheduler.inheritedJobs().recordNoOtherLeader(noOtherLeaderNanos);
+            scheduler
+                    .inheritedJobs()
+                    .recordServerListRead(mServerListReadNanos, mServersTrackedSinceNanos);
             scheduler.tick(nowNanos);
             forwardOrRefuse(scheduler, nowNanos);
         }
@@ -485,11 +464,7 @@
 
     /** Returns the state of the scheduler of each service. */
     List<SchedulerState> state() {
-        List<SchedulerState> states = new ArrayList<>();
-        for (ServiceScheduler scheduler : mSchedulers.values()) {
-            states.add(scheduler.state(now()));
-        }
-        return states;
+        return mSchedulers.state();
     }
 
     /**
@@ -497,20 +472,16 @@
      * milliseconds.
      */
     long maxEstimatedWaitMillis() {
-        double maxWaitMillis = 0;
-        for (ServiceScheduler scheduler : mSchedulers.values()) {
-            maxWaitMillis = Math.max(maxWaitMillis, scheduler.estimatedWaitMillis(now()));
-        }
-        return Math.round(Math.ceil(maxWaitMillis));
+        return mSchedulers.maxEstimatedWaitMillis();
     }
 
     private void stepDown() {
         mCoordinator.handOver();
         Map<JobId, WorkProgress> progressByJob = new HashMap<>();
-        for (ServiceScheduler scheduler : mSchedulers.values()) {
+        for (ServiceScheduler scheduler : mSchedulers.all()) {
             progressByJob.putAll(scheduler.stepDown());
         }
-        mSchedulers.forEach(this::updateServersOf);
+        mSchedulers.updateServersOfAll();
         for (Map.Entry<JobId, PendingJob> each : mPendingJobs.removeAll()) {
             mLog.jobHandedOver(each.getKey());
             WorkProgress progress = progressByJob.getOrDefault(each.getKey(), WorkProgress.NONE);
@@ -518,45 +489,12 @@
         }
     }
 
-    private ServiceScheduler scheduler(ServiceName service) {
-        return mSchedulers.computeIfAbsent(
-                service,
-                name -> {
-                    ServiceScheduler scheduler =
-                            ServiceScheduler.of(
-                                    mSettings.timing(),
-                                    mTokens,
-                                    mSettings.tuning(),
-                                    mSchedulerEvents);
-                    scheduler.updateScope(mScope);
-                    scheduler.evacuation().update(mEvacuations);
-                    updateServersOf(name, scheduler);
-                    scheduler.assumeIncompleteServerList(mServersIncompleteUntilNanos);
-                    scheduler.storedJobs().setUnreadJobsPossible(mUnreadJobsPossible, now());
-                    if (mCoordinator.isCoordinating()) {
-                        scheduler.storedJobs().onAllRead(now());
-                    }
-                    return scheduler;
-                });
-    }
-
-    private void updateServersOf(ServiceName service, ServiceScheduler scheduler) {
-        List<ServerEntry> serviceServers = new ArrayList<>();
-        for (ServerEntry entry : mServers) {
-            if (entry.service().equals(service)) {
-                serviceServers.add(entry);
-            }
-        }
-        scheduler.updateServers(serviceServers, now());
-        scheduler.updateClaims(mClaimModes);
-    }
-
     private void onServerLost(ServerId server) {
-        mServers.stream().filter(entry -> entry.id().equals(server)).forEach(mListener::onFenced);
+        mSchedulers.findServer(server).forEach(mListener::onFenced);
     }
 
     private void sendCommands() {
-        for (ServiceScheduler scheduler : mSchedulers.values()) {
+        for (ServiceScheduler scheduler : mSchedulers.all()) {
             for (ServerCommand command : scheduler.takeCommands()) {
                 mCommandSender.send(scheduler, command);
             }
@@ -573,18 +511,18 @@
 
         @Override
         public ServiceScheduler forService(ServiceName service) {
-            return scheduler(service);
+            return mSchedulers.get(service);
         }
 
         @Override
         public void onStoredJobsRead() {
-            mSchedulers.values().forEach(each -> each.storedJobs().onAllRead(now()));
+            mSchedulers.onStoredJobsRead();
             mListener.onJobOfLostLeader();
         }
 
         @Override
         public void abandonStoredJobs() {
-            mSchedulers.values().forEach(each -> each.storedJobs().abandonAll(now()));
+            mSchedulers.abandonStoredJobs();
             LeaderScheduler.this.sendCommands();
         }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
@@ -46,11 +46,6 @@
     /** Time for which an ended job can be queried; above the two minutes promised to callers. */
     private static final long ENDED_JOB_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(150);
 
-    /**
-     * Time for which a submission waits until the stored jobs are read; it is refused after that.
-     */
-    private static final long MAX_WAIT_FOR_READ_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
-
     /** Retry delay reported to callers while no instance coordinates the stored jobs. */
     private static final long RETRY_AFTER_MILLIS = 1000;
 
@@ -79,12 +74,11 @@
     private final KeeperRecord mSelf;
     private final Schedulers mSchedulers;
     private final CommitQueue mQueue = new CommitQueue();
-    private final Map<JobId, StoredJobEntry> mEntries = new HashMap<>();
-    private final List<EarlySubmission> mEarlySubmissions = new ArrayList<>();
+    private final StoredJobTable mJobs;
+    private final EarlySubmissions mEarlySubmissions = new EarlySubmissions();
     private Option<CoordinatorTerm> mTerm = Option.none();
     private boolean mJobsRead;
     private boolean mWriteScheduled;
-    private final JobMemory mMemory;
 
     /** Access to the schedulers that run the stored jobs. */
     interface Schedulers {
@@ -105,10 +99,6 @@
         void sendCommands();
     }
 
-    /** A job that was submitted before the stored jobs were read. */
-    private record EarlySubmission(
-            WorkSpec spec, long arrivedNanos, Consumer<Either<WorkProgress, WorkOutcome>> answer) {}
-
     StoredJobCoordinator(
             EventLoop loop,
             VersionedStore store,
@@ -123,7 +113,9 @@
                         .setName(settings.name().value())
                         .setIncarnation(UUID.randomUUID().toString())
                         .build();
-        mMemory = JobMemory.of(settings.limits().storedJobMemoryBytes());
+        mJobs =
+                new StoredJobTable(
+                        JobMemory.of(settings.limits().storedJobMemoryBytes()), this::phase);
         mSchedulers = schedulers;
     }
 
@@ -132,7 +124,7 @@
     }
 
     boolean hasJobs() {
-        return mJobsRead && !mEntries.isEmpty();
+        return mJobsRead && !mJobs.isEmpty();
     }
 
     /** Starts a term unless one has started. */
@@ -152,7 +144,7 @@
     private void endTerm(String reason) {
         if (mJobsRead) {
             mLog.event(EventName.JOBS_GIVEN_UP)
-                    .with(EventField.COUNT, mEntries.size())
+                    .with(EventField.COUNT, mJobs.size())
                     .with(EventField.REASON, reason)
                     .info();
         }
@@ -160,18 +152,15 @@
         mTerm = Option.none();
         mJobsRead = false;
         mQueue.clear();
-        List<StoredJobEntry> entries = new ArrayList<>(mEntries.values());
-        mEntries.clear();
-        mMemory.release(mMemory.usedBytes());
-        for (StoredJobEntry entry : entries) {
+        for (StoredJobEntry entry : mJobs.removeAll()) {
             // The outstanding write may still succeed, and the next coordinator then runs the job.
             WorkProgress possibleProgress = WorkProgress.NONE.plusAttempts(1);
             entry.mSubmitAnswers.forEach(each -> each.accept(Either.left(possibleProgress)));
             entry.mCancelAnswers.forEach(each -> each.accept(JobCondition.UNAVAILABLE));
         }
-        List<EarlySubmission> submissions = List.copyOf(mEarlySubmissions);
-        mEarlySubmissions.clear();
-        submissions.forEach(each -> each.answer().accept(Either.left(WorkProgress.NONE)));
+        mEarlySubmissions
+                .removeAll()
+                .forEach(each -> each.answer().accept(Either.left(WorkProgress.NONE)));
     }
 
     /** Ends the term because another leader may coordinate the jobs; their runs are stopped. */
@@ -192,10 +181,13 @@
             return;
         }
         if (!mJobsRead) {
-            submitEarly(new EarlySubmission(spec, arrivedNanos, answer));
+            if (!mEarlySubmissions.add(
+                    new EarlySubmissions.Submission(spec, arrivedNanos, answer), mJobs.memory())) {
+                answer.accept(Either.right(MEMORY_FULL));
+            }
             return;
         }
-        StoredJobEntry existing = mEntries.get(spec.id());
+        StoredJobEntry existing = mJobs.get(spec.id());
         if (existing != null) {
             if (existing.mSavedState.isDefined()) {
                 answer.accept(acceptedOutcome());
@@ -215,43 +207,19 @@
             return;
         }
         StoredJobEntry entry = new StoredJobEntry(StoredJob.of(spec));
-        if (!mMemory.hasCapacity(entry.mJob.memoryBytes())) {
+        if (!mJobs.memory().hasCapacity(entry.mJob.memoryBytes())) {
             answer.accept(Either.right(MEMORY_FULL));
             return;
         }
         entry.mSubmitAnswers.add(answer);
-        addEntry(entry);
+        mJobs.add(entry);
         mQueue.add(new JobChange(entry.mJob, 0, false));
         writePending();
     }
 
-    /** Keeps a submission until the stored jobs are read. */
-    private void submitEarly(EarlySubmission submission) {
-        long bytes = submission.spec().memoryBytes();
-        for (EarlySubmission other : mEarlySubmissions) {
-            bytes += other.spec().memoryBytes();
-        }
-        if (mMemory.hasCapacity(bytes)) {
-            mEarlySubmissions.add(submission);
-        } else {
-            submission.answer().accept(Either.right(MEMORY_FULL));
-        }
-    }
-
-    private void addEntry(StoredJobEntry entry) {
-        mEntries.put(entry.mJob.spec().id(), entry);
-        countMemory(entry, entry.mJob.memoryBytes());
-    }
-
-    private void countMemory(StoredJobEntry entry, long bytes) {
-        mMemory.release(entry.mMemoryBytes);
-        mMemory.add(bytes);
-        entry.mMemoryBytes = bytes;
-    }
-
     /** Queues a changed job to be written to the store. */
     void onJobChanged(StoredJob job, long changeNumber) {
-        StoredJobEntry entry = mEntries.get(job.spec().id());
+        StoredJobEntry entry = mJobs.get(job.spec().id());
         if (entry != null) {
             entry.mJob = job.isEnded() ? job.withoutWork() : job;
             mQueue.add(new JobChange(entry.mJob, changeNumber, false));
@@ -261,12 +229,8 @@
 
     /** Cancels a job; answers once the cancellation is stored. */
     void cancel(JobId id, Consumer<JobCondition> answer) {
-        StoredJobEntry entry = mEntries.get(id);
-        if (!mJobsRead || entry == null) {
-            answer.accept(mJobsRead ? JobCondition.GONE : JobCondition.UNAVAILABLE);
-            return;
-        }
-        if (entry.mSavedState.exists(state -> state != StoredJob.State.OPEN)) {
+        StoredJobEntry entry = mJobs.get(id);
+        if (!mJobsRead || entry == null || mJobs.hasSavedEnd(id)) {
             answer.accept(condition(id));
             return;
         }
@@ -290,34 +254,18 @@
      * to come soon and the answer is delayed for a short time.
      */
     void query(JobId id, Consumer<JobCondition> answer) {
-        StoredJobEntry entry = mEntries.get(id);
-        // A job that its scheduler does not know any more has ended.
-        boolean ending = condition(id) == JobCondition.RUNNING && phase(entry) != JobPhase.BEGUN;
-        if (!ending) {
+        if (!mJobsRead || !mJobs.isEnding(id)) {
             answer.accept(condition(id));
             return;
         }
         StoredJobEntry.WaitingQuery query = new StoredJobEntry.WaitingQuery(answer);
-        entry.mWaitingQueries.add(query);
+        mJobs.get(id).mWaitingQueries.add(query);
         mLoop.schedule(MAX_QUERY_WAIT_MILLIS, () -> query.answer(condition(id)));
     }
 
     /** Returns the current condition of a job. */
     private JobCondition condition(JobId id) {
-        if (!mJobsRead) {
-            return JobCondition.UNAVAILABLE;
-        }
-        StoredJobEntry entry = mEntries.get(id);
-        if (entry == null || entry.mSavedState.isEmpty()) {
-            return entry == null ? JobCondition.GONE : JobCondition.UNAVAILABLE;
-        }
-        return switch (entry.mSavedState.get()) {
-            case COMPLETE -> JobCondition.COMPLETE;
-            case FAILED -> JobCondition.FAILED;
-            case CANCELLED -> JobCondition.CANCELLED;
-            case OPEN ->
-                    phase(entry) == JobPhase.WAITING ? JobCondition.QUEUED : JobCondition.RUNNING;
-        };
+        return mJobsRead ? mJobs.condition(id) : JobCondition.UNAVAILABLE;
     }
 
     private JobPhase phase(StoredJobEntry entry) {
@@ -326,12 +274,7 @@
 
     /** Returns the number of accepted, unstarted jobs of a queue. */
     int countUnstarted(String queue) {
-        int pending = 0;
-        for (Map.Entry<JobId, StoredJobEntry> each : mEntries.entrySet()) {
-            boolean isInQueue = each.getValue().mJob.spec().storedIn().equals(queue);
-            pending += isInQueue && condition(each.getKey()) == JobCondition.QUEUED ? 1 : 0;
-        }
-        return pending;
+        return mJobsRead ? mJobs.countUnstarted(queue) : 0;
     }
 
     /**
@@ -340,25 +283,19 @@
      */
     void tick() {
         long nowNanos = mLoop.nowNanos();
-        for (StoredJobEntry entry : mEntries.values()) {
+        for (StoredJobEntry entry : mJobs.all()) {
             boolean ended = entry.mSavedState.exists(state -> state != StoredJob.State.OPEN);
             if (ended && nowNanos - entry.mEndedNanos > ENDED_JOB_RETENTION_NANOS) {
                 entry.mEndedNanos = nowNanos;
                 mQueue.add(new JobChange(entry.mJob, 0, true));
             }
         }
-        for (EarlySubmission submission : List.copyOf(mEarlySubmissions)) {
-            if (nowNanos - submission.arrivedNanos() > MAX_WAIT_FOR_READ_NANOS) {
-                mEarlySubmissions.remove(submission);
-                submission
-                        .answer()
-                        .accept(
-                                Either.right(
-                                        WorkOutcome.refused("jobs not read", RETRY_AFTER_MILLIS)));
-            }
-        }
+        WorkOutcome notRead = WorkOutcome.refused("jobs not read", RETRY_AFTER_MILLIS);
+        mEarlySubmissions
+                .removeOverdue(nowNanos)
+                .forEach(each -> each.answer().accept(Either.right(notRead)));
         writePending();
-        if (mJobsRead && mEntries.isEmpty()) {
+        if (mJobsRead && mJobs.isEmpty()) {
             mTerm.forEach(CoordinatorTerm::recordNoJobs);
         }
     }
@@ -398,9 +335,9 @@
 
     private void onSaved(JobChange change) {
         JobId id = change.job().spec().id();
-        StoredJobEntry entry = mEntries.get(id);
+        StoredJobEntry entry = mJobs.get(id);
         if (change.removed()) {
-            mMemory.release(mEntries.remove(id).mMemoryBytes);
+            mJobs.remove(id);
             return;
         }
         mLog.event(EventName.JOB_SAVED)
@@ -413,7 +350,7 @@
         ServiceScheduler scheduler = mSchedulers.forService(change.job().spec().service());
         if (change.job().isEnded()) {
             entry.mEndedNanos = mLoop.nowNanos();
-            countMemory(entry, entry.mJob.memoryBytes());
+            mJobs.updateMemory(entry);
             entry.mCancelAnswers.forEach(answer -> answer.accept(condition(id)));
             entry.mCancelAnswers.clear();
             entry.mWaitingQueries.forEach(query -> query.answer(condition(id)));
@@ -437,7 +374,7 @@
                 StoredJobEntry entry = new StoredJobEntry(job.isEnded() ? job.withoutWork() : job);
                 entry.mSavedState = Option.some(job.state());
                 entry.mEndedNanos = mLoop.nowNanos();
-                addEntry(entry);
+                mJobs.add(entry);
             }
             for (StoredJob job : jobs) {
                 if (!job.isEnded()) {
@@ -448,9 +385,9 @@
                 }
             }
             mSchedulers.onStoredJobsRead();
-            List<EarlySubmission> submissions = List.copyOf(mEarlySubmissions);
-            mEarlySubmissions.clear();
-            submissions.forEach(each -> submit(each.spec(), each.arrivedNanos(), each.answer()));
+            mEarlySubmissions
+                    .removeAll()
+                    .forEach(each -> submit(each.spec(), each.arrivedNanos(), each.answer()));
             mSchedulers.sendCommands();
         }
 
