Play stored jobs in the simulated fleet

FleetDuplicateRunTest plays whole dispatchers on virtual time, but only jobs whose callers wait. Callers of a further test hand in stored jobs as well. A start is a violation if a run of its task has ended as done and the server was allowed to forget that end before or after, unless the lease of the server has expired in between. Accepted jobs have to end within 40 s after the last fault.

--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetDuplicateRunTest.java
@@ -37,6 +37,9 @@
     /** Callers whose connection is reset send again at once, with -Dfleet.run.resends=true. */
     private static final boolean RESENDS = Boolean.getBoolean("fleet.run.resends");
 
+    /** Time after the faults in which the accepted stored jobs have to end. */
+    private static final long SETTLING_MILLIS = 40_000;
+
     /** Prints the whole trace of each seed, or the lines that contain one of some words. */
     private static final String TRACE = System.getProperty("fleet.run.trace");
 
@@ -159,6 +162,31 @@
                 SHORT_SIMULATED_MILLIS);
     }
 
+    @Test
+    void testFleetWithStoredJobsNeverRunsDoneTaskAgainNorLosesAcceptedJob() {
+        checkStoredJobs(
+                FIRST_SEED,
+                SEEDS,
+                FleetSimulation.sizeOf(System.getProperty("fleet.run.size", "POOLED")),
+                new FleetFaults.Options(true, true, true, true));
+    }
+
+    private static void checkStoredJobs(
+            int first, int count, FleetSimulation.Size size, FleetFaults.Options options) {
+        List<String> reports = new ArrayList<>();
+        for (int seed = first; seed < first + count; seed++) {
+            FleetSimulation simulation = new FleetSimulation(seed, size, options);
+            simulation.sendStoredJobs();
+            simulation.run(SIMULATED_MILLIS);
+            simulation.settle(SETTLING_MILLIS);
+            printTrace(simulation);
+            if (!simulation.report().isEmpty()) {
+                reports.add("seed " + seed + " at " + simulation.report());
+            }
+        }
+        assertThat(String.join("\n", reports), reports.size(), is(0));
+    }
+
     private static void checkSeeds(
             int first,
             int count,
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetFaults.java
@@ -27,6 +27,7 @@
     private final FleetChanges mChanges;
     private final FleetDisruptions mDisruptions;
     private final long mMeanIntervalMillis;
+    private boolean mEnded;
 
     /**
      * Determines which faults are drawn.
@@ -63,7 +64,15 @@
         mTime.after(mTime.between(1300, 4000), this::drawNext);
     }
 
+    /** Draws no further faults. */
+    void end() {
+        mEnded = true;
+    }
+
     private void drawNext() {
+        if (mEnded) {
+            return;
+        }
         mTime.after(mTime.between(1, 2 * mMeanIntervalMillis), this::drawNext);
         drawOne();
     }
@@ -268,6 +277,10 @@
 
     /** An undecodable guard, which some instances read late. */
     private void writeOddGuard() {
+        if (mFleet.hasStoredJobs()) {
+            note("the guard of stored jobs stays as it is");
+            return;
+        }
         note("undecodable guard");
         mFleet.mStore.mGuardLossRate = mTime.chance(0.5) ? 0.5 : 0;
         mFleet.mStore.put(CoordinatorTerm.GUARD_KEY, new byte[] {(byte) 0xff, (byte) 0xff});
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/FleetSimulation.java
@@ -41,7 +41,10 @@
     final Map<String, SimulatedInstance> mInstances = new LinkedHashMap<>();
     final Map<ServerId, SimulatedServer> mServers = new TreeMap<>();
     private final SimulatedCallers mCallers;
+    private FleetFaults mFaults;
+    private boolean mStoredJobs;
     private final Set<TaskId> mDone = new HashSet<>();
+    private final DoneTasks mDoneTasks = new DoneTasks(this);
     private final Set<JobId> mStartedJobs = new HashSet<>();
     private final List<String> mWords = new ArrayList<>();
     private Consumer<SimulatedInstance> mOnNextLeader;
@@ -85,7 +88,8 @@
 
     FleetSimulation(long seed, Size size, FleetFaults.Options options) {
         this(seed, size);
-        new FleetFaults(this, size.dataCentres(), options).schedule();
+        mFaults = new FleetFaults(this, size.dataCentres(), options);
+        mFaults.schedule();
     }
 
     /** Creates a fleet without faults, whose callers only send jobs if {@link #run} is called. */
@@ -179,6 +183,32 @@
         mCallers.checkRefusals(mStartedJobs);
     }
 
+    /** Lets callers send stored jobs as well. */
+    void sendStoredJobs() {
+        mStoredJobs = true;
+        mCallers.sendStoredJobs();
+    }
+
+    boolean hasStoredJobs() {
+        return mStoredJobs;
+    }
+
+    /** Ends faults and load, and checks after a time that all accepted stored jobs have ended. */
+    void settle(long millis) {
+        mFaults.end();
+        mCallers.finish();
+        mTime.run(mTime.nowMillis() + millis);
+        for (JobId job : mCallers.acceptedJobs()) {
+            List<TaskId> tasks = mCallers.tasks(job);
+            boolean hasEnded =
+                    tasks.stream().allMatch(mDone::contains)
+                            || tasks.stream().anyMatch(mDoneTasks::hasFailedForGood);
+            if (!hasEnded) {
+                violation(job, "LOST, accepted and not done:");
+            }
+        }
+    }
+
     int completed() {
         return mCallers.mCompleted;
     }
@@ -199,6 +229,7 @@
     public void onStarted(TaskId task, SimulatedServer server, SimulatedServer.Run run) {
         mStarts++;
         mStartedJobs.add(task.job());
+        mDoneTasks.onStarted(task, run);
         String dataCentre = server.mHost.dataCentre();
         if (mCallers.isRemote(task.job(), dataCentre)) {
             mRemoteStarts++;
@@ -228,9 +259,24 @@
         mTime.note(server.mId + " ends " + task + " run " + run.attempt() + " " + end);
         if (end == EndKind.DONE) {
             mDone.add(task);
+            mDoneTasks.onDone(task, run);
+        } else if (end == EndKind.FAILED) {
+            mDoneTasks.onFailed(task);
         }
     }
 
+    @Override
+    public void onAcknowledged(TaskId task, int attempt, EndKind end) {
+        if (end == EndKind.DONE) {
+            mDoneTasks.onAcknowledged(task, attempt);
+        }
+    }
+
+    /** Records that a job is a stored one, of which no done task may be started again. */
+    void onStoredJobSubmitted(JobId job) {
+        mDoneTasks.addStoredJob(job);
+    }
+
     void violation(JobId job, String text) {
         mWords.add(job.value());
         mTime.violation(text + " " + job);
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCallers.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedCallers.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
 import org.wagtailproxy.workload.StepSpec;
@@ -27,6 +29,9 @@
     private final Map<SimulatedProcess, List<Request>> mResetRequests = new HashMap<>();
     private int mNextJob = 1;
     private boolean mResets;
+    private boolean mSendsStoredJobs;
+    private boolean mFinished;
+    private final Set<JobId> mAcceptedJobs = new LinkedHashSet<>();
 
     /** A job of a caller, with what the attempts to hand it in have brought. */
     private static final class Job {
@@ -57,6 +62,27 @@
         mResets = true;
     }
 
+    /** Lets callers send stored jobs as well. */
+    void sendStoredJobs() {
+        mSendsStoredJobs = true;
+    }
+
+    /** Sends no further jobs. */
+    void finish() {
+        mFinished = true;
+    }
+
+    /** Returns the stored jobs whose callers were told that they are accepted. */
+    Set<JobId> acceptedJobs() {
+        return mAcceptedJobs;
+    }
+
+    /** Returns the tasks of a job. */
+    List<TaskId> tasks(JobId job) {
+        int tasks = mJobs.get(job).mSpec.steps().get(0).tasks();
+        return IntStream.range(0, tasks).mapToObj(index -> TaskId.of(job, 0, index)).toList();
+    }
+
     void schedule() {
         mTime.after(1200, this::sendNext);
     }
@@ -68,6 +94,9 @@
     }
 
     private void sendNext() {
+        if (mFinished) {
+            return;
+        }
         mTime.after(mTime.between(1, 2 * mMeanIntervalMillis), this::sendNext);
         JobId id = new JobId(String.format("%016x", mNextJob++));
         int tasks = Math.toIntExact(mTime.between(1, 4));
@@ -79,7 +108,14 @@
                         Long.toString(estimateMillis),
                         List.of(StepSpec.of(tasks, SimulatedServer.DEMAND, estimateMillis)),
                         QueueTerms.of(0, 6, 60, 3));
-        Job job = new Job(spec, mTime.chance(0.5) ? 1500 : 4000);
+        boolean isStored = mSendsStoredJobs && mTime.chance(0.4);
+        if (isStored) {
+            mFleet.onStoredJobSubmitted(id);
+        }
+        Job job =
+                new Job(
+                        isStored ? spec.withStorage("queue") : spec,
+                        mTime.chance(0.5) ? 1500 : 4000);
         mJobs.put(id, job);
         // Most callers are near the first data centre, whose leader forwards what does not fit.
         job.mDataCentre = mTime.chance(0.6) ? mDataCentres.get(0) : mTime.oneOf(mDataCentres);
@@ -252,6 +288,7 @@
                         }
                     }
                 }
+                case ACCEPTED -> mAcceptedJobs.add(mJob.mSpec.id());
                 case REFUSED -> mJob.mRefused++;
                 case ABANDONED -> mTime.after(RESUBMIT_MILLIS, () -> sendElsewhere(mJob));
                 default -> {
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedServer.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedServer.java
@@ -45,12 +45,16 @@
     private final VirtualTime mTime;
     final int mSlots;
     private final Runs mRuns;
-    private final List<EndReport> mEnds = new ArrayList<>();
+    private final List<ListedEnd> mEnds = new ArrayList<>();
     private final List<Waiting> mWaiting = new ArrayList<>();
     private final Map<TaskId, Integer> mHighestAttempts = new HashMap<>();
     private long mBornNanos;
     private long mToken;
     private long mLeaseMillis;
+
+    /** When the lease has lapsed last, by the clock of the server. */
+    private long mLapsedMillis;
+
     private long mNextEnd;
     private double mClockRate;
 
@@ -59,6 +63,9 @@
         void onStarted(TaskId task, SimulatedServer server, Run run);
 
         void onEnded(TaskId task, SimulatedServer server, Run run, EndKind end);
+
+        /** The server forgets an end, and its lease has not lapsed since that end. */
+        void onAcknowledged(TaskId task, int attempt, EndKind end);
     }
 
     /** A run and the instance that started it. */
@@ -69,6 +76,9 @@
         }
     }
 
+    /** An end and the clock of the server when the run ended. */
+    private record ListedEnd(EndReport report, long clockMillis) {}
+
     /** A poll that waits for an end. */
     private record Waiting(Consumer<PollResult> answer) {}
 
@@ -104,6 +114,7 @@
         mBornNanos = mTime.nowNanos();
         mToken = 0;
         mLeaseMillis = 0;
+        mLapsedMillis = 0;
         mNextEnd = 1;
         mClockRate = 1 - 0.02 * mTime.mRandom.nextDouble();
         mEnds.clear();
@@ -125,6 +136,7 @@
     }
 
     private void extendLease(long untilMillis) {
+        recordLapse();
         long lease = Math.max(mLeaseMillis, Math.min(untilMillis, clock() + MAX_LEASE_MILLIS));
         if (lease > mLeaseMillis) {
             mLeaseMillis = lease;
@@ -133,6 +145,12 @@
         }
     }
 
+    private void recordLapse() {
+        if (clock() >= mLeaseMillis) {
+            mLapsedMillis = mLeaseMillis;
+        }
+    }
+
     private void lapse(int life) {
         if (mUp && mLife == life && clock() >= mLeaseMillis) {
             List.copyOf(mRunning.keySet())
@@ -146,7 +164,7 @@
         }
         mRunning.remove(task);
         mHighestAttempts.merge(task, run.attempt(), Math::max);
-        mEnds.add(new EndReport(mNextEnd++, task, run.attempt(), kind, ""));
+        mEnds.add(new ListedEnd(new EndReport(mNextEnd++, task, run.attempt(), kind, ""), clock()));
         mRuns.onEnded(task, this, run, kind);
         List<Waiting> waiting = List.copyOf(mWaiting);
         mWaiting.clear();
@@ -219,7 +237,7 @@
         mToken = poll.target().fencingToken();
         EndAcknowledgement acknowledgement = poll.acknowledgement();
         if (acknowledgement.incarnationStartMillis() == startedMillis()) {
-            mEnds.removeIf(end -> end.number() <= acknowledgement.lastNumber());
+            acknowledge(acknowledgement.lastNumber());
         }
         poll.leaseUntilMillis().forEach(this::extendLease);
         if (!mEnds.isEmpty() || poll.waitMillis() == 0) {
@@ -237,6 +255,20 @@
                 });
     }
 
+    private void acknowledge(long lastNumber) {
+        recordLapse();
+        for (ListedEnd end : List.copyOf(mEnds)) {
+            EndReport report = end.report();
+            if (report.number() > lastNumber) {
+                continue;
+            }
+            mEnds.remove(end);
+            if (mLapsedMillis < end.clockMillis()) {
+                mRuns.onAcknowledged(report.task(), report.attempt(), report.kind());
+            }
+        }
+    }
+
     private PollResult report() {
         List<RunReport> running = new ArrayList<>();
         mRunning.forEach(
@@ -246,6 +278,10 @@
                     running.add(new RunReport(task, run.attempt(), percent, ""));
                 });
         return PollResult.answered(
-                new PollReport(clock(), startedMillis(), running, List.copyOf(mEnds)));
+                new PollReport(
+                        clock(),
+                        startedMillis(),
+                        running,
+                        mEnds.stream().map(ListedEnd::report).toList()));
     }
 }
