--- a/decisions/src/main/java/org/wagtailproxy/leadership/Majority.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/Majority.java
@@ -6,12 +6,13 @@
 import java.util.TreeSet;
 
 /**
- * Decides whether a group of instances is a majority, which no other group can be at the same time.
+ * Decides whether a group of instances is a majority of those that are known to be registered.
  *
  * <p>Designed for network partitions between data centres where both sides reach the store and some
- * backend servers: only one leader can be followed by more than half of the registered instances.
- * If a group has exactly half of them, it is the majority if it contains the instance whose name
- * sorts first. The leader of the majority coordinates the stored jobs.
+ * backend servers: as long as both know the same registrations, only one group can be a majority.
+ * If a group has exactly half of the instances, it is one if it contains the instance whose name
+ * sorts first. An instance behind a partition may know other registrations, so this decides who
+ * tries to coordinate the stored jobs, and not who does.
  */
 public final class Majority {
 
@@ -22,7 +23,7 @@
      *
      * @param group the leader and the instances that follow it, not null
      * @param registered all registered instances of the pool, not null
-     * @return true if no other group can be the majority at the same time
+     * @return true if no other group is one by the same registrations
      */
     public static boolean isMajority(Set<InstanceName> group, Collection<InstanceName> registered) {
         Objects.requireNonNull(group, "group");
--- a/decisions/src/main/java/org/wagtailproxy/leadership/SuspensionDetector.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/SuspensionDetector.java
@@ -20,7 +20,7 @@
      * Advance of the time of day over the monotonic clock that counts as a suspension; several
      * probe intervals between peers.
      */
-    static final long SUSPENSION_THRESHOLD_MILLIS = 350;
+    public static final long SUSPENSION_THRESHOLD_MILLIS = 350;
 
     /** Time in which shorter advances add up; a slowly adjusted time of day advances less. */
     private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -40,6 +40,7 @@
 
     private final LeaseTiming mTiming;
     private final ServerClaim mClaim;
+    private final ActionPermissions mPermissions;
     private final RunListener mListener;
     private final ServerLease mLease;
     private final ServerReachability mReachability;
@@ -62,10 +63,12 @@
             ServerEntry entry,
             LeaseTiming timing,
             FencingTokenSource tokens,
+            ActionPermissions permissions,
             RunListener listener) {
         mListing = new DirectoryListing(entry);
         mTiming = timing;
         mClaim = new ServerClaim(tokens);
+        mPermissions = permissions;
         mListener = listener;
         mLease = new ServerLease(timing);
         mReachability = new ServerReachability(timing);
@@ -162,13 +165,14 @@
     }
 
     /** Checks whether a new task may be sent to the server now. */
-    boolean acceptsTasks() {
+    boolean acceptsTasks(long nowNanos) {
         return isHeld()
                 && mRuns.orphans().isEmpty()
                 && !mReachability.isUnresponsive()
                 && mLease.isClockKnown()
                 && !mListing.isLeaving()
-                && !mEvacuated;
+                && !mEvacuated
+                && !isLeaseWithheld(nowNanos);
     }
 
     /**
@@ -412,7 +416,8 @@
         boolean unsafe =
                 mReachability.isUnresponsive()
                         || !mRuns.orphans().isEmpty()
-                        || !mLease.isClockKnown();
+                        || !mLease.isClockKnown()
+                        || isLeaseWithheld(nowNanos);
         if (mRuns.isEmpty() || unsafe) {
             return Option.none();
         }
@@ -420,6 +425,14 @@
         return Option.some(mLease.requestUntilMillis(nowNanos));
     }
 
+    /**
+     * Checks whether the lease must not be extended, because it would keep runs of stored jobs
+     * alive that another coordinator may take for ended. A start command extends it as well.
+     */
+    private boolean isLeaseWithheld(long nowNanos) {
+        return mRuns.hasStoredRuns() && !mPermissions.mayRunStoredJobs(nowNanos);
+    }
+
     private void reportUnreadEnds() {
         int unread = mRuns.ends().countUnread();
         if (unread > 0 && !mUnreadEndsReported) {
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/DuplicateRunGuard.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.wagtailproxy.leadership.PeerTable;
+import org.wagtailproxy.leadership.SuspensionDetector;
 import org.wagtailproxy.workload.DataCentreScope;
 import org.wagtailproxy.workload.JobId;
 
@@ -20,6 +21,9 @@
  * the fencing token of this leader is no proof by itself: a leader that is alive raises its own one
  * and regains the server. After it no longer does, the token fences the start commands that are
  * still under way.
+ *
+ * <p>Tasks of stored jobs wait until the authority of every former coordinator has lapsed, and the
+ * leases that it has requested last.
  */
 final class DuplicateRunGuard {
 
@@ -47,7 +51,20 @@
      */
     private static final long REMOVAL_KNOWN_NANOS = TimeUnit.SECONDS.toNanos(7);
 
+    /**
+     * Added to the lease of runs that a former coordinator of the stored jobs has started: a
+     * suspension of its machine that is too short to be detected, and the error of its estimates of
+     * the clocks of servers.
+     */
+    private static final long FORMER_COORDINATOR_MARGIN_MILLIS =
+            SuspensionDetector.SUSPENSION_THRESHOLD_MILLIS + 50;
+
     private final long mLeaseWithMarginNanos;
+    private final long mStoredLeaseWithMarginNanos;
+
+    /** Since when no former coordinator starts tasks of stored jobs or extends their leases. */
+    private long mFormerCoordinatorEndedNanos = StoredJobScheduling.NOT_ENDED_NANOS;
+
     private long mListIncompleteUntilNanos = Long.MIN_VALUE;
     private long mListReadNanos = Long.MIN_VALUE;
     private long mTrackedSinceNanos = ScheduledJob.NEVER_NANOS;
@@ -63,6 +80,15 @@
         mLeaseWithMarginNanos =
                 TimeUnit.MILLISECONDS.toNanos(
                         ServerClock.longestMillis(timing.leaseMillis()) + STEP_DOWN_MARGIN_MILLIS);
+        mStoredLeaseWithMarginNanos =
+                TimeUnit.MILLISECONDS.toNanos(
+                        ServerClock.longestMillis(timing.leaseMillis())
+                                + FORMER_COORDINATOR_MARGIN_MILLIS);
+    }
+
+    /** Records since when no former coordinator starts tasks of stored jobs. */
+    void recordFormerCoordinatorEnded(long nanos) {
+        mFormerCoordinatorEndedNanos = nanos;
     }
 
     /**
@@ -126,12 +152,9 @@
     /**
      * Checks whether every server on which an earlier leader may run the job is listed. A server
      * that is missing may be alive, but no leader has started the job there if the lists of all
-     * lacked it before the job arrived. When a stored job arrived is not known here.
+     * lacked it before the job arrived.
      */
     private boolean isListComplete(ScheduledJob job) {
-        if (job.mSpec.isStored()) {
-            return false;
-        }
         long lastMissedNanos = Math.max(mServerRemovedNanos, mTrackedSinceNanos);
         return mScope.containsAll(job.inheritedScope())
                 && job.mAcceptedNanos < mListReadNanos
@@ -162,7 +185,7 @@
 
     /** Returns why {@link #mayStillRun} is false for an inherited job. */
     InheritedJobEvidence evidence(ScheduledJob job, long nowNanos) {
-        if (nowNanos - job.mAcceptedNanos > mLeaseWithMarginNanos) {
+        if (job.mSpec.isStored() || nowNanos - job.mAcceptedNanos > mLeaseWithMarginNanos) {
             return InheritedJobEvidence.LEASES_EXPIRED;
         }
         return job.inheritedServers().isDefined()
@@ -171,6 +194,10 @@
     }
 
     boolean mayStillRun(ScheduledJob job, ServerSet servers, long nowNanos) {
+        if (job.mSpec.isStored()) {
+            return job.isInherited()
+                    && nowNanos - mFormerCoordinatorEndedNanos <= mStoredLeaseWithMarginNanos;
+        }
         if (!job.isInherited() || nowNanos - job.mAcceptedNanos > mLeaseWithMarginNanos) {
             return false;
         }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
@@ -40,6 +40,9 @@
     private final EndAcknowledgements mEnds = new EndAcknowledgements();
     private ResourceAmount mUsedCapacity = ResourceAmount.NONE;
 
+    /** Number of the runs whose jobs are stored ones. */
+    private int mStoredRuns;
+
     /** Sends commands to the backend server. */
     interface CommandSender {
 
@@ -60,6 +63,10 @@
         return mRuns.isEmpty();
     }
 
+    boolean hasStoredRuns() {
+        return mStoredRuns > 0;
+    }
+
     Collection<ServerRun> runs() {
         return mRuns.values();
     }
@@ -84,11 +91,13 @@
 
     void add(ServerRun run) {
         mRuns.put(run.mTask, run);
+        mStoredRuns += run.mStored ? 1 : 0;
         mUsedCapacity = mUsedCapacity.plus(run.mDemand);
     }
 
     void end(ServerRun run, RunEnd end, long nowNanos) {
         mRuns.remove(run.mTask);
+        mStoredRuns -= run.mStored ? 1 : 0;
         mUsedCapacity = mUsedCapacity.minus(run.mDemand);
         mListener.runEnded(mServer, run, end, nowNanos);
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerSet.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerSet.java
@@ -22,6 +22,7 @@
     private final LeaseTiming mTiming;
     private final FencingTokenSource mTokens;
     private final RunListener mListener;
+    private final ActionPermissions mPermissions;
     private final int mMinHealthyOneIn;
     private final Map<ServerId, BackendServer> mServers = new TreeMap<>();
     private Set<ServerId> mListed = Set.of();
@@ -31,10 +32,12 @@
             LeaseTiming timing,
             FencingTokenSource tokens,
             RunListener listener,
+            ActionPermissions permissions,
             int minHealthyOneIn) {
         mTiming = timing;
         mTokens = tokens;
         mListener = listener;
+        mPermissions = permissions;
         mMinHealthyOneIn = minHealthyOneIn;
     }
 
@@ -44,7 +47,8 @@
         for (ServerEntry entry : entries) {
             listed.put(entry.id(), entry);
             mServers.computeIfAbsent(
-                    entry.id(), id -> new BackendServer(entry, mTiming, mTokens, mListener));
+                    entry.id(),
+                    id -> new BackendServer(entry, mTiming, mTokens, mPermissions, mListener));
         }
         for (BackendServer server : mServers.values()) {
             server.updateEntry(listed.get(server.entry().id()));
@@ -141,7 +145,7 @@
         List<BackendServer> accepting = new ArrayList<>();
         List<BackendServer> healthy = new ArrayList<>();
         for (BackendServer server : mServers.values()) {
-            if (!server.acceptsTasks()) {
+            if (!server.acceptsTasks(nowNanos)) {
                 continue;
             }
             accepting.add(server);
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -56,12 +56,15 @@
     private final StoredJobScheduling mStoredJobs;
     private final InheritedJobScheduling mInheritedJobs;
     private final EvacuationScheduling mEvacuation;
+    private final ActionPermissions mPermissions;
 
     private ServiceScheduler(
             LeaseTiming timing,
             FencingTokenSource tokens,
             SchedulerTuning tuning,
+            ActionPermissions permissions,
             SchedulerListener listener) {
+        mPermissions = permissions;
         mTiming = timing;
         mTuning = tuning;
         mListener = listener;
@@ -74,9 +77,11 @@
                         timing,
                         tokens,
                         new RunEventHandler(mJobs, listener, this::endAndNotify),
+                        permissions,
                         tuning.minHealthyOneIn());
         mStoredJobs =
-                new StoredJobScheduling(this, mLoadShedder, tuning, mJobs, mServers, listener);
+                new StoredJobScheduling(
+                        this, mLoadShedder, tuning, mJobs, mServers, mDuplicateRunGuard, listener);
         mInheritedJobs = new InheritedJobScheduling(this, mJobs, mServers, mDuplicateRunGuard);
         mEvacuation = new EvacuationScheduling(this, mJobs, mServers);
     }
@@ -87,6 +92,7 @@
      * @param timing the durations of leases and polls, not null
      * @param tokens the source of fencing tokens, not null
      * @param tuning the tuning values, not null
+     * @param permissions decides what may be done at a time, not null
      * @param listener the listener that is notified of decisions, not null
      * @return the scheduler, never null
      */
@@ -94,12 +100,14 @@
             LeaseTiming timing,
             FencingTokenSource tokens,
             SchedulerTuning tuning,
+            ActionPermissions permissions,
             SchedulerListener listener) {
         Objects.requireNonNull(timing, "timing");
         Objects.requireNonNull(tokens, "tokens");
         Objects.requireNonNull(tuning, "tuning");
+        Objects.requireNonNull(permissions, "permissions");
         Objects.requireNonNull(listener, "listener");
-        return new ServiceScheduler(timing, tokens, tuning, listener);
+        return new ServiceScheduler(timing, tokens, tuning, permissions, listener);
     }
 
     /**
@@ -453,13 +461,15 @@
 
     /**
      * Returns the open jobs with waiting tasks, without those whose inherited runs may still be
-     * active.
+     * active, and without stored jobs that another instance may coordinate.
      */
     List<ScheduledJob> placeableJobs(long nowNanos) {
+        boolean mayRunStoredJobs = mPermissions.mayRunStoredJobs(nowNanos);
         List<ScheduledJob> queue = new ArrayList<>();
         for (ScheduledJob job : mJobs.all()) {
             if (!job.isEnded()
                     && job.waitingTasks() > 0
+                    && (mayRunStoredJobs || !job.mSpec.isStored())
                     && !mDuplicateRunGuard.mayStillRun(job, mServers, nowNanos)) {
                 release(job, nowNanos);
                 queue.add(job);
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/StoredJobScheduling.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/StoredJobScheduling.java
@@ -21,11 +21,15 @@
  */
 public final class StoredJobScheduling {
 
+    /** The end of a former coordinator that may still start tasks. */
+    public static final long NOT_ENDED_NANOS = Long.MAX_VALUE / 2;
+
     private final ServiceScheduler mScheduler;
     private final LoadShedder mLoadShedder;
     private final SchedulerTuning mTuning;
     private final JobRegistry mJobs;
     private final ServerSet mServers;
+    private final DuplicateRunGuard mDuplicateRunGuard;
     private final SchedulerListener mListener;
 
     StoredJobScheduling(
@@ -34,12 +38,14 @@
             SchedulerTuning tuning,
             JobRegistry jobs,
             ServerSet servers,
+            DuplicateRunGuard duplicateRunGuard,
             SchedulerListener listener) {
         mScheduler = scheduler;
         mLoadShedder = loadShedder;
         mTuning = tuning;
         mJobs = jobs;
         mServers = servers;
+        mDuplicateRunGuard = duplicateRunGuard;
         mListener = listener;
     }
 
@@ -120,6 +126,19 @@
         }
     }
 
+    /**
+     * Records since when no former coordinator starts tasks of stored jobs. Tasks that it may have
+     * started are placed only after the leases of their runs.
+     *
+     * @param sinceNanos the monotonic time in nanoseconds, {@link #NOT_ENDED_NANOS} if one may
+     *     still start tasks
+     */
+    public void recordFormerCoordinatorEnded(long sinceNanos) {
+        synchronized (mScheduler) {
+            mDuplicateRunGuard.recordFormerCoordinatorEnded(sinceNanos);
+        }
+    }
+
     /**
      * Records that all stored jobs have been read and added.
      *
--- a/decisions/src/main/java/org/wagtailproxy/storage/CommitQueue.java
+++ b/decisions/src/main/java/org/wagtailproxy/storage/CommitQueue.java
@@ -89,6 +89,15 @@
         return !mPendingChanges.isEmpty() && mInFlight.isEmpty();
     }
 
+    /**
+     * Checks whether a write is in flight.
+     *
+     * @return true until {@link #completeBatch} or {@link #requeueBatch} is called
+     */
+    public boolean isWriting() {
+        return !mInFlight.isEmpty();
+    }
+
     /**
      * Records that the write in flight has completed.
      *
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -69,6 +69,9 @@
     /** Since when no server has been listed and removed unnoticed. */
     long mTrackedSinceNanos = Long.MIN_VALUE / 2;
 
+    /** If false, another instance may coordinate the stored jobs. */
+    boolean mMayRunStoredJobs = true;
+
     private final List<Event> mEvents = new ArrayList<>();
     private long mNowMillis = 1000;
 
@@ -80,7 +83,12 @@
 
     ServerSimulation(SchedulerTuning tuning) {
         mScheduler =
-                ServiceScheduler.of(LeaseTiming.of(1000), mTokens, tuning, new RecordingListener());
+                ServiceScheduler.of(
+                        LeaseTiming.of(1000),
+                        mTokens,
+                        tuning,
+                        nowNanos -> mMayRunStoredJobs,
+                        new RecordingListener());
     }
 
     SimulatedServer add(String id, double speed, long cpu) {
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
@@ -48,7 +48,9 @@
         return StoredJob.of(spec);
     }
 
+    /** Adds a job whose former coordinator, if it had one, does not start its tasks any more. */
     private void addStoredJob(StoredJob job, int highestAttempt) {
+        mSimulation.mScheduler.storedJobs().recordFormerCoordinatorEnded(mSimulation.nowNanos());
         mSimulation.mScheduler.storedJobs().add(job, highestAttempt, mSimulation.nowNanos());
         mSimulation.flush();
     }
@@ -304,6 +306,22 @@
         assertThat(listedEnds(), is(0));
     }
 
+    /** Guards against runs that an instance keeps alive which may have been replaced. */
+    @Test
+    void testNothingIsStartedNorExtendedWithoutAuthority() {
+        addServers(2, 60_000);
+        addStoredJob(longRunningJob(StepSpec.of(3, DEMAND, 100)), 0);
+        mSimulation.run(500);
+        assertThat(runningTasks(), is(3));
+        mSimulation.mMayRunStoredJobs = false;
+        mSimulation.run(1000);
+        assertThat(runningTasks(), is(0));
+        assertThat(mSimulation.mStarts, is(3));
+        mSimulation.mMayRunStoredJobs = true;
+        mSimulation.run(100);
+        assertThat(runningTasks(), is(3));
+    }
+
     /** Stored jobs must not cost fleets that have none: their ends need no store. */
     @Test
     void testEndsOfOtherJobsAreAcknowledgedBeforeStoredJobsAreRead() {
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/UnreliableServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/UnreliableServerSimulation.java
@@ -219,6 +219,7 @@
                         LeaseTiming.of(MAX_LEASE_MILLIS),
                         FencingTokenSource.of(mName),
                         SchedulerTuning.defaults(),
+                        ActionPermissions.ALL,
                         this);
         private final List<Runnable> mPending = new ArrayList<>();
         final Set<ServerId> mReleased = new TreeSet<>();
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/CoordinatorTerm.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/CoordinatorTerm.java
@@ -3,9 +3,13 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.observe.EventField;
 import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.EventName;
@@ -27,7 +31,9 @@
  * unanswered write cannot take effect later.
  *
  * <p>The guard also records whether there may be stored jobs: it says so before the first job is
- * written, so that every instance that has read it knows whether a coordinator is needed.
+ * written, so that every instance that has read it knows whether a coordinator is needed. And it
+ * records the electors of this coordinator, and those of former ones until their authority has
+ * lapsed, since the next coordinator needs a part of all of them.
  */
 final class CoordinatorTerm {
 
@@ -44,6 +50,7 @@
     private final EventLog mLog;
     private final KeeperRecord mSelf;
     private final Listener mListener;
+    private final Supplier<Set<InstanceName>> mElectors;
     private final List<StoredJob> mJobs = new ArrayList<>();
     private long mGuardRevision;
     private long mGeneration;
@@ -51,15 +58,39 @@
     /** What the guard says of the stored jobs, or will say once the outstanding write succeeds. */
     private KeeperRecord.Jobs mRecordedJobs = KeeperRecord.Jobs.UNKNOWN;
 
+    /** The electors that the guard records, or may record if a write was not answered. */
+    private Set<Set<InstanceName>> mRecordedElectors = new LinkedHashSet<>();
+
+    /**
+     * The electors of former coordinators, which stay recorded until their authority has lapsed.
+     */
+    private Set<Set<InstanceName>> mFormerElectors = Set.of();
+
     private boolean mRecordingJobs;
     private boolean mEnded;
 
     /** The commit that waits until the guard has been written. */
     private Option<Runnable> mWaitingCommit = Option.none();
 
-    /** Notified of the start of the term, the results of writes and the loss of the term. */
+    /** Notified of the start of the term, the results of calls and the loss of the term. */
     interface Listener {
 
+        /**
+         * The guard has been written, so that no other instance is confirmed as coordinator.
+         *
+         * @param formerElectors the electors of the coordinators before this one
+         * @param storedJobsPossible false if it is known that they had no stored jobs
+         */
+        void onTermBegun(Set<Set<InstanceName>> formerElectors, boolean storedJobsPossible);
+
+        /**
+         * The store has confirmed that the guard is that of this term.
+         *
+         * @param askedNanos when it was asked
+         * @param electors the electors that the guard records
+         */
+        void onConfirmed(long askedNanos, Set<Set<InstanceName>> electors);
+
         /** All stored jobs have been read; they can be written from now on. */
         void onJobsRead(CoordinatorTerm term, List<StoredJob> jobs);
 
@@ -78,21 +109,30 @@
             VersionedStore store,
             EventLog log,
             KeeperRecord self,
+            Supplier<Set<InstanceName>> electors,
             Listener listener) {
         mLoop = loop;
         mStore = store;
         mLog = log;
         mSelf = self;
+        mElectors = electors;
         mListener = listener;
     }
 
+    /**
+     * Starts a term.
+     *
+     * @param self names this instance and its process
+     * @param electors returns the electors to record at each write of the guard
+     */
     static CoordinatorTerm start(
             EventLoop loop,
             VersionedStore store,
             EventLog log,
             KeeperRecord self,
+            Supplier<Set<InstanceName>> electors,
             Listener listener) {
-        CoordinatorTerm term = new CoordinatorTerm(loop, store, log, self, listener);
+        CoordinatorTerm term = new CoordinatorTerm(loop, store, log, self, electors, listener);
         term.readGuard(term::claimGuard);
         return term;
     }
@@ -132,6 +172,11 @@
             return;
         }
         mRecordedJobs = jobs;
+        rewriteGuard(next);
+    }
+
+    /** Writes the guard, then runs an action and the commit that has waited for the write. */
+    private void rewriteGuard(Runnable next) {
         mRecordingJobs = true;
         Runnable onWritten =
                 () -> {
@@ -144,15 +189,61 @@
         writeGuard(mGuardRevision, onWritten, () -> renewGuard(onWritten));
     }
 
+    /** Asks the store whether the guard is still that of this term. */
+    void confirm() {
+        long askedNanos = mLoop.nowNanos();
+        mStore.read(
+                GUARD_KEY,
+                "",
+                unlessEnded(page -> page.peek(found -> onConfirmationRead(found, askedNanos))));
+    }
+
+    private void onConfirmationRead(StorePage page, long askedNanos) {
+        onGuardPageRead(page, (revision, holder) -> onHolderRead(holder, askedNanos));
+    }
+
+    private void onHolderRead(KeeperRecord holder, long askedNanos) {
+        if (isOwn(holder)) {
+            mListener.onConfirmed(askedNanos, Set.copyOf(mRecordedElectors));
+        } else {
+            mListener.onTermLost();
+        }
+    }
+
+    /** Records no electors of former coordinators any more, since their authority has lapsed. */
+    void forgetFormerElectors() {
+        mFormerElectors = Set.of();
+    }
+
+    /** Records the electors anew if they have changed. Call only while no commit is outstanding. */
+    void updateElectors() {
+        if (!mRecordingJobs && !mRecordedElectors.equals(electorsToRecord())) {
+            rewriteGuard(() -> {});
+        }
+    }
+
+    private Set<Set<InstanceName>> electorsToRecord() {
+        Set<Set<InstanceName>> electors = new LinkedHashSet<>();
+        electors.add(mElectors.get());
+        electors.addAll(mFormerElectors);
+        return electors;
+    }
+
     private void writeJobs(Map<String, byte[]> writes, List<String> removed) {
+        long askedNanos = mLoop.nowNanos();
         mStore.commit(
                 new StoreTransaction(GUARD_KEY, mGuardRevision, writes, removed),
                 unlessEnded(
                         done ->
-                                done.peek(revision -> mListener.onCommitted())
+                                done.peek(revision -> onCommitted(askedNanos))
                                         .peekLeft(this::onCommitFailed)));
     }
 
+    private void onCommitted(long askedNanos) {
+        mListener.onConfirmed(askedNanos, Set.copyOf(mRecordedElectors));
+        mListener.onCommitted();
+    }
+
     /** Returns the store key of a job. */
     static String storeKey(StoredJob job) {
         return JOBS_PREFIX + job.spec().id().value();
@@ -175,16 +266,18 @@
     }
 
     private void renewGuard(long revision, KeeperRecord holder, Runnable onWritten) {
-        boolean isOwn =
-                holder.getIncarnation().equals(mSelf.getIncarnation())
-                        && holder.getGeneration() == mGeneration;
-        if (!isOwn) {
+        if (!isOwn(holder)) {
             mListener.onTermLost();
             return;
         }
         writeGuard(revision, onWritten, () -> renewGuard(onWritten));
     }
 
+    private boolean isOwn(KeeperRecord holder) {
+        return holder.getIncarnation().equals(mSelf.getIncarnation())
+                && holder.getGeneration() == mGeneration;
+    }
+
     private void readGuard(GuardHandler handler) {
         mStore.read(
                 GUARD_KEY,
@@ -214,16 +307,24 @@
         mGeneration = holder.getGeneration() + 1;
         // Jobs are written only after the guard, so there are none without it.
         mRecordedJobs = revision == 0 ? KeeperRecord.Jobs.NONE : holder.getJobs();
-        writeGuard(revision, () -> readJobs(""), () -> readGuard(this::claimGuard));
+        boolean hadJobs = mRecordedJobs != KeeperRecord.Jobs.NONE;
+        mFormerElectors = hadJobs ? JobRecords.electors(holder) : Set.of();
+        writeGuard(revision, this::beginTerm, () -> readGuard(this::claimGuard));
+    }
+
+    private void beginTerm() {
+        mListener.onTermBegun(mFormerElectors, mRecordedJobs != KeeperRecord.Jobs.NONE);
+        readJobs("");
     }
 
     private void writeGuard(long revision, Runnable onWritten, Runnable onFailure) {
-        byte[] value =
-                mSelf.toBuilder()
-                        .setGeneration(mGeneration)
-                        .setJobs(mRecordedJobs)
-                        .build()
-                        .toByteArray();
+        Set<Set<InstanceName>> electors = electorsToRecord();
+        mRecordedElectors.addAll(electors);
+        KeeperRecord.Builder record =
+                mSelf.toBuilder().setGeneration(mGeneration).setJobs(mRecordedJobs);
+        JobRecords.addElectors(record, electors);
+        long askedNanos = mLoop.nowNanos();
+        byte[] value = record.build().toByteArray();
         mStore.commit(
                 new StoreTransaction(GUARD_KEY, revision, Map.of(GUARD_KEY, value), List.of()),
                 unlessEnded(
@@ -231,6 +332,9 @@
                                 done.peek(
                                                 newRevision -> {
                                                     mGuardRevision = newRevision;
+                                                    mRecordedElectors = electors;
+                                                    mListener.onConfirmed(
+                                                            askedNanos, Set.copyOf(electors));
                                                     onWritten.run();
                                                 })
                                         .peekLeft(failure -> retryLater(onFailure))));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -84,7 +84,7 @@
     private final JobRelay mJobRelay;
     private final StoredJobsMonitor mStoredJobsMonitor;
     private final StoredJobClient mStoredJobClient;
-    private final MajorityMonitor mMajority;
+    private final CoordinatorCandidacy mCandidacy;
     private final PoolMembership mPool;
     private final HomeMonitor mHomes;
     private final EvacuationTracker mEvacuations;
@@ -104,7 +104,6 @@
         mListener = listener;
         mClient = mCloser.register(context.peerTransport());
         mDecisions = new DecisionLog(log, metrics);
-        mMajority = new MajorityMonitor(mDecisions);
         LifeSigns lifeSigns = new LifeSigns(new ClockEvents());
         mEvacuations = new EvacuationTracker(log);
         mStoreReachability = new StoreReachability(loop);
@@ -143,6 +142,7 @@
         mStoredJobsMonitor = new StoredJobsMonitor(loop, context.store());
         mStoredJobClient =
                 new StoredJobClient(loop, mElection, mClient, mLeaderScheduler, mStoredJobsMonitor);
+        mCandidacy = newCandidacy();
         mPool = newPoolMembership();
         mJobRelay = newJobRelay(mClient, withdrawals);
     }
@@ -182,6 +182,11 @@
         return new StoredJobCoordinator(mLoop, context.store(), log, mSettings, schedulers);
     }
 
+    private CoordinatorCandidacy newCandidacy() {
+        return new CoordinatorCandidacy(
+                mSettings.name(), mLoop, mElection, mLeaderScheduler, mDecisions);
+    }
+
     private PoolMembership newPoolMembership() {
         return new PoolMembership(
                 mSettings.dataCentre(),
@@ -490,10 +495,7 @@
             mLeaderScheduler.handOverJobsOfLostHomes();
             mForwarder.withdrawJobsOfLostHomes(mHomes::isWaitingForForwardedJob);
         }
-        mLeaderScheduler.updateCoordination(
-                mMajority.update(mElection.group(), mElection.registeredInstances())
-                        && mPool.spansDataCentres(),
-                mStoredJobClient.mayHaveStoredJobs());
+        mCandidacy.tick(mPool.spansDataCentres(), mStoredJobClient.mayHaveStoredJobs());
         boolean mayPlace = mElection.isLeader() && !mElection.hasUnconfirmedPeers();
         boolean forwards = mayPlace || mForwarder.openJobs() > 0;
         if (forwards && !mElection.awaitsPeersAfterSuspension()) {
@@ -583,6 +585,11 @@
             mListener.onNewerConfiguration(document);
         }
 
+        @Override
+        public void onSupported(InstanceName peer, long askedNanos) {
+            mLeaderScheduler.coordinator().onSupported(peer, askedNanos);
+        }
+
         @Override
         public void onServerListDoubted() {
             mListener.onServerListDoubted();
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRecords.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/JobRecords.java
@@ -3,13 +3,18 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.failure.FailureKind;
+import org.wagtailproxy.identity.Names;
+import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.wire.JobRecord;
 import org.wagtailproxy.wire.KeeperRecord;
 import org.wagtailproxy.workload.StoredJob;
@@ -91,6 +96,28 @@
         }
     }
 
+    /** Adds sets of electors to the record of a coordinator. */
+    static void addElectors(KeeperRecord.Builder record, Collection<Set<InstanceName>> electors) {
+        for (Set<InstanceName> names : electors) {
+            KeeperRecord.Electors.Builder set = KeeperRecord.Electors.newBuilder();
+            names.forEach(name -> set.addNames(name.value()));
+            record.addElectors(set);
+        }
+    }
+
+    /** Returns the sets of electors that the record of a coordinator names. */
+    static Set<Set<InstanceName>> electors(KeeperRecord record) {
+        Set<Set<InstanceName>> electors = new LinkedHashSet<>();
+        for (KeeperRecord.Electors set : record.getElectorsList()) {
+            Set<InstanceName> names = new TreeSet<>();
+            set.getNamesList().stream()
+                    .filter(Names::isName)
+                    .forEach(name -> names.add(InstanceName.of(name)));
+            electors.add(names);
+        }
+        return electors;
+    }
+
     private static JobRecord.State state(StoredJob.State state) {
         return switch (state) {
             case OPEN -> JobRecord.State.OPEN;
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -11,6 +11,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.wagtailproxy.coordination.ElectorPromise;
 import org.wagtailproxy.failure.Failure;
 import org.wagtailproxy.failure.FailureKind;
 import org.wagtailproxy.fleet.ServerEntry;
@@ -71,6 +72,9 @@
         /** A peer has sent a newer configuration than this instance has. */
         void onNewerConfiguration(byte[] document);
 
+        /** A peer supports this instance as the coordinator of the stored jobs. */
+        void onSupported(InstanceName peer, long askedNanos);
+
         /** The list of backend servers has to be confirmed, since a lost leader may know more. */
         void onServerListDoubted();
     }
@@ -108,6 +112,7 @@
     private boolean mStoreUnreachable;
     private boolean mCoordinatesStoredJobs;
     private final OverloadMonitor mOverload;
+    private final ElectorPromise mPromise;
 
     private Option<Peer> mLeader = Option.none();
     private Set<InstanceName> mGroup = Set.of();
@@ -136,6 +141,7 @@
         mEvacuations = evacuations;
         mListener = listener;
         mOverload = new OverloadMonitor(loop, log);
+        mPromise = new ElectorPromise(loop.nowNanos());
     }
 
     /**
@@ -394,6 +400,15 @@
         sendProbes(isLeader() || waitsForHomes);
     }
 
+    /**
+     * Promises to support another instance, or this one, as the coordinator of the stored jobs.
+     * Returns false if this instance follows another leader or is bound by an earlier promise.
+     */
+    boolean promiseSupport(InstanceName coordinator) {
+        return mLeader.exists(leader -> leader.name().equals(coordinator))
+                && mPromise.support(coordinator, mLoop.nowNanos());
+    }
+
     /** Returns the answer to a probe. It carries the configuration if the peer has an older one. */
     Presence.Builder answerProbe(Presence presence) {
         boolean isRestored =
@@ -459,6 +474,9 @@
             mLog.event(EventName.PEER_REACHED).with(EventField.PEER, probe.peer()).info();
         }
         updatePeerStatus(presence);
+        if (presence.getSupportsReceiver()) {
+            mListener.onSupported(probe.peer(), probe.sentNanos());
+        }
         if (presence.getConfigurationVersion() > mConfigurationVersion
                 && !presence.getConfiguration().isEmpty()) {
             mListener.onNewerConfiguration(presence.getConfiguration().toByteArray());
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -103,6 +103,7 @@
                         tokens,
                         new SchedulerEvents(
                                 log, mPendingJobs, mCoordinator, this::now, this::onServerLost),
+                        mCoordinator::mayRunJobs,
                         mCoordinator::isCoordinating,
                         this::now);
     }
@@ -112,18 +113,21 @@
     }
 
     /**
-     * Starts or abandons the coordination of the stored jobs.
+     * Starts or abandons the coordination of the stored jobs. A coordinator that has lost the
+     * majority stays one until it learns that another instance has taken over, but its authority
+     * lapses.
      *
-     * @param mayCoordinate true if this instance leads a majority
+     * @param leadsMajority true if this instance leads a majority
+     * @param isPooled false if the fleet is divided, so that no instance coordinates stored jobs
      * @param storedJobsPossible false only if it is known that there are no stored jobs
      */
-    void updateCoordination(boolean mayCoordinate, boolean storedJobsPossible) {
-        if (mayCoordinate) {
+    void updateCoordination(boolean leadsMajority, boolean isPooled, boolean storedJobsPossible) {
+        if (!isPooled) {
+            mCoordinator.abandon("fleet divided");
+        } else if (leadsMajority) {
             mCoordinator.startTerm();
-        } else {
-            mCoordinator.abandon("no majority");
         }
-        mCoordinator.tick();
+        mCoordinator.tick(leadsMajority);
         mSchedulers.setUnreadJobsPossible(storedJobsPossible);
     }
 
@@ -244,6 +248,7 @@
         mLastTickNanos = nowNanos - 2 * MAX_TICK_PAUSE_NANOS;
         mSchedulers.forEach(ServiceScheduler::suspendPlacement);
         mForwardersDoubted = true;
+        mCoordinator.onSuspension();
         mListener.onPossibleSuspension();
     }
 
@@ -520,6 +525,11 @@
             mListener.onJobOfLostLeader();
         }
 
+        @Override
+        public void onFormerCoordinatorEnded(long sinceNanos) {
+            mSchedulers.recordFormerCoordinatorEnded(sinceNanos);
+        }
+
         @Override
         public void abandonStoredJobs() {
             mSchedulers.abandonStoredJobs();
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PeerRequestHandler.java
@@ -120,6 +120,10 @@
             mHomes.onProbeReceived(probe, isRemote);
         }
         Presence.Builder presence = mElection.answerProbe(probe);
+        if (hasNames) {
+            presence.setSupportsReceiver(
+                    mElection.promiseSupport(InstanceName.of(probe.getName())));
+        }
         if (isRemote && mElection.isLeader()) {
             presence.setFreeCpuMillis(mLeaderScheduler.freeCpuMillis())
                     .setQueueMillis(mLeaderScheduler.maxEstimatedWaitMillis());
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/ServiceSchedulers.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/ServiceSchedulers.java
@@ -14,11 +14,13 @@
 import org.wagtailproxy.fleet.ServerEntry;
 import org.wagtailproxy.fleet.ServerId;
 import org.wagtailproxy.identity.ServiceName;
+import org.wagtailproxy.scheduling.ActionPermissions;
 import org.wagtailproxy.scheduling.ClaimMode;
 import org.wagtailproxy.scheduling.FencingTokenSource;
 import org.wagtailproxy.scheduling.SchedulerListener;
 import org.wagtailproxy.scheduling.SchedulerState;
 import org.wagtailproxy.scheduling.ServiceScheduler;
+import org.wagtailproxy.scheduling.StoredJobScheduling;
 import org.wagtailproxy.workload.DataCentreScope;
 
 /**
@@ -31,6 +33,7 @@
     private final DispatcherSettings mSettings;
     private final FencingTokenSource mTokens;
     private final SchedulerListener mListener;
+    private final ActionPermissions mPermissions;
     private final BooleanSupplier mAreStoredJobsRead;
     private final LongSupplier mClock;
     private final Map<ServiceName, ServiceScheduler> mSchedulers = new TreeMap<>();
@@ -43,10 +46,13 @@
     /** Whether there may be stored jobs that have not been read; assumed until the first tick. */
     private boolean mUnreadJobsPossible = true;
 
+    private long mFormerCoordinatorEndedNanos = StoredJobScheduling.NOT_ENDED_NANOS;
+
     /**
      * Creates the schedulers of no service.
      *
      * @param listener is notified of the decisions of all schedulers
+     * @param permissions decides what may be done at a time
      * @param areStoredJobsRead checks whether this instance has read all stored jobs
      * @param clock returns the monotonic time in nanoseconds
      */
@@ -54,11 +60,13 @@
             DispatcherSettings settings,
             FencingTokenSource tokens,
             SchedulerListener listener,
+            ActionPermissions permissions,
             BooleanSupplier areStoredJobsRead,
             LongSupplier clock) {
         mSettings = settings;
         mTokens = tokens;
         mListener = listener;
+        mPermissions = permissions;
         mAreStoredJobsRead = areStoredJobsRead;
         mClock = clock;
     }
@@ -72,13 +80,15 @@
     private ServiceScheduler add(ServiceName service) {
         long nowNanos = mClock.getAsLong();
         ServiceScheduler scheduler =
-                ServiceScheduler.of(mSettings.timing(), mTokens, mSettings.tuning(), mListener);
+                ServiceScheduler.of(
+                        mSettings.timing(), mTokens, mSettings.tuning(), mPermissions, mListener);
         mSchedulers.put(service, scheduler);
         scheduler.inheritedJobs().updateScope(mScope);
         scheduler.evacuation().update(mEvacuations);
         updateServersOf(service, scheduler);
         scheduler.inheritedJobs().assumeIncompleteServerList(mServersIncompleteUntilNanos);
         scheduler.storedJobs().setUnreadJobsPossible(mUnreadJobsPossible, nowNanos);
+        scheduler.storedJobs().recordFormerCoordinatorEnded(mFormerCoordinatorEndedNanos);
         if (mAreStoredJobsRead.getAsBoolean()) {
             scheduler.storedJobs().onAllRead(nowNanos);
         }
@@ -155,6 +165,12 @@
                         scheduler.storedJobs().setUnreadJobsPossible(possible, mClock.getAsLong()));
     }
 
+    /** Records since when no former coordinator starts tasks of stored jobs. */
+    void recordFormerCoordinatorEnded(long sinceNanos) {
+        mFormerCoordinatorEndedNanos = sinceNanos;
+        forEach(scheduler -> scheduler.storedJobs().recordFormerCoordinatorEnded(sinceNanos));
+    }
+
     /** Records that all stored jobs have been read and added. */
     void onStoredJobsRead() {
         forEach(scheduler -> scheduler.storedJobs().onAllRead(mClock.getAsLong()));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
@@ -6,16 +6,20 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.wagtailproxy.coordination.ElectorList;
 import org.wagtailproxy.identity.ServiceName;
+import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.limits.JobMemory;
 import org.wagtailproxy.observe.EventField;
 import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.EventName;
 import org.wagtailproxy.scheduling.JobPhase;
 import org.wagtailproxy.scheduling.ServiceScheduler;
+import org.wagtailproxy.scheduling.StoredJobScheduling;
 import org.wagtailproxy.serve.EventLoop;
 import org.wagtailproxy.storage.CommitQueue;
 import org.wagtailproxy.storage.JobChange;
@@ -64,6 +68,12 @@
      */
     private static final long MAX_QUERY_WAIT_MILLIS = 120;
 
+    /**
+     * Pause between two calls by which the store confirms that this instance is the coordinator;
+     * several fit into the time for which an answer is relied on.
+     */
+    private static final long CONFIRMATION_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
     /** The answer while the stored jobs take up all memory for them. */
     private static final WorkOutcome MEMORY_FULL =
             WorkOutcome.refused("job memory full", RETRY_AFTER_MILLIS);
@@ -76,8 +86,13 @@
     private final CommitQueue mQueue = new CommitQueue();
     private final StoredJobTable mJobs;
     private final EarlySubmissions mEarlySubmissions = new EarlySubmissions();
+    private final ElectorList mElectorList = new ElectorList();
     private Option<CoordinatorTerm> mTerm = Option.none();
+    private TermAuthority mAuthority;
+    private Set<InstanceName> mElectors = Set.of();
+    private long mConfirmationAskedNanos = Long.MIN_VALUE / 2;
     private boolean mJobsRead;
+    private boolean mLeadsMajority;
     private boolean mWriteScheduled;
 
     /** Access to the schedulers that run the stored jobs. */
@@ -92,6 +107,14 @@
         /** All stored jobs have been read and added to their schedulers. */
         void onStoredJobsRead();
 
+        /**
+         * No former coordinator starts tasks of stored jobs any more.
+         *
+         * @param sinceNanos the monotonic time since then, in nanoseconds; {@link
+         *     StoredJobScheduling#NOT_ENDED_NANOS} if one may do so again
+         */
+        void onFormerCoordinatorEnded(long sinceNanos);
+
         /** Stops and removes all stored jobs in all schedulers. */
         void abandonStoredJobs();
 
@@ -117,6 +140,11 @@
                 new StoredJobTable(
                         JobMemory.of(settings.limits().storedJobMemoryBytes()), this::phase);
         mSchedulers = schedulers;
+        mAuthority = newAuthority();
+    }
+
+    private TermAuthority newAuthority() {
+        return new TermAuthority(mLoop, mLog, this::onFormerCoordinatorEnded);
     }
 
     boolean isCoordinating() {
@@ -127,15 +155,66 @@
         return mJobsRead && !mJobs.isEmpty();
     }
 
+    /**
+     * Checks whether tasks of stored jobs may be started, and leases of their runs extended. If
+     * not, another instance may coordinate them, or this one does not know whether it does.
+     */
+    boolean mayRunJobs(long nowNanos) {
+        return mJobsRead && mAuthority.isValid(nowNanos);
+    }
+
+    /**
+     * Checks whether another instance probably coordinates the stored jobs by now, so that requests
+     * are not held until it is known.
+     */
+    private boolean isReplaceable() {
+        return !mLeadsMajority && !mAuthority.isValid(mLoop.nowNanos());
+    }
+
     /** Starts a term unless one has started. */
     void startTerm() {
         if (mTerm.isEmpty()) {
+            mAuthority = newAuthority();
+            mSchedulers.onFormerCoordinatorEnded(StoredJobScheduling.NOT_ENDED_NANOS);
             mTerm =
                     Option.some(
-                            CoordinatorTerm.start(mLoop, mStore, mLog, mSelf, new TermListener()));
+                            CoordinatorTerm.start(
+                                    mLoop,
+                                    mStore,
+                                    mLog,
+                                    mSelf,
+                                    () -> mElectors,
+                                    new TermListener(mAuthority)));
         }
     }
 
+    /** Updates the registered instances, from which the electors are taken. */
+    void updateInstances(Set<InstanceName> registered) {
+        mElectors = mElectorList.update(registered, mLoop.nowNanos());
+    }
+
+    /** Records that an elector supports this instance, and when it was asked. */
+    void onSupported(InstanceName elector, long askedNanos) {
+        mAuthority.onSupported(elector, askedNanos);
+    }
+
+    /** Records that this machine may have been suspended; the store is asked before the rest. */
+    void onSuspension() {
+        mAuthority.onSuspension();
+        askStore();
+    }
+
+    /** Asks the store to confirm that this instance is the coordinator. */
+    private void askStore() {
+        mConfirmationAskedNanos = mLoop.nowNanos();
+        mTerm.forEach(CoordinatorTerm::confirm);
+    }
+
+    private void onFormerCoordinatorEnded(long sinceNanos) {
+        mTerm.forEach(CoordinatorTerm::forgetFormerElectors);
+        mSchedulers.onFormerCoordinatorEnded(sinceNanos);
+    }
+
     /** Ends the term and leaves the jobs to the next leader; their runs continue. */
     void handOver() {
         endTerm("no leader");
@@ -176,7 +255,7 @@
      */
     void submit(
             WorkSpec spec, long arrivedNanos, Consumer<Either<WorkProgress, WorkOutcome>> answer) {
-        if (mTerm.isEmpty()) {
+        if (mTerm.isEmpty() || isReplaceable()) {
             answer.accept(Either.right(WorkOutcome.refused("no keeper", RETRY_AFTER_MILLIS)));
             return;
         }
@@ -265,7 +344,8 @@
 
     /** Returns the current condition of a job. */
     private JobCondition condition(JobId id) {
-        return mJobsRead ? mJobs.condition(id) : JobCondition.UNAVAILABLE;
+        boolean isKnown = mJobsRead && (mJobs.hasSavedEnd(id) || !isReplaceable());
+        return isKnown ? mJobs.condition(id) : JobCondition.UNAVAILABLE;
     }
 
     private JobPhase phase(StoredJobEntry entry) {
@@ -280,8 +360,11 @@
     /**
      * Removes jobs that ended long ago, and refuses submissions that have waited too long for the
      * stored jobs to be read.
+     *
+     * @param leadsMajority true if this instance leads a majority
      */
-    void tick() {
+    void tick(boolean leadsMajority) {
+        mLeadsMajority = leadsMajority;
         long nowNanos = mLoop.nowNanos();
         for (StoredJobEntry entry : mJobs.all()) {
             boolean ended = entry.mSavedState.exists(state -> state != StoredJob.State.OPEN);
@@ -298,6 +381,20 @@
         if (mJobsRead && mJobs.isEmpty()) {
             mTerm.forEach(CoordinatorTerm::recordNoJobs);
         }
+        confirmAuthority();
+    }
+
+    private void confirmAuthority() {
+        mAuthority.tick(hasJobs());
+        if (!hasJobs()) {
+            return;
+        }
+        if (mLoop.nowNanos() - mConfirmationAskedNanos >= CONFIRMATION_INTERVAL_NANOS) {
+            askStore();
+        }
+        if (!mQueue.isWriting()) {
+            mTerm.forEach(CoordinatorTerm::updateElectors);
+        }
     }
 
     private static Either<WorkProgress, WorkOutcome> acceptedOutcome() {
@@ -366,6 +463,26 @@
     /** Reacts to the events of the current term. */
     private final class TermListener implements CoordinatorTerm.Listener {
 
+        private final TermAuthority mTermAuthority;
+
+        private TermListener(TermAuthority termAuthority) {
+            mTermAuthority = termAuthority;
+        }
+
+        @Override
+        public void onTermBegun(Set<Set<InstanceName>> formerElectors, boolean storedJobsPossible) {
+            mTermAuthority.begin(formerElectors, storedJobsPossible);
+        }
+
+        @Override
+        public void onConfirmed(long askedNanos, Set<Set<InstanceName>> electors) {
+            boolean wasValid = mTermAuthority.isValid(mLoop.nowNanos());
+            mTermAuthority.onConfirmed(askedNanos, electors);
+            if (!wasValid && mJobsRead) {
+                mSchedulers.sendCommands();
+            }
+        }
+
         @Override
         public void onJobsRead(CoordinatorTerm term, List<StoredJob> jobs) {
             mJobsRead = true;
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
@@ -78,6 +78,13 @@
     JOBS_GIVEN_UP,
     /** The group that this instance leads has become a majority, or no longer is one. */
     MAJORITY_CHANGED,
+    /**
+     * What shows that this instance alone coordinates the stored jobs has changed: the store, the
+     * support of electors, or nothing.
+     */
+    COORDINATION_CHANGED,
+    /** No coordinator before this instance starts tasks of stored jobs any more. */
+    FORMER_COORDINATOR_ENDED,
     /** A new state of a stored job was written to the store. */
     JOB_SAVED,
     /** A backend server did not confirm the start of a task. */
--- /dev/null
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/StoredJobScenesTest.java
@@ -0,0 +1,96 @@
+package org.wagtailproxy.dispatcher;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Plays sequences of faults after which two instances may run the stored jobs, each of them by what
+ * it has known last.
+ */
+class StoredJobScenesTest extends FleetScenes {
+
+    /** Five instances and six servers; a leader of the first data centre is not alone there. */
+    private static final FleetSimulation.Size THREE_DATA_CENTRES =
+            new FleetSimulation.Size(List.of("pwani-a", "pwani-b", "pwani-c"), 1, 2, 2);
+
+    private static final String CUT_OFF = "pwani-a";
+    private static final long PARTITION_MILLIS = 6200;
+    private static final long GRACE_MILLIS = 6000;
+
+    private int mJobs;
+
+    /** Begins with a fleet whose leader is in the data centre that is cut off later. */
+    private void beginWithLeaderInCutOffDataCentre(int seed) {
+        int drawn = 100 * seed;
+        do {
+            begin(THREE_DATA_CENTRES, drawn++);
+            assertNoDoubleRun();
+        } while (mFleet.upInstances().stream()
+                .noneMatch(each -> each.isLeader() && isIn(each.mHost, CUT_OFF)));
+    }
+
+    private static boolean isIn(SimulatedNetwork.Host host, String dataCentre) {
+        return host.dataCentre().equals(dataCentre);
+    }
+
+    private void submitStoredJob(int tasks, long estimateMillis) {
+        String id = String.format("%016x", 0xc000 + mJobs++);
+        submit(storedJob(id, tasks, estimateMillis), mFleet.mTime.oneOf(mFleet.upInstances()));
+    }
+
+    /** Cuts a data centre off from the others and from the store. */
+    private void cutOff(String dataCentre) {
+        cut((from, to) -> isIn(from, dataCentre) != isIn(to, dataCentre), PARTITION_MILLIS);
+    }
+
+    /**
+     * Cuts the data centre of the leader off once two of the other instances have stopped, which
+     * start again on the other side.
+     */
+    private void cutOffAfterStopsInTurn() {
+        SimulatedInstance first = follower("pwani-b");
+        SimulatedInstance second = follower("pwani-c");
+        stopAndAwaitEnd(first);
+        stopAndAwaitEnd(second);
+        runFor(350);
+        cutOff(CUT_OFF);
+        first.start();
+        second.start();
+    }
+
+    private void stopAndAwaitEnd(SimulatedInstance instance) {
+        instance.stop(GRACE_MILLIS, instance::kill);
+        long endMillis = mFleet.mTime.nowMillis() + GRACE_MILLIS;
+        for (long millis = mFleet.mTime.nowMillis(); millis < endMillis; millis += 10) {
+            mFleet.mTime.run(millis);
+            if (!instance.isUp()) {
+                break;
+            }
+        }
+        assertThat(instance.isUp(), is(false));
+    }
+
+    /**
+     * Guards against a coordinator that goes on by the registrations that it read before a
+     * partition, while the instances that had stopped then are a majority on the other side.
+     */
+    @Test
+    void testCoordinatorBehindPartitionHasEndedBeforeTheNextOneStartsItsTasks() {
+        for (int seed = 1; seed <= 5; seed++) {
+            beginWithLeaderInCutOffDataCentre(seed);
+            for (int job = 0; job < 3; job++) {
+                submitStoredJob(2, 12_000);
+            }
+            runFor(200);
+            cutOffAfterStopsInTurn();
+            runFor(PARTITION_MILLIS + 6000);
+            assertNoDoubleRun();
+            assertThat(mFleet.mTime.trace(List.of("inherited-job-released")), is(not(empty())));
+        }
+    }
+}
