Let the lease expire on servers with ends that may not be saved

What callers saw: a task of a stored job had ended as done on a backend server behind a partition, and was started again on another server; once the partition had healed, the first end counted as well.

Cause: one lease covers all that a server holds. The leader behind the partition had stopped extending leases for runs of stored jobs, but it went on extending those of servers that listed ends of stored jobs which it could not save, for its jobs with waiting callers. The next coordinator takes such ends for void once the lease must have expired.

Change: without authority the lease of a server that holds runs or unsaved ends of stored jobs is not extended, and no task is started there, until every lease that it may have has expired (UnsavedWork). What is listed by then cannot count, so that afterwards the server serves the other jobs as usual. The event lease-extended, which said when this happened, becomes lease-withheld.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -57,7 +57,12 @@
     private boolean mUnfencedAfterRestart;
 
     private long mLastPolledNanos = Long.MIN_VALUE;
-    private boolean mUnreadEndsReported;
+    private final UnsavedWork mUnsavedWork;
+
+    /** Since when no other instance extends the lease. */
+    private long mClaimedNanos;
+
+    private boolean mLeaseWithheld;
 
     BackendServer(
             ServerEntry entry,
@@ -73,6 +78,7 @@
         mLease = new ServerLease(timing);
         mReachability = new ServerReachability(timing);
         mRuns = new ServerRuns(this, listener, new RunCommandSender());
+        mUnsavedWork = new UnsavedWork(mRuns);
     }
 
     /** Queues the commands that {@link ServerRuns} requests. */
@@ -382,6 +388,7 @@
     }
 
     private void maintainHeld(long nowNanos) {
+        updateUnsavedWork(nowNanos);
         mRuns.stopOverdueOrphans(mTiming.adoptMillis() * NANOS_PER_MILLI, nowNanos);
         mRuns.repeatStops(nowNanos);
         boolean busy = !mRuns.isEmpty() || !mRuns.orphans().isEmpty();
@@ -421,24 +428,37 @@
         if (mRuns.isEmpty() || unsafe) {
             return Option.none();
         }
-        reportUnreadEnds();
         return Option.some(mLease.requestUntilMillis(nowNanos));
     }
 
     /**
-     * Checks whether the lease must not be extended, because it would keep runs of stored jobs
-     * alive that another coordinator may take for ended. A start command extends it as well.
+     * Checks whether the lease must not be extended, because the next coordinator may take what the
+     * server holds of stored jobs for expired. A start command extends it as well.
      */
     private boolean isLeaseWithheld(long nowNanos) {
-        return mRuns.hasStoredRuns() && !mPermissions.mayRunStoredJobs(nowNanos);
+        return !mPermissions.mayRunStoredJobs(nowNanos) && mUnsavedWork.exists();
     }
 
-    private void reportUnreadEnds() {
-        int unread = mRuns.ends().countUnread();
-        if (unread > 0 && !mUnreadEndsReported) {
-            mListener.leaseExtended(this, unread);
+    /** Ends the time in which the lease is withheld once it must have expired. */
+    private void updateUnsavedWork(long nowNanos) {
+        boolean isWithheld = isLeaseWithheld(nowNanos);
+        if (isWithheld && !mLeaseWithheld) {
+            mListener.leaseWithheld(this, mUnsavedWork.count());
         }
-        mUnreadEndsReported = unread > 0;
+        mLeaseWithheld = isWithheld;
+        if (isWithheld && nowNanos > latestLeaseEndNanos()) {
+            mUnsavedWork.onLeaseExpired();
+        }
+    }
+
+    /**
+     * Returns when a lease must have expired that this instance or an earlier one has requested.
+     */
+    private long latestLeaseEndNanos() {
+        long longestMillis = ServerClock.longestMillis(mTiming.maxLeaseMillis());
+        long othersEndNanos = mClaimedNanos + longestMillis * NANOS_PER_MILLI;
+        return Math.max(othersEndNanos, mLease.latestEndNanos())
+                + LEASE_MARGIN_MILLIS * NANOS_PER_MILLI;
     }
 
     private void sendPoll(Option<Long> lease, long waitMillis, long nowNanos) {
@@ -466,6 +486,7 @@
         }
         if (mClaim.phase() == ServerClaim.Phase.CLAIMING) {
             mClaim.onTokenAccepted();
+            mClaimedNanos = nowNanos;
             onEarlierTokensFenced(nowNanos);
         }
         mLastPolledNanos = Math.max(mLastPolledNanos, sentNanos);
@@ -513,6 +534,7 @@
     private void onRestart(PollReport report, long nowNanos) {
         mIncarnationStartMillis = report.startedMillis();
         mLease.reset(report.clockMillis(), nowNanos);
+        mUnsavedWork.onRestart();
         mReachability.onAnswer();
         mPolls.clear();
         mClaim.release();
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/EndAcknowledgements.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/EndAcknowledgements.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.wagtailproxy.fleet.EndReport;
 import org.wagtailproxy.workload.JobId;
 
@@ -67,12 +68,18 @@
         return unread;
     }
 
-    int countUnread() {
-        int unread = 0;
+    /** Counts the retained ends for which a predicate holds. */
+    int countRetained(Predicate<EndReport> predicate) {
+        int count = 0;
         for (RetainedEnd retained : mRetained.values()) {
-            unread += retained.changeNumber() == UNREAD ? 1 : 0;
+            count += predicate.test(retained.end()) ? 1 : 0;
         }
-        return unread;
+        return count;
+    }
+
+    /** Returns the number of the last end that the server has listed. */
+    long lastProcessed() {
+        return mLastProcessed;
     }
 
     /** Checks whether ends are retained. The server answers any poll at once with these ends. */
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
@@ -76,8 +76,8 @@
     }
 
     @Override
-    public void leaseExtended(BackendServer server, int unreadEnds) {
-        mListener.leaseExtended(server.entry().id(), unreadEnds);
+    public void leaseWithheld(BackendServer server, int unsavedEnds) {
+        mListener.leaseWithheld(server.entry().id(), unsavedEnds);
     }
 
     @Override
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
@@ -64,13 +64,13 @@
     ServerRun adopt(BackendServer server, RunReport report, long reportedNanos, long nowNanos);
 
     /**
-     * Called when the lease is extended although the server lists ends of jobs that have not been
-     * read here, the first time that it does.
+     * Called when the lease is not extended from now on until it has expired, because the server
+     * holds runs or ends of stored jobs that this instance may not save.
      *
      * @param server the server, not null
-     * @param unreadEnds the number of these ends
+     * @param unsavedEnds the number of these ends
      */
-    void leaseExtended(BackendServer server, int unreadEnds);
+    void leaseWithheld(BackendServer server, int unsavedEnds);
 
     /**
      * Called when the server is found to have started again under its id.
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/SchedulerListener.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/SchedulerListener.java
@@ -81,13 +81,13 @@
             TaskId task, int attempt, ServerId server, RunEnd end, FoundEndTreatment treatment) {}
 
     /**
-     * Called when the lease is extended on a backend server that lists ends of stored jobs which
-     * have not been read here, the first time that it does.
+     * Called when the lease of a backend server is not extended from now on until it has expired,
+     * because the server holds runs or ends of stored jobs that this instance may not save.
      *
      * @param server the backend server, not null
-     * @param unreadEnds the number of these ends
+     * @param unsavedEnds the number of these ends
      */
-    default void leaseExtended(ServerId server, int unreadEnds) {}
+    default void leaseWithheld(ServerId server, int unsavedEnds) {}
 
     /**
      * Called when a backend server is found to have started again under its id.
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -242,6 +242,10 @@
                     mDraining);
         }
 
+        boolean hasLease() {
+            return clock() < mLeaseMillis;
+        }
+
         int listedEnds() {
             return mEnds.size();
         }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
@@ -295,11 +295,11 @@
                 .info();
     }
 
-    /** Logs that a lease is extended although ends of stored jobs may not be counted here. */
-    void leaseExtended(ServerId server, int unreadEnds) {
-        mLog.event(EventName.LEASE_EXTENDED)
+    /** Logs that a lease has to expire, since ends of stored jobs may not be saved here. */
+    void leaseWithheld(ServerId server, int unsavedEnds) {
+        mLog.event(EventName.LEASE_WITHHELD)
                 .with(EventField.SERVER, server)
-                .with(EventField.COUNT, unreadEnds)
+                .with(EventField.COUNT, unsavedEnds)
                 .info();
     }
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/SchedulerEvents.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/SchedulerEvents.java
@@ -95,8 +95,8 @@
     }
 
     @Override
-    public void leaseExtended(ServerId server, int unreadEnds) {
-        mLog.leaseExtended(server, unreadEnds);
+    public void leaseWithheld(ServerId server, int unsavedEnds) {
+        mLog.leaseWithheld(server, unsavedEnds);
     }
 
     @Override
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
@@ -93,8 +93,11 @@
     LOOK_FAILED,
     /** A backend server lists the end of a stored job's run that an earlier leader started. */
     END_FOUND,
-    /** A lease is extended on a backend server that lists ends of stored jobs not read here. */
-    LEASE_EXTENDED,
+    /**
+     * The lease of a backend server is not extended until it has expired, because the server holds
+     * runs or ends of stored jobs that this instance may not save.
+     */
+    LEASE_WITHHELD,
     /** The directory says of a backend server that it is draining. */
     SERVER_DRAINING,
     /** A backend server has started again under its id. */
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/StoredJobScenesTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/StoredJobScenesTest.java
@@ -43,6 +43,21 @@
         submit(storedJob(id, tasks, estimateMillis), mFleet.mTime.oneOf(mFleet.upInstances()));
     }
 
+    /** Submits jobs of a data centre whose callers wait. */
+    private void submitWaitingJob(String dataCentre) {
+        List<SimulatedInstance> homes =
+                mFleet.upInstances().stream().filter(each -> isIn(each.mHost, dataCentre)).toList();
+        String id = String.format("%016x", 0xd000 + mJobs++);
+        submit(job(id, 3, 700), mFleet.mTime.oneOf(homes));
+    }
+
+    private void repeat(long intervalMillis, long untilMillis, Runnable work) {
+        if (mFleet.mTime.nowMillis() < untilMillis) {
+            work.run();
+            mFleet.mTime.after(intervalMillis, () -> repeat(intervalMillis, untilMillis, work));
+        }
+    }
+
     /** Cuts a data centre off from the others and from the store. */
     private void cutOff(String dataCentre) {
         cut((from, to) -> isIn(from, dataCentre) != isIn(to, dataCentre), PARTITION_MILLIS);
@@ -93,4 +108,24 @@
             assertThat(mFleet.mTime.trace(List.of("inherited-job-released")), is(not(empty())));
         }
     }
+
+    /**
+     * Guards against a leader that extends the lease of a server for its other jobs after it has
+     * given up the stored ones. Their ends on that server would count after the partition, although
+     * the next coordinator has started the tasks again.
+     */
+    @Test
+    void testEndsBehindPartitionDoNotCountOnceTheirTasksWereStartedAgain() {
+        for (int seed = 1; seed <= 5; seed++) {
+            beginWithLeaderInCutOffDataCentre(seed);
+            long endMillis = mFleet.mTime.nowMillis() + 2000 + PARTITION_MILLIS + 4000;
+            repeat(120, endMillis, () -> submitStoredJob(4, 300));
+            repeat(250, endMillis, () -> submitWaitingJob(CUT_OFF));
+            runFor(2000);
+            cutOff(CUT_OFF);
+            runFor(PARTITION_MILLIS + 8000);
+            assertNoDoubleRun();
+            assertThat(mFleet.mTime.trace(List.of("inherited-job-released")), is(not(empty())));
+        }
+    }
 }
