Place tasks by a list of servers that the store has confirmed lately

What callers saw: after a change of leader, tasks started on a backend server more than 2 s after it had said in the directory that it drained; servers that stop then take the tasks with them.

Cause: followers read the directory every 4 s, and the instance that becomes the leader places tasks at once, before its read of the directory has been answered. If a watch was under way, the read was not even sent.

If the store does not answer, tasks wait for 700 ms at the most and are then placed by the list as it is known. The event placement-changed says when they wait. What the dispatcher is told of the list is now a class of its own, ServerListTracker.

While the store is down and the leader is lost tasks start as before, which a further scene checks.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ActionPermissions.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ActionPermissions.java
@@ -7,7 +7,7 @@
 public interface ActionPermissions {
 
     /** Permits everything. */
-    ActionPermissions ALL = nowNanos -> true;
+    ActionPermissions ALL = new ActionPermissions() {};
 
     /**
      * Checks whether tasks of stored jobs may be started, and leases of their runs extended.
@@ -15,5 +15,17 @@
      * @param nowNanos the monotonic time in nanoseconds
      * @return false if another instance may coordinate the stored jobs
      */
-    boolean mayRunStoredJobs(long nowNanos);
+    default boolean mayRunStoredJobs(long nowNanos) {
+        return true;
+    }
+
+    /**
+     * Checks whether tasks may be placed on the backend servers that are known.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return false if some of them may drain without being known to
+     */
+    default boolean mayPlaceTasks(long nowNanos) {
+        return true;
+    }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/SchedulerTuning.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/SchedulerTuning.java
@@ -13,6 +13,8 @@
  * @param earlyRefusalShare share of its objective during which a job is refused if it is not
  *     expected to be placed in time
  * @param maxRetryMillis maximum retry delay that is reported to a refused caller, in milliseconds
+ * @param drainMillis time in milliseconds after a backend server has said that it drains in which
+ *     it may still be given tasks
  */
 public record SchedulerTuning(
         long responseDelayMillis,
@@ -21,10 +23,11 @@
         double stallFactor,
         long stallMillis,
         double earlyRefusalShare,
-        long maxRetryMillis) {
+        long maxRetryMillis,
+        long drainMillis) {
 
     private static final SchedulerTuning DEFAULTS =
-            new SchedulerTuning(4, 2, 2, 3.0, 150, 0.25, 2000);
+            new SchedulerTuning(4, 2, 2, 3.0, 150, 0.25, 2000, 2000);
 
     /**
      * Returns the default values.
@@ -49,6 +52,25 @@
                 stallFactor,
                 stallMillis,
                 earlyRefusalShare,
-                maxRetryMillis);
+                maxRetryMillis,
+                drainMillis);
+    }
+
+    /**
+     * Returns a copy with another time in which draining servers may be given tasks.
+     *
+     * @param millis the time in milliseconds
+     * @return the changed tuning, never null
+     */
+    public SchedulerTuning withDrainMillis(long millis) {
+        return new SchedulerTuning(
+                responseDelayMillis,
+                remoteFactor,
+                minHealthyOneIn,
+                stallFactor,
+                stallMillis,
+                earlyRefusalShare,
+                maxRetryMillis,
+                millis);
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServiceScheduler.java
@@ -489,14 +489,15 @@
 
     /**
      * Places waiting tasks on servers. After a process pause nothing is placed before the next
-     * tick, which first detects whether another leader has taken over.
+     * tick, which first detects whether another leader has taken over, and nothing while the list
+     * of servers has to be confirmed.
      */
     void placeTasks(long nowNanos) {
         if (nowNanos - mLastTickNanos > MAX_TICK_PAUSE_MILLIS * NANOS_PER_MILLI) {
             return;
         }
         List<ScheduledJob> queue = placeableJobs(nowNanos);
-        if (queue.isEmpty()) {
+        if (queue.isEmpty() || !mPermissions.mayPlaceTasks(nowNanos)) {
             return;
         }
         mServers.adoptOrphans(nowNanos);
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -87,7 +87,7 @@
                         LeaseTiming.of(1000),
                         mTokens,
                         tuning,
-                        nowNanos -> mMayRunStoredJobs,
+                        new TestPermissions(),
                         new RecordingListener());
     }
 
@@ -462,6 +462,15 @@
         }
     }
 
+    /** Permits what a test sets. */
+    private final class TestPermissions implements ActionPermissions {
+
+        @Override
+        public boolean mayRunStoredJobs(long nowNanos) {
+            return mMayRunStoredJobs;
+        }
+    }
+
     /** Records outcomes, and confirms changes of stored jobs as saved after 5 ms. */
     private final class RecordingListener implements SchedulerListener {
 
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/DecisionLog.java
@@ -314,6 +314,18 @@
         }
     }
 
+    /**
+     * Logs whether tasks wait until the store has confirmed the list of backend servers.
+     *
+     * @param listMillis the age of the list
+     */
+    void placementChanged(boolean isHeld, long listMillis) {
+        mLog.event(EventName.PLACEMENT_CHANGED)
+                .with(EventField.OUTCOME, isHeld ? "held" : "resumed")
+                .with(EventField.MILLISECONDS, listMillis)
+                .info();
+    }
+
     void serverRestarted(ServerId server, long startedMillis) {
         mLog.event(EventName.SERVER_RESTARTED)
                 .with(EventField.SERVER, server)
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -58,8 +58,8 @@
         void onBecameLeader();
 
         /**
-         * This instance has taken over a job and has to know all backend servers on which it may
-         * run. The directory is to be read again, see {@link #onServersConfirmed}.
+         * This instance leads and has to know all backend servers as the directory lists them now.
+         * It is to be read again, see {@link ServerListTracker#onConfirmed}.
          */
         default void onServerListDoubted() {}
 
@@ -89,6 +89,7 @@
     private final HomeMonitor mHomes;
     private final EvacuationTracker mEvacuations;
     private final StoreReachability mStoreReachability;
+    private final ServerListTracker mServerList;
     private Collection<ServerEntry> mServers = List.of();
 
     private Dispatcher(
@@ -119,14 +120,7 @@
                         new ElectionEvents());
         SpillOver spillOver = new SpillOver();
         mRemote = new RemoteLeaders(loop, mClient, spillOver, mEvacuations);
-        mHomes =
-                new HomeMonitor(
-                        settings.home(),
-                        loop,
-                        mElection,
-                        lifeSigns,
-                        this::handOverJobsOf,
-                        listener::onCallersDoubted);
+        mHomes = newHomeMonitor(lifeSigns);
         JobWithdrawals withdrawals = new JobWithdrawals(settings, loop, mClient);
         mForwarder = newForwarder(settings, mClient, spillOver, withdrawals);
         mLeaderScheduler =
@@ -139,6 +133,7 @@
                         mElection,
                         mHomes,
                         schedulers -> newCoordinator(context, log, schedulers));
+        mServerList = new ServerListTracker(mLeaderScheduler, mElection);
         mStoredJobsMonitor = new StoredJobsMonitor(loop, context.store());
         mStoredJobClient =
                 new StoredJobClient(loop, mElection, mClient, mLeaderScheduler, mStoredJobsMonitor);
@@ -182,6 +177,16 @@
         return new StoredJobCoordinator(mLoop, context.store(), log, mSettings, schedulers);
     }
 
+    private HomeMonitor newHomeMonitor(LifeSigns lifeSigns) {
+        return new HomeMonitor(
+                mSettings.home(),
+                mLoop,
+                mElection,
+                lifeSigns,
+                this::handOverJobsOf,
+                mListener::onCallersDoubted);
+    }
+
     private CoordinatorCandidacy newCandidacy() {
         return new CoordinatorCandidacy(
                 mSettings.name(), mLoop, mElection, mLeaderScheduler, mDecisions);
@@ -269,32 +274,12 @@
     }
 
     /**
-     * Updates whether the backend servers may include some that the directory no longer lists, so
-     * that tasks may run where the next leader does not look. They may not at first.
-     *
-     * @param outdated true if the directory cannot be read, or was not for a while
-     */
-    public void updateServerListOutdated(boolean outdated) {
-        mElection.updateServerListOutdated(outdated);
-    }
-
-    /**
-     * Records that the backend servers are those that the directory lists at a time or later.
-     *
-     * @param nanos the monotonic time at which the directory was asked, in nanoseconds
-     */
-    public void onServersConfirmed(long nanos) {
-        mLeaderScheduler.recordServerListRead(nanos);
-    }
-
-    /**
-     * Records that backend servers may have been listed and removed again without being passed to
-     * {@link #updateServers}, but not after a time. Unknown until the first call.
+     * Returns what is to be told of the list of backend servers.
      *
-     * @param nanos the monotonic time in nanoseconds
+     * @return the same object each time, never null
      */
-    public void onServersTrackedSince(long nanos) {
-        mLeaderScheduler.recordServersTrackedSince(nanos);
+    public ServerListTracker serverList() {
+        return mServerList;
     }
 
     private void updateSchedulerServers() {
@@ -503,11 +488,18 @@
             mRemote.tick(mElection.presence());
         }
         if (mayPlace) {
+            confirmServerList();
             mLeaderScheduler.tick();
         }
         mJobRelay.tick();
     }
 
+    private void confirmServerList() {
+        if (mLeaderScheduler.placement().takeConfirmationDue(mLoop.nowNanos())) {
+            mListener.onServerListDoubted();
+        }
+    }
+
     /** Hands over and withdraws the jobs that a process may have given up. */
     private void handOverJobsOf(HomeProcess home, boolean isRemote) {
         mLeaderScheduler.handOverJobsOf(home, !isRemote);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -17,6 +17,7 @@
 import org.wagtailproxy.identity.ServiceName;
 import org.wagtailproxy.leadership.HomeProcess;
 import org.wagtailproxy.leadership.SuspensionDetector;
+import org.wagtailproxy.scheduling.ActionPermissions;
 import org.wagtailproxy.scheduling.ClaimMode;
 import org.wagtailproxy.scheduling.FencingTokenSource;
 import org.wagtailproxy.scheduling.JobPhase;
@@ -64,6 +65,7 @@
     private final HomeLiveness mHomes;
     private final StoredJobCoordinator mCoordinator;
     private final ServiceSchedulers mSchedulers;
+    private final PlacementMonitor mPlacement;
     private final PendingJobs mPendingJobs;
     private boolean mTickScheduled;
     private long mServerListReadNanos = Long.MIN_VALUE;
@@ -97,13 +99,14 @@
         mHomes = homes;
         mSuspensionDetector = new SuspensionDetector(mLoop.nowNanos(), mLoop.wallClockMillis());
         mCoordinator = coordinator.apply(new StoredJobSchedulers());
+        mPlacement = new PlacementMonitor(settings.tuning().drainMillis(), log);
         mSchedulers =
                 new ServiceSchedulers(
                         settings,
                         tokens,
                         new SchedulerEvents(
                                 log, mPendingJobs, mCoordinator, this::now, this::onServerLost),
-                        mCoordinator::mayRunJobs,
+                        new Permissions(),
                         mCoordinator::isCoordinating,
                         this::now);
     }
@@ -327,7 +330,16 @@
 
     /** Records that the backend servers are those of the directory at a time or later. */
     void recordServerListRead(long nanos) {
-        mServerListReadNanos = nanos;
+        mServerListReadNanos = Math.max(mServerListReadNanos, nanos);
+        mPlacement.onConfirmed(nanos);
+        if (mPlacement.isHeld()) {
+            tickSchedulers();
+        }
+    }
+
+    /** Returns what decides whether the list of backend servers is recent enough. */
+    PlacementMonitor placement() {
+        return mPlacement;
     }
 
     /** Records that servers may have been listed and removed again unnoticed until a time. */
@@ -506,6 +518,20 @@
         }
     }
 
+    /** Permits what this instance has confirmed recently. */
+    private final class Permissions implements ActionPermissions {
+
+        @Override
+        public boolean mayRunStoredJobs(long nowNanos) {
+            return mCoordinator.mayRunJobs(nowNanos);
+        }
+
+        @Override
+        public boolean mayPlaceTasks(long nowNanos) {
+            return mPlacement.mayPlace(nowNanos);
+        }
+    }
+
     /** Gives the coordinator of the stored jobs access to the schedulers that run them. */
     private final class StoredJobSchedulers implements StoredJobCoordinator.Schedulers {
 
--- a/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
+++ b/proxy/src/main/java/org/wagtailproxy/observe/EventName.java
@@ -98,6 +98,8 @@
      * runs or ends of stored jobs that this instance may not save.
      */
     LEASE_WITHHELD,
+    /** Tasks wait until the store has confirmed the list of backend servers, or no longer do. */
+    PLACEMENT_CHANGED,
     /** The directory says of a backend server that it is draining. */
     SERVER_DRAINING,
     /** A backend server has started again under its id. */
--- a/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
+++ b/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
@@ -48,6 +48,14 @@
          * @param mirror the mirror, not null
          */
         default void onItemsMissed(StoreMirror mirror) {}
+
+        /**
+         * Called when the copy contains all items of the store, changed or not.
+         *
+         * @param mirror the mirror, not null
+         * @param askedNanos the monotonic time at which the store was asked, in nanoseconds
+         */
+        default void onConfirmed(StoreMirror mirror, long askedNanos) {}
     }
 
     /** Delay after the first failure, so that an outage causes few calls. */
@@ -165,6 +173,15 @@
         return TimeUnit.NANOSECONDS.toMillis(mLoop.nowNanos() - mAnsweredNanos);
     }
 
+    /**
+     * Returns for how long changes may have gone unnoticed.
+     *
+     * @return the time since the store was asked for what the copy contains, in milliseconds
+     */
+    public long confirmedAgeMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(mLoop.nowNanos() - mCompleteNanos);
+    }
+
     private void readFrom(String after) {
         if (after.isEmpty()) {
             mReadAskedNanos = mLoop.nowNanos();
@@ -195,6 +212,7 @@
         }
         mCompleteNanos = mReadAskedNanos;
         mListener.onChanged(this);
+        mListener.onConfirmed(this, mReadAskedNanos);
         takeWaitingForRead().forEach(this::readChanges);
         pauseThenWatch();
     }
@@ -212,13 +230,20 @@
         mLoop.schedule(nextRetryDelayMillis(), () -> readFrom(""));
     }
 
-    /** Ends the pause before the next watch, so that the copy is updated at once. */
-    public void refreshNow() {
-        if (mPausing) {
-            mPauseNumber++;
-            mPausing = false;
-            refresh();
+    /**
+     * Ends the pause before the next watch, so that the copy is updated at once.
+     *
+     * @return false if there is no pause, so that a call is under way, which may have been sent
+     *     long ago
+     */
+    public boolean refreshNow() {
+        if (!mPausing) {
+            return false;
         }
+        mPauseNumber++;
+        mPausing = false;
+        refresh();
+        return true;
     }
 
     /**
@@ -314,6 +339,9 @@
         if (!page.items().isEmpty() || !page.removedKeys().isEmpty()) {
             mListener.onChanged(this);
         }
+        if (!page.hasMore()) {
+            mListener.onConfirmed(this, askedNanos);
+        }
     }
 
     private long nextRetryDelayMillis() {
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/SimulatedInstance.java
@@ -36,6 +36,7 @@
     private static final long INSTANCES_BATCH_DELAY_MILLIS = 200;
     private static final long LEADER_SERVERS_BATCH_DELAY_MILLIS = 800;
     private static final long FOLLOWER_SERVERS_BATCH_DELAY_MILLIS = 4000;
+    private static final long RECENT_SERVERS_MILLIS = 300;
 
     private static final long UNREADY_DETECTION_MILLIS = 2300;
     private static final long STOP_MARGIN_MILLIS = 700;
@@ -261,8 +262,11 @@
         @Override
         public void onBecameLeader() {
             mOnLeader.run();
-            if (mServersMirror != null) {
-                mServersMirror.refreshNow();
+            boolean isDue =
+                    mServersMirror != null
+                            && mServersMirror.confirmedAgeMillis() >= RECENT_SERVERS_MILLIS;
+            if (isDue && !mServersMirror.refreshNow()) {
+                onServerListDoubted();
             }
         }
 
@@ -281,7 +285,9 @@
                     confirmed -> {
                         mConfirming = false;
                         if (confirmed) {
-                            mDispatcher.onServersConfirmed(askedNanos);
+                            mDispatcher.serverList().onConfirmed(askedNanos);
+                        } else {
+                            mDispatcher.serverList().onUnavailable();
                         }
                         if (mDoubtedAgain) {
                             mDoubtedAgain = false;
@@ -300,7 +306,7 @@
 
             @Override
             public void onOutdatedChanged(boolean outdated) {
-                mDispatcher.updateServerListOutdated(outdated);
+                mDispatcher.serverList().updateOutdated(outdated);
             }
         }
 
@@ -324,12 +330,19 @@
                 mDirectory.updateStoreReachable(reachable);
                 if (reachable) {
                     onItemsMissed(mirror);
+                } else {
+                    mDispatcher.serverList().onUnavailable();
                 }
             }
 
             @Override
             public void onItemsMissed(StoreMirror mirror) {
-                mDispatcher.onServersTrackedSince(mProcess.nowNanos());
+                mDispatcher.serverList().onTrackedSince(mProcess.nowNanos());
+            }
+
+            @Override
+            public void onConfirmed(StoreMirror mirror, long askedNanos) {
+                mDispatcher.serverList().onConfirmed(askedNanos);
             }
         }
 
