Confirm the list of servers on connections that are opened for it

What callers saw: tasks started on a backend server more than 2 s after it had said that it drained, although the leader had not changed. Its connections to the store had gone silent, in one direction, with no reset.

Cause: the leader waited for changes on such a connection, and took its silence for a directory without changes until the watch had timed out, after 3.3 s. Calls that were sent meanwhile took idle connections, which were silent as well, and cost 0.8 s each before new ones were opened.

Change: reads that confirm the list use a connection that is opened for them (VersionedStore.onNewConnections).

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/PlacementGate.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/PlacementGate.java
@@ -6,11 +6,11 @@
  * Decides whether tasks may be placed by the list of backend servers that a leader knows, or
  * whether the list has to be confirmed first.
  *
- * <p>Designed for new leaders, whose list may be seconds old. A server that drains must get no task
- * some time after it has said so, which only a list shows that the store has confirmed since. The
- * store answers within milliseconds while it is reachable, so placement waits that long. If it does
- * not answer, tasks are placed by the list as it is known, as callers must be served during an
- * outage. Not thread-safe.
+ * <p>Designed for new leaders, whose list may be seconds old, and for connections to the store that
+ * have gone silent. A server that drains must get no task some time after it has said so, which
+ * only a list shows that the store has confirmed since. The store answers within milliseconds while
+ * it is reachable, so placement waits that long. If it does not answer, tasks are placed by the
+ * list as it is known, as callers must be served during an outage. Not thread-safe.
  */
 public final class PlacementGate {
 
@@ -93,7 +93,8 @@
     }
 
     /**
-     * Checks whether a leader is to ask the store now.
+     * Checks whether a leader is to ask the store now, on another connection than those that may
+     * have gone silent.
      *
      * @param nowNanos the monotonic time in nanoseconds
      * @return true if the list is to be confirmed; not again for a while
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -59,7 +59,7 @@
 
         /**
          * This instance leads and has to know all backend servers as the directory lists them now.
-         * It is to be read again, see {@link ServerListTracker#onConfirmed}.
+         * It is to be read again, on a new connection, see {@link ServerListTracker#onConfirmed}.
          */
         default void onServerListDoubted() {}
 
--- a/proxy/src/main/java/org/wagtailproxy/store/CountingStore.java
+++ b/proxy/src/main/java/org/wagtailproxy/store/CountingStore.java
@@ -31,6 +31,11 @@
         return new CountingStore(store, Objects.requireNonNull(metrics, "metrics"));
     }
 
+    @Override
+    public VersionedStore onNewConnections() {
+        return new CountingStore(mStore.onNewConnections(), mMetrics);
+    }
+
     @Override
     public void read(
             String prefix, String after, Consumer<Either<StoreFailure, StorePage>> callback) {
--- a/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
+++ b/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
@@ -81,6 +81,7 @@
 
     private final EventLoop mLoop;
     private final VersionedStore mStore;
+    private final VersionedStore mNewConnections;
     private final String mPrefix;
     private final long mWaitMillis;
     private final LongSupplier mBatchDelayMillis;
@@ -112,6 +113,7 @@
             Listener listener) {
         mLoop = loop;
         mStore = store;
+        mNewConnections = store.onNewConnections();
         mPrefix = prefix;
         mWaitMillis = waitMillis;
         mBatchDelayMillis = batchDelayMillis;
@@ -183,11 +185,15 @@
     }
 
     private void readFrom(String after) {
+        readFrom(after, mStore);
+    }
+
+    private void readFrom(String after, VersionedStore store) {
         if (after.isEmpty()) {
             mReadAskedNanos = mLoop.nowNanos();
         }
         mReading = true;
-        mStore.read(mPrefix, after, page -> page.peek(this::onPage).peekLeft(this::onReadFailed));
+        store.read(mPrefix, after, page -> page.peek(this::onPage).peekLeft(this::onReadFailed));
     }
 
     private void onPage(StorePage page) {
@@ -242,12 +248,13 @@
         }
         mPauseNumber++;
         mPausing = false;
-        refresh();
+        refresh(mNewConnections);
         return true;
     }
 
     /**
-     * Reads the changes until now, also while a watch waits for the next one.
+     * Reads the changes until now, also while a watch waits for the next one. Uses a new
+     * connection, as the one of the watch may have gone silent, and others with it.
      *
      * @param callback receives true once the copy contains all changes until this call, false if
      *     they cannot be read now; not null
@@ -258,7 +265,7 @@
             return;
         }
         long askedNanos = mLoop.nowNanos();
-        mStore.watch(
+        mNewConnections.watch(
                 mPrefix,
                 mRevision,
                 PROBE_WAIT_MILLIS,
@@ -281,25 +288,25 @@
                 () -> {
                     if (pauseNumber == mPauseNumber && mPausing) {
                         mPausing = false;
-                        refresh();
+                        refresh(mStore);
                     }
                 });
     }
 
-    private void refresh() {
+    private void refresh(VersionedStore store) {
         if (ageMillis() < MAX_WATCH_AGE_MILLIS) {
-            watch();
+            watch(store);
         } else {
-            readFrom("");
+            readFrom("", store);
         }
     }
 
-    private void watch() {
+    private void watch(VersionedStore store) {
         // While the store is unreachable, a lost call must not delay the detection of its
         // recovery by a full wait.
         long waitMillis = mReachable ? mWaitMillis : PROBE_WAIT_MILLIS;
         long askedNanos = mLoop.nowNanos();
-        mStore.watch(mPrefix, mRevision, waitMillis, result -> onWatchResult(result, askedNanos));
+        store.watch(mPrefix, mRevision, waitMillis, result -> onWatchResult(result, askedNanos));
     }
 
     private void onWatchResult(Either<StoreFailure, StorePage> result, long askedNanos) {
@@ -314,7 +321,7 @@
                 return;
             }
             updateReachable(false);
-            mLoop.schedule(nextRetryDelayMillis(), this::watch);
+            mLoop.schedule(nextRetryDelayMillis(), () -> watch(mStore));
             return;
         }
         updateReachable(true);
--- a/proxy/src/main/java/org/wagtailproxy/store/VersionedStore.java
+++ b/proxy/src/main/java/org/wagtailproxy/store/VersionedStore.java
@@ -9,6 +9,16 @@
  */
 public interface VersionedStore {
 
+    /**
+     * Returns the same store for calls that do not use connections which are open already, as these
+     * may have gone silent.
+     *
+     * @return the store, which opens a connection for each call; never null
+     */
+    default VersionedStore onNewConnections() {
+        return this;
+    }
+
     /**
      * Reads a page of the current items whose keys begin with a prefix.
      *
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/DrainingServerScenesTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/DrainingServerScenesTest.java
@@ -50,6 +50,10 @@
         return mFleet.mTime.nowMillis();
     }
 
+    private void silenceStoreConnections() {
+        mFleet.upInstances().forEach(each -> mFleet.mStore.mDisruptions.silence(each.process()));
+    }
+
     private SimulatedServer anyServer() {
         return mFleet.mTime.oneOf(List.copyOf(mFleet.mServers.values()));
     }
@@ -80,6 +84,22 @@
         assertThat(starts, is(greaterThan(SEEDS)));
     }
 
+    /** Guards against a new leader that asks for the list on a connection that has gone silent. */
+    @Test
+    void testNextLeaderWhoseStoreConnectionsWentSilentStartsNothingOnServerThatDrains() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            beginWithLoad(seed);
+            SimulatedServer server = anyServer();
+            long drainingMillis = drain(server);
+            runFor(DRAIN_MILLIS + 100);
+            silenceStoreConnections();
+            leaderOfAll().kill();
+            runFor(1800);
+            assertThat(startsAfter(server, drainingMillis + DRAIN_MILLIS), is(empty()));
+            assertNoDoubleRun();
+        }
+    }
+
     /** The same for a leader that hands over as it is stopped, and for one that is paused. */
     @Test
     void testLeaderAfterPlannedStopOrPauseStartsNothingOnServerThatDrains() {
@@ -100,6 +120,24 @@
         }
     }
 
+    /** Guards against a leader that waits for changes on a connection that has gone silent. */
+    @Test
+    void testLeaderWhoseStoreConnectionsWentSilentStartsNothingOnServerThatDrains() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            beginWithLoad(seed);
+            long silentMillis = mFleet.mTime.nowMillis();
+            silenceStoreConnections();
+            runFor(900);
+            SimulatedServer server = anyServer();
+            long drainingMillis = drain(server);
+            runFor(6000);
+            long fromMillis =
+                    Math.max(drainingMillis + DRAIN_MILLIS, silentMillis + CONTACT_MILLIS);
+            assertThat(startsAfter(server, fromMillis), is(empty()));
+            assertNoDoubleRun();
+        }
+    }
+
     /** While the store is down no list can be confirmed, and callers have to be served by it. */
     @Test
     void testTasksAreStartedWhileTheStoreIsDownAndTheLeaderIsLost() {
