Read changes on a new connection once a watch is overdue

What callers saw: a configuration that the store had accepted while the connections of an instance were silent was not in force there 2 s later, although the instance counted as connected for 1 s by then.

Cause: as with the list of backend servers, a watch on a silent connection looks like one without changes until it times out, 0.8 s after its wait of 2.5 s; then come the delay of a retry and its answer.

Change: a watch whose answer is 300 ms overdue makes StoreMirror read the changes on a connection that is opened for it. The watch goes on, as its answer may only be late.

--- a/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
+++ b/proxy/src/main/java/org/wagtailproxy/store/StoreMirror.java
@@ -18,8 +18,8 @@
  *
  * <p>A watch that ends without changes is repeated from the same revision. All items are read again
  * after a long pause, which costs less than receiving every change since, and when the store no
- * longer retains the changes. A watch without a response after its wait counts as a failed call, so
- * an unresponsive connection costs one wait.
+ * longer retains the changes. A watch without a response after its wait counts as a failed call. As
+ * its connection may have gone silent, the changes are read on a new one shortly before that.
  */
 public final class StoreMirror {
 
@@ -79,6 +79,12 @@
     /** Wait of a watch while the store is unreachable. */
     private static final long PROBE_WAIT_MILLIS = 1;
 
+    /**
+     * Time beyond its wait after which a watch may be on a silent connection. A change that the
+     * store has accepted meanwhile must be known before the machine counts as connected again.
+     */
+    private static final long OVERDUE_MILLIS = 300;
+
     private final EventLoop mLoop;
     private final VersionedStore mStore;
     private final VersionedStore mNewConnections;
@@ -98,6 +104,7 @@
     private boolean mReachable;
     private int mFailures;
     private int mPauseNumber;
+    private int mWatchNumber;
     private boolean mPausing;
     private boolean mReading;
 
@@ -306,7 +313,24 @@
         // recovery by a full wait.
         long waitMillis = mReachable ? mWaitMillis : PROBE_WAIT_MILLIS;
         long askedNanos = mLoop.nowNanos();
-        store.watch(mPrefix, mRevision, waitMillis, result -> onWatchResult(result, askedNanos));
+        int watchNumber = ++mWatchNumber;
+        store.watch(
+                mPrefix,
+                mRevision,
+                waitMillis,
+                result -> {
+                    mWatchNumber++;
+                    onWatchResult(result, askedNanos);
+                });
+        if (waitMillis > PROBE_WAIT_MILLIS) {
+            mLoop.schedule(
+                    waitMillis + OVERDUE_MILLIS,
+                    () -> {
+                        if (mWatchNumber == watchNumber) {
+                            readChanges(isConfirmed -> {});
+                        }
+                    });
+        }
     }
 
     private void onWatchResult(Either<StoreFailure, StorePage> result, long askedNanos) {
--- a/proxy/src/test/java/org/wagtailproxy/store/StoreMirrorTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/store/StoreMirrorTest.java
@@ -109,6 +109,35 @@
         assertThat(mStore.mCalls, contains("read", "watch", "read", "watch"));
     }
 
+    /** Guards against a copy that stays as it is while the connection of its watch is silent. */
+    @Test
+    void testChangesAreReadOnNewConnectionOnceWatchIsOverdue() {
+        StoreMirror mirror = start();
+        mLoop.advance(100);
+        Consumer<Either<StoreFailure, StorePage>> silentWatch = mStore.mCallback;
+        mLoop.advance(2799);
+        assertThat(mStore.mCalls, contains("read", "watch"));
+        mLoop.advance(1);
+        assertThat(mStore.mCalls, contains("read", "watch", "watch"));
+        assertThat(mStore.mOnNewConnection, is(true));
+        mStore.mCallback.accept(Either.right(page(9, item("servers/a", 9))));
+        assertThat(mirror.items().size(), is(1));
+        silentWatch.accept(Either.left(StoreFailure.UNANSWERED));
+        mLoop.advance(250);
+        assertThat(mStore.mCalls, contains("read", "watch", "watch", "watch"));
+    }
+
+    @Test
+    void testWatchThatIsAnsweredInTimeIsNotOverdue() {
+        start();
+        mLoop.advance(100);
+        mLoop.advance(2500);
+        mStore.completeCall();
+        mLoop.advance(100);
+        mLoop.advance(300);
+        assertThat(mStore.mCalls, contains("read", "watch", "watch"));
+    }
+
     @Test
     void testRefreshTellsWhetherACallIsUnderWay() {
         StoreMirror mirror = start();
