Confirm with the store before a stored job is reported as unknown

What callers saw: DELETE of a job that had just been accepted was answered with 410, and its tasks ran on; GET said 410 as well. The request had reached the coordinator of before, behind a partition, and the job had been accepted by the next one.

Cause: a coordinator that had read the stored jobs once took a job that it did not know for one that does not exist, without asking whether it still was the coordinator.

Change: such a request is answered once the store has confirmed the guard in answer to a call that was sent after the request came, together with others that wait, else with 503. The condition of a known job and the number of pending ones are reported while the authority is valid; otherwise the store is asked as well. Ends that are stored are reported at once, as nothing changes them.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/CoordinatorTerm.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/CoordinatorTerm.java
@@ -91,6 +91,9 @@
          */
         void onConfirmed(long askedNanos, Set<Set<InstanceName>> electors);
 
+        /** The store has not answered whether the guard is that of this term. */
+        void onNotConfirmed(long askedNanos);
+
         /** All stored jobs have been read; they can be written from now on. */
         void onJobsRead(CoordinatorTerm term, List<StoredJob> jobs);
 
@@ -195,11 +198,18 @@
         mStore.read(
                 GUARD_KEY,
                 "",
-                unlessEnded(page -> page.peek(found -> onConfirmationRead(found, askedNanos))));
-    }
-
-    private void onConfirmationRead(StorePage page, long askedNanos) {
-        onGuardPageRead(page, (revision, holder) -> onHolderRead(holder, askedNanos));
+                unlessEnded(
+                        page ->
+                                page.peek(
+                                                found ->
+                                                        onGuardPageRead(
+                                                                found,
+                                                                (revision, holder) ->
+                                                                        onHolderRead(
+                                                                                holder,
+                                                                                askedNanos)))
+                                        .peekLeft(
+                                                failure -> mListener.onNotConfirmed(askedNanos))));
     }
 
     private void onHolderRead(KeeperRecord holder, long askedNanos) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobClient.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobClient.java
@@ -97,12 +97,8 @@
     /** Answers a query of another instance or of this one. */
     void answerQuery(AskJob query, Consumer<JobTold.Builder> answer) {
         if (!query.getQueue().isEmpty()) {
-            JobTold.Condition condition =
-                    mCoordinator.isCoordinating()
-                            ? JobTold.Condition.QUEUED
-                            : JobTold.Condition.UNAVAILABLE;
-            int pending = mCoordinator.countUnstarted(query.getQueue());
-            answer.accept(JobTold.newBuilder().setCondition(condition).setPending(pending));
+            mCoordinator.countUnstarted(
+                    query.getQueue(), count -> answer.accept(pendingAnswer(count)));
             return;
         }
         Consumer<JobCondition> conditionAnswer =
@@ -119,6 +115,15 @@
         }
     }
 
+    private static JobTold.Builder pendingAnswer(Option<Integer> count) {
+        return count.map(
+                        pending ->
+                                JobTold.newBuilder()
+                                        .setCondition(JobTold.Condition.QUEUED)
+                                        .setPending(pending))
+                .getOrElse(() -> JobTold.newBuilder().setCondition(JobTold.Condition.UNAVAILABLE));
+    }
+
     private void query(AskJob query, int attempt, Consumer<JobTold> answer) {
         Consumer<JobTold> retryIfUnavailable =
                 reply -> {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
@@ -68,12 +68,6 @@
      */
     private static final long MAX_QUERY_WAIT_MILLIS = 120;
 
-    /**
-     * Pause between two calls by which the store confirms that this instance is the coordinator;
-     * several fit into the time for which an answer is relied on.
-     */
-    private static final long CONFIRMATION_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
     /** The answer while the stored jobs take up all memory for them. */
     private static final WorkOutcome MEMORY_FULL =
             WorkOutcome.refused("job memory full", RETRY_AFTER_MILLIS);
@@ -87,10 +81,10 @@
     private final StoredJobTable mJobs;
     private final EarlySubmissions mEarlySubmissions = new EarlySubmissions();
     private final ElectorList mElectorList = new ElectorList();
+    private final PendingConfirmations mConfirmations;
     private Option<CoordinatorTerm> mTerm = Option.none();
     private TermAuthority mAuthority;
     private Set<InstanceName> mElectors = Set.of();
-    private long mConfirmationAskedNanos = Long.MIN_VALUE / 2;
     private boolean mJobsRead;
     private boolean mLeadsMajority;
     private boolean mWriteScheduled;
@@ -141,6 +135,8 @@
                         JobMemory.of(settings.limits().storedJobMemoryBytes()), this::phase);
         mSchedulers = schedulers;
         mAuthority = newAuthority();
+        mConfirmations =
+                new PendingConfirmations(loop, () -> mTerm.forEach(CoordinatorTerm::confirm));
     }
 
     private TermAuthority newAuthority() {
@@ -201,13 +197,7 @@
     /** Records that this machine may have been suspended; the store is asked before the rest. */
     void onSuspension() {
         mAuthority.onSuspension();
-        askStore();
-    }
-
-    /** Asks the store to confirm that this instance is the coordinator. */
-    private void askStore() {
-        mConfirmationAskedNanos = mLoop.nowNanos();
-        mTerm.forEach(CoordinatorTerm::confirm);
+        mConfirmations.request();
     }
 
     private void onFormerCoordinatorEnded(long sinceNanos) {
@@ -229,6 +219,7 @@
         }
         mTerm.forEach(CoordinatorTerm::end);
         mTerm = Option.none();
+        mConfirmations.fail();
         mJobsRead = false;
         mQueue.clear();
         for (StoredJobEntry entry : mJobs.removeAll()) {
@@ -309,8 +300,16 @@
     /** Cancels a job; answers once the cancellation is stored. */
     void cancel(JobId id, Consumer<JobCondition> answer) {
         StoredJobEntry entry = mJobs.get(id);
-        if (!mJobsRead || entry == null || mJobs.hasSavedEnd(id)) {
-            answer.accept(condition(id));
+        if (mJobsRead && mJobs.hasSavedEnd(id)) {
+            answer.accept(mJobs.condition(id));
+            return;
+        }
+        if (!mJobsRead || isReplaceable()) {
+            answer.accept(JobCondition.UNAVAILABLE);
+            return;
+        }
+        if (entry == null) {
+            confirmUnknown(id, answer);
             return;
         }
         entry.mCancelAnswers.add(answer);
@@ -328,33 +327,79 @@
         mSchedulers.sendCommands();
     }
 
+    /**
+     * Reports that a job is gone once the store has confirmed, since the request came, that no
+     * other instance can have accepted it.
+     */
+    private void confirmUnknown(JobId id, Consumer<JobCondition> answer) {
+        mConfirmations.request(
+                isConfirmed ->
+                        answer.accept(
+                                isConfirmed ? mJobs.condition(id) : JobCondition.UNAVAILABLE));
+    }
+
+    /**
+     * Runs an action once it is known whether this instance coordinates the stored jobs: at once if
+     * its authority is valid, else once the store has confirmed it.
+     *
+     * @param action receives false if it is not known
+     */
+    private void whenConfirmed(Consumer<Boolean> action) {
+        if (!mJobsRead || isReplaceable()) {
+            action.accept(false);
+        } else if (mAuthority.isValid(mLoop.nowNanos())) {
+            action.accept(true);
+        } else {
+            mConfirmations.request(action);
+        }
+    }
+
     /**
      * Reports the condition of a job. If none of its tasks is waiting any more, its end is likely
      * to come soon and the answer is delayed for a short time.
      */
     void query(JobId id, Consumer<JobCondition> answer) {
-        if (!mJobsRead || !mJobs.isEnding(id)) {
-            answer.accept(condition(id));
+        if (mJobsRead && mJobs.hasSavedEnd(id)) {
+            answer.accept(mJobs.condition(id));
+            return;
+        }
+        whenConfirmed(
+                isConfirmed -> {
+                    if (isConfirmed) {
+                        queryConfirmed(id, answer);
+                    } else {
+                        answer.accept(JobCondition.UNAVAILABLE);
+                    }
+                });
+    }
+
+    private void queryConfirmed(JobId id, Consumer<JobCondition> answer) {
+        if (mJobs.get(id) == null) {
+            confirmUnknown(id, answer);
+            return;
+        }
+        if (!mJobs.isEnding(id)) {
+            answer.accept(mJobs.condition(id));
             return;
         }
         StoredJobEntry.WaitingQuery query = new StoredJobEntry.WaitingQuery(answer);
         mJobs.get(id).mWaitingQueries.add(query);
-        mLoop.schedule(MAX_QUERY_WAIT_MILLIS, () -> query.answer(condition(id)));
+        mLoop.schedule(MAX_QUERY_WAIT_MILLIS, () -> query.answer(currentCondition(id)));
     }
 
-    /** Returns the current condition of a job. */
-    private JobCondition condition(JobId id) {
-        boolean isKnown = mJobsRead && (mJobs.hasSavedEnd(id) || !isReplaceable());
-        return isKnown ? mJobs.condition(id) : JobCondition.UNAVAILABLE;
+    private JobCondition currentCondition(JobId id) {
+        return mJobsRead ? mJobs.condition(id) : JobCondition.UNAVAILABLE;
     }
 
     private JobPhase phase(StoredJobEntry entry) {
         return mSchedulers.forService(entry.mJob.spec().service()).phase(entry.mJob.spec().id());
     }
 
-    /** Returns the number of accepted, unstarted jobs of a queue. */
-    int countUnstarted(String queue) {
-        return mJobsRead ? mJobs.countUnstarted(queue) : 0;
+    /** Reports the number of accepted, unstarted jobs of a queue, none if it is not known. */
+    void countUnstarted(String queue, Consumer<Option<Integer>> answer) {
+        whenConfirmed(
+                isConfirmed ->
+                        answer.accept(Option.when(isConfirmed, () -> mJobs.countUnstarted(queue))));
     }
 
     /**
@@ -389,9 +434,7 @@
         if (!hasJobs()) {
             return;
         }
-        if (mLoop.nowNanos() - mConfirmationAskedNanos >= CONFIRMATION_INTERVAL_NANOS) {
-            askStore();
-        }
+        mConfirmations.tick();
         if (!mQueue.isWriting()) {
             mTerm.forEach(CoordinatorTerm::updateElectors);
         }
@@ -448,9 +491,9 @@
         if (change.job().isEnded()) {
             entry.mEndedNanos = mLoop.nowNanos();
             mJobs.updateMemory(entry);
-            entry.mCancelAnswers.forEach(answer -> answer.accept(condition(id)));
+            entry.mCancelAnswers.forEach(answer -> answer.accept(mJobs.condition(id)));
             entry.mCancelAnswers.clear();
-            entry.mWaitingQueries.forEach(query -> query.answer(condition(id)));
+            entry.mWaitingQueries.forEach(query -> query.answer(mJobs.condition(id)));
             entry.mWaitingQueries.clear();
         } else if (isFirstSave && !entry.mJob.isEnded()) {
             scheduler.storedJobs().add(change.job(), 0, mSchedulers.nowForPlacement());
@@ -478,11 +521,17 @@
         public void onConfirmed(long askedNanos, Set<Set<InstanceName>> electors) {
             boolean wasValid = mTermAuthority.isValid(mLoop.nowNanos());
             mTermAuthority.onConfirmed(askedNanos, electors);
+            mConfirmations.onResult(askedNanos, true);
             if (!wasValid && mJobsRead) {
                 mSchedulers.sendCommands();
             }
         }
 
+        @Override
+        public void onNotConfirmed(long askedNanos) {
+            mConfirmations.onResult(askedNanos, false);
+        }
+
         @Override
         public void onJobsRead(CoordinatorTerm term, List<StoredJob> jobs) {
             mJobsRead = true;
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/StoredJobScenesTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/StoredJobScenesTest.java
@@ -1,12 +1,16 @@
 package org.wagtailproxy.dispatcher;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.wagtailproxy.workload.JobCondition;
+import org.wagtailproxy.workload.WorkSpec;
 
 /**
  * Plays sequences of faults after which two instances may run the stored jobs, each of them by what
@@ -128,4 +132,31 @@
             assertThat(mFleet.mTime.trace(List.of("inherited-job-released")), is(not(empty())));
         }
     }
+
+    /** Guards against a cancellation that is confirmed for a job which runs on. */
+    @Test
+    void testFormerCoordinatorDoesNotReportAJobAsGoneThatTheNextOneHasAccepted() {
+        for (int seed = 1; seed <= 5; seed++) {
+            beginWithLeaderInCutOffDataCentre(seed);
+            submitStoredJob(1, 12_000);
+            runFor(1000);
+            SimulatedInstance former = leader(CUT_OFF);
+            cutOffAfterStopsInTurn();
+            runFor(850);
+            WorkSpec accepted = storedJob("000000000000e001", 1, 3000);
+            submit(accepted, mFleet.mTime.oneOf(followers("pwani-b")));
+            runFor(100);
+            assertThat(mFleet.hasStarted(accepted.id()), is(true));
+            List<JobCondition> conditions = new ArrayList<>();
+            former.process()
+                    .execute(
+                            () -> {
+                                Dispatcher dispatcher = former.dispatcher();
+                                dispatcher.storedJobCondition(accepted.id(), conditions::add);
+                                dispatcher.cancelAnywhere(accepted.id(), conditions::add);
+                            });
+            runFor(PARTITION_MILLIS);
+            assertThat(conditions, contains(JobCondition.UNAVAILABLE, JobCondition.UNAVAILABLE));
+        }
+    }
 }
