Acknowledge ends of unknown jobs only if all jobs are known since

What callers saw: a done task of a stored job was started again, seconds after its end.

Cause: a coordinator that had read the stored jobs once took the end of a job that it did not know for one that had been dealt with, and acknowledged it, so that the backend server forgot it. Behind a partition, or once its term had been ended unnoticed, such a job may have been accepted by the next coordinator, which then found no end and started the task again.

Change: it is recorded as of when all stored jobs are known: the time of the question that the store has answered with this instance's guard. The end of an unknown job, or its run, is acknowledged or stopped only if the server has listed it before that.

Evidence: testEndOfUnknownJobIsAcknowledgedOnlyIfJobsAreKnownSinceItIs- Listed fails on the code before.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/EndAcknowledgements.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/EndAcknowledgements.java
@@ -1,8 +1,10 @@
 package org.wagtailproxy.scheduling;
 
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import org.wagtailproxy.fleet.EndReport;
 import org.wagtailproxy.workload.JobId;
@@ -24,7 +26,12 @@
     private long mLastProcessed;
 
     /** An end and the change of its job that has to be saved before the acknowledgement. */
-    private record RetainedEnd(EndReport end, long changeNumber) {}
+    private record RetainedEnd(EndReport end, long changeNumber, long listedNanos) {
+
+        private boolean isUnread() {
+            return changeNumber == UNREAD;
+        }
+    }
 
     /** Marks an end as processed. Returns false if it already was. */
     boolean markProcessed(EndReport end) {
@@ -35,9 +42,13 @@
         return true;
     }
 
-    /** Withholds the acknowledgement of an end until a change of its job is saved. */
-    void retain(EndReport end, long changeNumber) {
-        mRetained.put(end.number(), new RetainedEnd(end, changeNumber));
+    /**
+     * Withholds the acknowledgement of an end until a change of its job is saved.
+     *
+     * @param listedNanos when the server has first listed the end
+     */
+    void retain(EndReport end, long changeNumber, long listedNanos) {
+        mRetained.put(end.number(), new RetainedEnd(end, changeNumber, listedNanos));
     }
 
     /** Releases the ends of a job that wait for the given change or an earlier one. */
@@ -46,26 +57,37 @@
                 .values()
                 .removeIf(
                         retained ->
-                                retained.changeNumber() != UNREAD
+                                !retained.isUnread()
                                         && retained.changeNumber() <= changeNumber
                                         && retained.end().task().job().equals(job));
     }
 
     /** Marks all retained ends as unread, because the stored jobs are abandoned. */
     void markUnread() {
-        mRetained.replaceAll((number, retained) -> new RetainedEnd(retained.end(), UNREAD));
+        mRetained.replaceAll(
+                (number, retained) ->
+                        new RetainedEnd(retained.end(), UNREAD, retained.listedNanos()));
     }
 
-    /** Removes and returns the unread ends, to be processed after all stored jobs were read. */
-    List<EndReport> takeUnread() {
-        List<EndReport> unread = new ArrayList<>();
-        for (RetainedEnd retained : mRetained.values()) {
-            if (retained.changeNumber() == UNREAD) {
-                unread.add(retained.end());
+    /**
+     * Removes the unread ends of which it can be told by now whether their jobs are stored ones.
+     *
+     * @param isKnown checks an end and the time at which it was listed
+     * @return the ends and these times, never null
+     */
+    Map<EndReport, Long> takeUnread(BiPredicate<EndReport, Long> isKnown) {
+        Map<EndReport, Long> taken = new LinkedHashMap<>();
+        for (RetainedEnd retained : List.copyOf(mRetained.values())) {
+            if (retained.isUnread() && isKnown.test(retained.end(), retained.listedNanos())) {
+                taken.put(retained.end(), retained.listedNanos());
+                mRetained.remove(retained.end().number());
             }
         }
-        unread.forEach(end -> mRetained.remove(end.number()));
-        return unread;
+        return taken;
+    }
+
+    boolean hasUnread() {
+        return mRetained.values().stream().anyMatch(RetainedEnd::isUnread);
     }
 
     /** Counts the retained ends for which a predicate holds. */
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/JobRegistry.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/JobRegistry.java
@@ -14,9 +14,12 @@
     /** Time for which a completion is remembered, for callers that submit the job again. */
     private static final long COMPLETION_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /** A time at which no stored job was known. */
+    private static final long NEVER_NANOS = Long.MIN_VALUE / 2;
+
     private final Map<JobId, ScheduledJob> mJobs = new HashMap<>();
     private final Map<JobId, Long> mCompletedNanos = new HashMap<>();
-    private boolean mStoredJobsRead;
+    private long mStoredJobsKnownNanos = NEVER_NANOS;
     private boolean mUnreadJobsPossible;
 
     /** Returns the job of an id, or null if it is not known. */
@@ -66,8 +69,14 @@
                 .removeIf(sinceNanos -> nowNanos - sinceNanos > COMPLETION_RETENTION_NANOS);
     }
 
-    void setStoredJobsRead(boolean read) {
-        mStoredJobsRead = read;
+    /** Records that all stored jobs are known that had been accepted at a time. */
+    void recordStoredJobsKnown(long nanos) {
+        mStoredJobsKnownNanos = Math.max(mStoredJobsKnownNanos, nanos);
+    }
+
+    /** Records that the stored jobs are no longer known, as they are coordinated elsewhere. */
+    void forgetStoredJobs() {
+        mStoredJobsKnownNanos = NEVER_NANOS;
     }
 
     /**
@@ -80,10 +89,15 @@
         return ceased;
     }
 
-    /** Checks whether a run belongs to an unknown job that may be stored and was not read yet. */
-    boolean mayBeUnread(JobId id, int attempt) {
+    /**
+     * Checks whether a run belongs to an unknown job that may be stored. Another coordinator may
+     * have accepted it after the stored jobs were read here.
+     *
+     * @param listedNanos when the server has listed the run or its end
+     */
+    boolean mayBeUnread(JobId id, int attempt, long listedNanos) {
         return (mUnreadJobsPossible || StoredAttempts.isStored(attempt))
-                && !mStoredJobsRead
+                && listedNanos > mStoredJobsKnownNanos
                 && !mJobs.containsKey(id)
                 && !mCompletedNanos.containsKey(id);
     }
@@ -91,6 +105,6 @@
     void clear() {
         mJobs.clear();
         mCompletedNanos.clear();
-        mStoredJobsRead = false;
+        forgetStoredJobs();
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/OrphanedRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/OrphanedRuns.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiPredicate;
-import java.util.function.Predicate;
 import org.wagtailproxy.fleet.RunReport;
 import org.wagtailproxy.workload.TaskId;
 
@@ -56,14 +55,16 @@
      *
      * @param nanos the time in nanoseconds
      * @param nowNanos the monotonic time in nanoseconds
-     * @param mayStop checks whether a run may be returned; other runs stay overdue
+     * @param mayStop checks whether a run may be returned, with the time since which it is
+     *     orphaned; other runs stay overdue
      * @return the overdue runs, never null
      */
-    List<RunReport> takeOverdue(long nanos, long nowNanos, Predicate<RunReport> mayStop) {
+    List<RunReport> takeOverdue(long nanos, long nowNanos, BiPredicate<RunReport, Long> mayStop) {
         List<RunReport> overdue = new ArrayList<>();
         for (Map.Entry<TaskId, Orphan> each : mRuns.entrySet()) {
             RunReport report = each.getValue().report();
-            if (nowNanos - each.getValue().sinceNanos() > nanos && mayStop.test(report)) {
+            long sinceNanos = each.getValue().sinceNanos();
+            if (nowNanos - sinceNanos > nanos && mayStop.test(report, sinceNanos)) {
                 each.setValue(new Orphan(report, nowNanos));
                 overdue.add(report);
             }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunEventHandler.java
@@ -56,10 +56,15 @@
 
     @Override
     public void inheritedRunEnded(
-            BackendServer server, TaskId task, int attempt, RunEnd end, long nowNanos) {
+            BackendServer server,
+            TaskId task,
+            int attempt,
+            RunEnd end,
+            long listedNanos,
+            long nowNanos) {
         ScheduledJob job = mJobs.get(task.job());
         FoundEndTreatment treatment =
-                job == null && mJobs.mayBeUnread(task.job(), attempt)
+                job == null && mJobs.mayBeUnread(task.job(), attempt, listedNanos)
                         ? FoundEndTreatment.RETAINED_UNREAD
                         : FoundEndTreatment.ALREADY_KNOWN;
         if (job != null && !job.isEnded()) {
@@ -107,10 +112,10 @@
     }
 
     @Override
-    public Option<Long> unsavedChange(JobId id, int attempt) {
+    public Option<Long> unsavedChange(JobId id, int attempt, long listedNanos) {
         ScheduledJob job = mJobs.get(id);
         if (job == null) {
-            return mJobs.mayBeUnread(id, attempt)
+            return mJobs.mayBeUnread(id, attempt, listedNanos)
                     ? Option.some(EndAcknowledgements.UNREAD)
                     : Option.none();
         }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/RunListener.java
@@ -28,10 +28,16 @@
      * @param task the task, not null
      * @param attempt the number of the run's attempt
      * @param end how the run ended, not null
+     * @param listedNanos when the server first listed the end, as monotonic time in nanoseconds
      * @param nowNanos the monotonic time in nanoseconds
      */
     void inheritedRunEnded(
-            BackendServer server, TaskId task, int attempt, RunEnd end, long nowNanos);
+            BackendServer server,
+            TaskId task,
+            int attempt,
+            RunEnd end,
+            long listedNanos,
+            long nowNanos);
 
     /**
      * Records the checkpoint from which a task can be resumed after its run has ended.
@@ -47,10 +53,12 @@
      *
      * @param job the job, not null
      * @param attempt the number of the run's attempt
+     * @param listedNanos when the server first listed the run or its end, as monotonic time in
+     *     nanoseconds
      * @return the number of the change, {@link EndAcknowledgements#UNREAD} if the job may be a
      *     stored one that has not been read yet, none if nothing has to be saved
      */
-    Option<Long> unsavedChange(JobId job, int attempt);
+    Option<Long> unsavedChange(JobId job, int attempt, long listedNanos);
 
     /**
      * Adopts an orphaned run if its job is known here and accepts it.
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
@@ -239,15 +239,20 @@
      * are stopped only after the stored jobs have been read.
      */
     void stopOverdueOrphans(long adoptNanos, long nowNanos) {
-        for (RunReport run : mOrphans.takeOverdue(adoptNanos, nowNanos, this::isJobKindKnown)) {
+        List<RunReport> overdue =
+                mOrphans.takeOverdue(
+                        adoptNanos,
+                        nowNanos,
+                        (run, sinceNanos) -> isJobKindKnown(run.task(), run.attempt(), sinceNanos));
+        for (RunReport run : overdue) {
             mCommands.stop(run.task(), run.attempt());
         }
     }
 
     /** Checks whether it is known if the job of a run is a stored one. */
-    private boolean isJobKindKnown(RunReport run) {
+    private boolean isJobKindKnown(TaskId task, int attempt, long listedNanos) {
         return !mListener
-                .unsavedChange(run.task().job(), run.attempt())
+                .unsavedChange(task.job(), attempt, listedNanos)
                 .contains(EndAcknowledgements.UNREAD);
     }
 
@@ -259,7 +264,7 @@
         onCheckpoint(end.task(), end.checkpoint());
         ServerRun run = find(end.task(), end.attempt());
         if (run == null) {
-            onInheritedEnd(end, nowNanos);
+            onInheritedEnd(end, nowNanos, nowNanos);
             return;
         }
         double tookMillis = (nowNanos - run.mSentNanos) / (double) NANOS_PER_MILLI;
@@ -273,21 +278,21 @@
         }
         end(run, toRunEnd(end.kind()), nowNanos);
         mListener
-                .unsavedChange(end.task().job(), end.attempt())
+                .unsavedChange(end.task().job(), end.attempt(), nowNanos)
                 .filter(change -> run.mStored || change != EndAcknowledgements.UNREAD)
-                .forEach(number -> mEnds.retain(end, number));
+                .forEach(number -> mEnds.retain(end, number, nowNanos));
     }
 
     /**
      * Reports the end of a run that an earlier leader started, and retains it if its job has to be
      * saved first.
      */
-    private void onInheritedEnd(EndReport end, long nowNanos) {
+    private void onInheritedEnd(EndReport end, long listedNanos, long nowNanos) {
         mListener.inheritedRunEnded(
-                mServer, end.task(), end.attempt(), toRunEnd(end.kind()), nowNanos);
+                mServer, end.task(), end.attempt(), toRunEnd(end.kind()), listedNanos, nowNanos);
         mListener
-                .unsavedChange(end.task().job(), end.attempt())
-                .forEach(number -> mEnds.retain(end, number));
+                .unsavedChange(end.task().job(), end.attempt(), listedNanos)
+                .forEach(number -> mEnds.retain(end, number, listedNanos));
     }
 
     private void onCheckpoint(TaskId task, String checkpoint) {
@@ -298,10 +303,15 @@
 
     /** Processes the ends that were retained until all stored jobs had been read. */
     void onStoredJobsRead(long nowNanos) {
-        for (EndReport end : mEnds.takeUnread()) {
-            onCheckpoint(end.task(), end.checkpoint());
-            onInheritedEnd(end, nowNanos);
-        }
+        Map<EndReport, Long> ends =
+                mEnds.takeUnread(
+                        (end, listedNanos) ->
+                                isJobKindKnown(end.task(), end.attempt(), listedNanos));
+        ends.forEach(
+                (end, listedNanos) -> {
+                    onCheckpoint(end.task(), end.checkpoint());
+                    onInheritedEnd(end, listedNanos, nowNanos);
+                });
     }
 
     /**
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/StoredJobScheduling.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/StoredJobScheduling.java
@@ -140,17 +140,31 @@
     }
 
     /**
-     * Records that all stored jobs have been read and added.
+     * Records that all stored jobs have been read and added that had been accepted at a time. What
+     * a server has listed until then of an unknown job can be acknowledged or stopped.
      *
+     * @param knownNanos the monotonic time at which the store was asked whether this instance alone
+     *     accepts stored jobs, in nanoseconds
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public void onAllRead(long nowNanos) {
+    public void onAllRead(long knownNanos, long nowNanos) {
         synchronized (mScheduler) {
-            mJobs.setStoredJobsRead(true);
+            mJobs.recordStoredJobsKnown(knownNanos);
             mServers.all().forEach(server -> server.onStoredJobsRead(nowNanos));
         }
     }
 
+    /**
+     * Checks whether servers list ends of jobs that may be stored ones and have not been read.
+     *
+     * @return true if such ends wait for {@link #onAllRead}
+     */
+    public boolean hasUnreadEnds() {
+        synchronized (mScheduler) {
+            return mServers.all().stream().anyMatch(server -> server.ends().hasUnread());
+        }
+    }
+
     /**
      * Records that changes of a stored job are saved.
      *
@@ -192,7 +206,7 @@
      */
     public void abandonAll(long nowNanos) {
         synchronized (mScheduler) {
-            mJobs.setStoredJobsRead(false);
+            mJobs.forgetStoredJobs();
             for (ScheduledJob job : mJobs.snapshot()) {
                 if (job.mSpec.isStored()) {
                     mScheduler.endAndStopRuns(job, StoredJob.State.OPEN, nowNanos);
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobAuthorityTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobAuthorityTest.java
@@ -76,4 +76,20 @@
         mSimulation.run(100);
         assertThat(runningTasks(), is(3));
     }
+
+    /** Guards against a former coordinator that acknowledges ends of jobs accepted after it. */
+    @Test
+    void testEndOfUnknownJobIsAcknowledgedOnlyIfJobsAreKnownSinceItIsListed() {
+        addServers(1, 60);
+        JobId accepted = new JobId("00000000000000f1");
+        onlyServer().addRunOfEarlierLeader(0, accepted, StoredAttempts.number(1));
+        mSimulation.run(500);
+        assertThat(listedEnds(), is(2));
+        mSimulation
+                .mScheduler
+                .storedJobs()
+                .onAllRead(mSimulation.nowNanos(), mSimulation.nowNanos());
+        mSimulation.run(100);
+        assertThat(listedEnds(), is(0));
+    }
 }
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobFixture.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobFixture.java
@@ -21,7 +21,10 @@
             mSimulation.add("s" + number, 1, 32_000).mWorkMillis = workMillis;
         }
         mSimulation.mScheduler.storedJobs().setUnreadJobsPossible(true, mSimulation.nowNanos());
-        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation
+                .mScheduler
+                .storedJobs()
+                .onAllRead(mSimulation.nowNanos(), mSimulation.nowNanos());
         mSimulation.run(100);
     }
 
@@ -47,7 +50,10 @@
         mSimulation.list();
         mSimulation.run(30);
         addStoredJob(saved, 64);
-        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation
+                .mScheduler
+                .storedJobs()
+                .onAllRead(mSimulation.nowNanos(), mSimulation.nowNanos());
     }
 
     StoredJob savedJob(StoredJob job) {
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobSchedulingTest.java
@@ -82,7 +82,10 @@
         mSimulation.run(800);
         mSimulation.mSaves = true;
         addStoredJob(job, 64);
-        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation
+                .mScheduler
+                .storedJobs()
+                .onAllRead(mSimulation.nowNanos(), mSimulation.nowNanos());
         mSimulation.run(2000);
         assertThat(savedJob(job).state(), is(StoredJob.State.COMPLETE));
         assertThat(mSimulation.mViolations, is(empty()));
@@ -98,7 +101,10 @@
         mSimulation.mScheduler.storedJobs().abandonAll(mSimulation.nowNanos());
         mSimulation.flush();
         addStoredJob(job, 64);
-        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation
+                .mScheduler
+                .storedJobs()
+                .onAllRead(mSimulation.nowNanos(), mSimulation.nowNanos());
         mSimulation.run(3000);
         assertThat(savedJob(job).state(), is(StoredJob.State.COMPLETE));
         assertThat(mSimulation.mViolations, is(empty()));
@@ -115,7 +121,10 @@
         mSimulation.mScheduler.storedJobs().abandonAll(mSimulation.nowNanos());
         mSimulation.run(50);
         addStoredJob(job, 64);
-        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation
+                .mScheduler
+                .storedJobs()
+                .onAllRead(mSimulation.nowNanos(), mSimulation.nowNanos());
         mSimulation.flush();
         mSimulation.run(2000);
         assertThat(savedJob(job).state(), is(StoredJob.State.COMPLETE));
@@ -152,7 +161,10 @@
         // The run of the earlier coordinator is stopped, since its job is not known yet.
         mSimulation.run(400);
         addStoredJob(job, 64);
-        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation
+                .mScheduler
+                .storedJobs()
+                .onAllRead(mSimulation.nowNanos(), mSimulation.nowNanos());
         mSimulation.run(450);
         assertThat(savedJob(job).state(), is(StoredJob.State.COMPLETE));
     }
@@ -206,7 +218,10 @@
         mSimulation.run(450);
         assertThat(runningTasks(), is(2));
         addStoredJob(job, 64);
-        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation
+                .mScheduler
+                .storedJobs()
+                .onAllRead(mSimulation.nowNanos(), mSimulation.nowNanos());
         mSimulation.run(3000);
         assertThat(runningTasks(), is(2));
         assertThat(mSimulation.mStarts, is(2));
@@ -221,7 +236,10 @@
         mSimulation.list();
         mSimulation.run(400);
         assertThat(runningTasks(), is(2));
-        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation
+                .mScheduler
+                .storedJobs()
+                .onAllRead(mSimulation.nowNanos(), mSimulation.nowNanos());
         mSimulation.run(50);
         assertThat(runningTasks(), is(0));
     }
@@ -246,7 +264,10 @@
         assertThat(listedEnds(), is(4));
         mSimulation.mSaves = true;
         addStoredJob(job, 64);
-        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation
+                .mScheduler
+                .storedJobs()
+                .onAllRead(mSimulation.nowNanos(), mSimulation.nowNanos());
         mSimulation.run(4000);
         assertThat(savedJob(job).state(), is(StoredJob.State.COMPLETE));
         assertThat(mSimulation.mViolations, is(empty()));
@@ -365,7 +386,10 @@
         mSimulation.run(100);
         mSimulation.mSaves = true;
         addStoredJob(saved, 64);
-        mSimulation.mScheduler.storedJobs().onAllRead(mSimulation.nowNanos());
+        mSimulation
+                .mScheduler
+                .storedJobs()
+                .onAllRead(mSimulation.nowNanos(), mSimulation.nowNanos());
         mSimulation.run(6000);
         assertThat(savedJob(job).state(), is(StoredJob.State.COMPLETE));
         assertThat(savedJob(job).failedAttempts().values().iterator().next(), hasSize(1));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -546,11 +546,20 @@
         }
 
         @Override
-        public void onStoredJobsRead() {
-            mSchedulers.onStoredJobsRead();
+        public void onStoredJobsRead(long knownNanos) {
+            mSchedulers.onStoredJobsRead(knownNanos);
+        }
+
+        @Override
+        public void onJobsInherited() {
             mListener.onJobOfLostLeader();
         }
 
+        @Override
+        public boolean hasUnreadEnds() {
+            return mSchedulers.hasUnreadEnds();
+        }
+
         @Override
         public void onFormerCoordinatorEnded(long sinceNanos) {
             mSchedulers.recordFormerCoordinatorEnded(sinceNanos);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/ServiceSchedulers.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/ServiceSchedulers.java
@@ -46,6 +46,7 @@
     /** Whether there may be stored jobs that have not been read; assumed until the first tick. */
     private boolean mUnreadJobsPossible = true;
 
+    private long mStoredJobsKnownNanos = Long.MIN_VALUE / 2;
     private long mFormerCoordinatorEndedNanos = StoredJobScheduling.NOT_ENDED_NANOS;
 
     /**
@@ -90,7 +91,7 @@
         scheduler.storedJobs().setUnreadJobsPossible(mUnreadJobsPossible, nowNanos);
         scheduler.storedJobs().recordFormerCoordinatorEnded(mFormerCoordinatorEndedNanos);
         if (mAreStoredJobsRead.getAsBoolean()) {
-            scheduler.storedJobs().onAllRead(nowNanos);
+            scheduler.storedJobs().onAllRead(mStoredJobsKnownNanos, nowNanos);
         }
         return scheduler;
     }
@@ -171,9 +172,15 @@
         forEach(scheduler -> scheduler.storedJobs().recordFormerCoordinatorEnded(sinceNanos));
     }
 
-    /** Records that all stored jobs have been read and added. */
-    void onStoredJobsRead() {
-        forEach(scheduler -> scheduler.storedJobs().onAllRead(mClock.getAsLong()));
+    /** Records that all stored jobs have been added that had been accepted at a time. */
+    void onStoredJobsRead(long knownNanos) {
+        mStoredJobsKnownNanos = knownNanos;
+        forEach(scheduler -> scheduler.storedJobs().onAllRead(knownNanos, mClock.getAsLong()));
+    }
+
+    /** Checks whether servers list ends of jobs that may be stored ones and have not been read. */
+    boolean hasUnreadEnds() {
+        return all().stream().anyMatch(scheduler -> scheduler.storedJobs().hasUnreadEnds());
     }
 
     /** Stops and removes all stored jobs. */
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
@@ -98,8 +98,18 @@
         /** Returns the scheduler of a service. */
         ServiceScheduler forService(ServiceName service);
 
-        /** All stored jobs have been read and added to their schedulers. */
-        void onStoredJobsRead();
+        /**
+         * All stored jobs have been added to their schedulers that had been accepted at a time.
+         *
+         * @param knownNanos the monotonic time in nanoseconds
+         */
+        void onStoredJobsRead(long knownNanos);
+
+        /** Jobs of a former coordinator have been added, of which tasks may run anywhere. */
+        void onJobsInherited();
+
+        /** Checks whether servers list ends of jobs that may be stored ones not read here. */
+        boolean hasUnreadEnds();
 
         /**
          * No former coordinator starts tasks of stored jobs any more.
@@ -431,11 +441,10 @@
 
     private void confirmAuthority() {
         mAuthority.tick(hasJobs());
-        if (!hasJobs()) {
-            return;
+        if (hasJobs() || mJobsRead && mSchedulers.hasUnreadEnds()) {
+            mConfirmations.tick();
         }
-        mConfirmations.tick();
-        if (!mQueue.isWriting()) {
+        if (hasJobs() && !mQueue.isWriting()) {
             mTerm.forEach(CoordinatorTerm::updateElectors);
         }
     }
@@ -522,7 +531,11 @@
             boolean wasValid = mTermAuthority.isValid(mLoop.nowNanos());
             mTermAuthority.onConfirmed(askedNanos, electors);
             mConfirmations.onResult(askedNanos, true);
-            if (!wasValid && mJobsRead) {
+            if (!mJobsRead) {
+                return;
+            }
+            mSchedulers.onStoredJobsRead(askedNanos);
+            if (!wasValid) {
                 mSchedulers.sendCommands();
             }
         }
@@ -550,7 +563,8 @@
                             .add(job, attempt, mSchedulers.nowForPlacement());
                 }
             }
-            mSchedulers.onStoredJobsRead();
+            mSchedulers.onStoredJobsRead(mTermAuthority.confirmedNanos());
+            mSchedulers.onJobsInherited();
             mEarlySubmissions
                     .removeAll()
                     .forEach(each -> submit(each.spec(), each.arrivedNanos(), each.answer()));
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/TermAuthority.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/TermAuthority.java
@@ -66,6 +66,11 @@
         mAuthority.onStoreConfirmed(askedNanos);
     }
 
+    /** Returns when the store was asked for its latest confirmation. */
+    long confirmedNanos() {
+        return mConfirmedNanos;
+    }
+
     /** Records that an elector supports this instance, and when it was asked. */
     void onSupported(InstanceName elector, long askedNanos) {
         mAuthority.onSupported(elector, askedNanos, mLoop.nowNanos());
