Do not adopt a run whose end is listed from an older report

What callers saw: a done task of a stored job was started again by the next coordinator.

Cause: two polls of a backend server are under way while the coordinator reads the stored jobs. The answer that lists the end arrives first; the end is retained, as its job is not known yet. The other one, made before the end, arrives after it and lists the task as running. It was taken for a run to be adopted, and once the job was read, the end was not counted, as the task had a run; that run ended with the next report, and the task was started again.

Change: a run whose end is retained is not taken for a running one.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/EndAcknowledgements.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/EndAcknowledgements.java
@@ -8,6 +8,7 @@
 import java.util.function.Predicate;
 import org.wagtailproxy.fleet.EndReport;
 import org.wagtailproxy.workload.JobId;
+import org.wagtailproxy.workload.TaskId;
 
 /**
  * Decides which of the ends that a backend server lists may be acknowledged. An end is the final
@@ -86,6 +87,13 @@
         return taken;
     }
 
+    /** Checks whether the end of a run is retained. */
+    boolean isRetained(TaskId task, int attempt) {
+        return mRetained.values().stream()
+                .map(RetainedEnd::end)
+                .anyMatch(end -> end.task().equals(task) && end.attempt() == attempt);
+    }
+
     boolean hasUnread() {
         return mRetained.values().stream().anyMatch(RetainedEnd::isUnread);
     }
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ServerRuns.java
@@ -176,7 +176,11 @@
         for (RunReport running : report.running()) {
             ServerRun run = find(running.task(), running.attempt());
             if (run == null) {
-                orphans.add(running);
+                // A report that was made before the run ended may arrive after the one with its
+                // end.
+                if (!mEnds.isRetained(running.task(), running.attempt())) {
+                    orphans.add(running);
+                }
                 continue;
             }
             listed.add(running.task());
