Acknowledge no end while a former coordinator may look for it

What callers saw: a done task of a stored job was started again by a coordinator that had been replaced without knowing it.

Cause: the next coordinator found the end, saved it and acknowledged it, and the backend server forgot it. The former one still had authority for up to a second; it lost contact with the server, came back, found neither the run nor its end, and started the task once more.

Change: ends of runs of stored jobs are acknowledged only once no former coordinator has authority any more; with the ends that wait to be saved they stay listed until then, 1 s as a rule.

--- a/decisions/src/main/java/org/wagtailproxy/scheduling/ActionPermissions.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/ActionPermissions.java
@@ -19,6 +19,18 @@
         return true;
     }
 
+    /**
+     * Checks whether ends of stored jobs' runs may be acknowledged, so that the backend servers
+     * forget them. A former coordinator that does not find the end of a run would start its task
+     * again.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return false if a former coordinator may still start tasks
+     */
+    default boolean mayAcknowledgeStoredEnds(long nowNanos) {
+        return true;
+    }
+
     /**
      * Checks whether tasks may be placed on the backend servers that are known.
      *
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/BackendServer.java
@@ -389,6 +389,9 @@
 
     private void maintainHeld(long nowNanos) {
         updateUnsavedWork(nowNanos);
+        if (mPermissions.mayAcknowledgeStoredEnds(nowNanos)) {
+            mRuns.ends().releaseHeldBack();
+        }
         mRuns.stopOverdueOrphans(mTiming.adoptMillis() * NANOS_PER_MILLI, nowNanos);
         mRuns.repeatStops(nowNanos);
         boolean busy = !mRuns.isEmpty() || !mRuns.orphans().isEmpty();
--- a/decisions/src/main/java/org/wagtailproxy/scheduling/EndAcknowledgements.java
+++ b/decisions/src/main/java/org/wagtailproxy/scheduling/EndAcknowledgements.java
@@ -16,7 +16,8 @@
  *
  * <p>The end of a task of a stored job is acknowledged only after the job's change has been saved.
  * If a leader is lost right after such a task has ended, the next leader finds the end in the store
- * or still in the server's list.
+ * or still in the server's list. Until the authority of a former coordinator has lapsed, no end of
+ * a stored job's run is acknowledged at all, as that coordinator may still look for it.
  */
 final class EndAcknowledgements {
 
@@ -26,6 +27,9 @@
     private final TreeMap<Long, RetainedEnd> mRetained = new TreeMap<>();
     private long mLastProcessed;
 
+    /** Number of the first end that a former coordinator may look for, 0 if there is none. */
+    private long mFirstHeldBack;
+
     /** An end and the change of its job that has to be saved before the acknowledgement. */
     private record RetainedEnd(EndReport end, long changeNumber, long listedNanos) {
 
@@ -40,9 +44,17 @@
             return false;
         }
         mLastProcessed = end.number();
+        if (mFirstHeldBack == 0 && StoredAttempts.isStored(end.attempt())) {
+            mFirstHeldBack = end.number();
+        }
         return true;
     }
 
+    /** Records that no former coordinator looks for the ends that have been processed so far. */
+    void releaseHeldBack() {
+        mFirstHeldBack = 0;
+    }
+
     /**
      * Withholds the acknowledgement of an end until a change of its job is saved.
      *
@@ -114,16 +126,18 @@
 
     /** Checks whether ends are retained. The server answers any poll at once with these ends. */
     boolean hasRetained() {
-        return !mRetained.isEmpty();
+        return acknowledgedUpTo() < mLastProcessed;
     }
 
     /** Returns the number of the last end that the server may discard, with all before it. */
     long acknowledgedUpTo() {
-        return mRetained.isEmpty() ? mLastProcessed : mRetained.firstKey() - 1;
+        long unsaved = mRetained.isEmpty() ? mLastProcessed : mRetained.firstKey() - 1;
+        return mFirstHeldBack == 0 ? unsaved : Math.min(unsaved, mFirstHeldBack - 1);
     }
 
     void clear() {
         mRetained.clear();
         mLastProcessed = 0;
+        mFirstHeldBack = 0;
     }
 }
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/ServerSimulation.java
@@ -72,6 +72,9 @@
     /** If false, another instance may coordinate the stored jobs. */
     boolean mMayRunStoredJobs = true;
 
+    /** If false, a former coordinator may look for the ends of its runs. */
+    boolean mMayAcknowledgeStoredEnds = true;
+
     private final List<Event> mEvents = new ArrayList<>();
     private long mNowMillis = 1000;
 
@@ -469,6 +472,11 @@
         public boolean mayRunStoredJobs(long nowNanos) {
             return mMayRunStoredJobs;
         }
+
+        @Override
+        public boolean mayAcknowledgeStoredEnds(long nowNanos) {
+            return mMayAcknowledgeStoredEnds;
+        }
     }
 
     /** Records outcomes, and confirms changes of stored jobs as saved after 5 ms. */
--- a/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobAuthorityTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/scheduling/StoredJobAuthorityTest.java
@@ -8,6 +8,7 @@
 import org.wagtailproxy.workload.JobId;
 import org.wagtailproxy.workload.QueueTerms;
 import org.wagtailproxy.workload.StepSpec;
+import org.wagtailproxy.workload.StoredJob;
 import org.wagtailproxy.workload.WorkProgress;
 import org.wagtailproxy.workload.WorkSpec;
 
@@ -92,4 +93,19 @@
         mSimulation.run(100);
         assertThat(listedEnds(), is(0));
     }
+
+    /** Guards against a former coordinator that starts a task whose end it does not find. */
+    @Test
+    void testNoEndIsAcknowledgedWhileFormerCoordinatorMayLookForIt() {
+        addServers(1, 60);
+        mSimulation.mMayAcknowledgeStoredEnds = false;
+        StoredJob job = job(StepSpec.of(2, DEMAND, 60));
+        addStoredJob(job, 0);
+        mSimulation.run(500);
+        assertThat(savedJob(job).state(), is(StoredJob.State.COMPLETE));
+        assertThat(listedEnds(), is(2));
+        mSimulation.mMayAcknowledgeStoredEnds = true;
+        mSimulation.run(100);
+        assertThat(listedEnds(), is(0));
+    }
 }
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderScheduler.java
@@ -526,6 +526,11 @@
             return mCoordinator.mayRunJobs(nowNanos);
         }
 
+        @Override
+        public boolean mayAcknowledgeStoredEnds(long nowNanos) {
+            return mCoordinator.hasFormerCoordinatorEnded();
+        }
+
         @Override
         public boolean mayPlaceTasks(long nowNanos) {
             return mPlacement.mayPlace(nowNanos);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
@@ -177,6 +177,11 @@
         return !mLeadsMajority && !mAuthority.isValid(mLoop.nowNanos());
     }
 
+    /** Checks whether this instance has a term and no former coordinator starts tasks any more. */
+    boolean hasFormerCoordinatorEnded() {
+        return mJobsRead && mAuthority.hasFormerEnded();
+    }
+
     /** Starts a term unless one has started. */
     void startTerm() {
         if (mTerm.isEmpty()) {
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/TermAuthority.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/TermAuthority.java
@@ -60,6 +60,11 @@
         return mAuthority.isValid(nowNanos);
     }
 
+    /** Checks whether no former coordinator starts tasks of stored jobs any more. */
+    boolean hasFormerEnded() {
+        return mFormerEnded;
+    }
+
     void onConfirmed(long askedNanos, Set<Set<InstanceName>> electors) {
         mConfirmedNanos = Math.max(mConfirmedNanos, askedNanos);
         mAuthority.updateElectors(electors);
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/StoredJobScenesTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/StoredJobScenesTest.java
@@ -9,6 +9,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.wagtailproxy.workload.JobCondition;
 import org.wagtailproxy.workload.WorkSpec;
 
@@ -159,4 +161,51 @@
             assertThat(conditions, contains(JobCondition.UNAVAILABLE, JobCondition.UNAVAILABLE));
         }
     }
+
+    /** The same with other losses of the coordinator than a partition of its data centre. */
+    @ParameterizedTest
+    @EnumSource(Loss.class)
+    void testNoDoneTaskIsStartedAgainAfterLossOfCoordinator(Loss loss) {
+        for (int seed = 1; seed <= 5; seed++) {
+            beginWithLeaderInCutOffDataCentre(seed);
+            long endMillis = mFleet.mTime.nowMillis() + 12_000;
+            repeat(120, endMillis, () -> submitStoredJob(4, 300));
+            repeat(250, endMillis, () -> submitWaitingJob(CUT_OFF));
+            runFor(2000);
+            lose(leader(CUT_OFF), loss);
+            runFor(14_000);
+            assertNoDoubleRun();
+        }
+    }
+
+    /** How a coordinator is lost. */
+    private enum Loss {
+        KILLED,
+        STOPPED,
+        PAUSED,
+        SUSPENDED,
+        WITHOUT_STORE,
+        WITHOUT_INSTANCES
+    }
+
+    private void lose(SimulatedInstance leader, Loss loss) {
+        SimulatedNetwork.Host host = leader.mHost;
+        switch (loss) {
+            case KILLED -> leader.kill();
+            case STOPPED -> leader.stop(GRACE_MILLIS, leader::kill);
+            case PAUSED -> leader.process().pause(3000);
+            case SUSPENDED -> leader.process().suspend(3000);
+            case WITHOUT_STORE ->
+                    cut(
+                            (from, to) ->
+                                    isLinked(from, to, host)
+                                            && isLinked(from, to, SimulatedStore.HOST),
+                            PARTITION_MILLIS);
+            default ->
+                    cut(
+                            (from, to) ->
+                                    isLinked(from, to, host) && isInstance(from) && isInstance(to),
+                            PARTITION_MILLIS);
+        }
+    }
 }
