Change the leader in an outage only to one that reaches the store

What callers saw: in an outage of the whole store of more than some seconds the tasks of stored jobs that ran were stopped, and started again after it.

Cause: each instance notices an outage at another moment. The leader yielded to one that had not noticed it yet, and gave the stored jobs up; the next leader could not write the guard, and so had no authority to extend the leases. Before a coordinator's authority lapsed the runs went on all the same.

Change: the contact to the store is ASSUMED, CONFIRMED or LOST (StoreContact). A leader that has lost the store yields only once an instance has confirmed that the store answers it: each asks it, on new connections, while a peer reports the loss, and confirms by two answers in a row (StoreContactTracker; Presence.store_confirmed). A coordinator that the store does not confirm for 1 s asks as well, since a watch that waits hides a silent loss for 3.3 s. Earlier releases never confirm; until they are replaced they choose the leader as before.

--- a/decisions/src/main/java/org/wagtailproxy/leadership/Leadership.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/Leadership.java
@@ -70,9 +70,10 @@
      * @return the leader; this instance if no reachable peer is preferred to it; never null
      */
     public Peer chooseLeader(Collection<Peer> peers) {
+        boolean storeAnswers = isStoreContactConfirmed(peers);
         Peer leader = mSelf;
         for (Peer peer : peers) {
-            if (peer.reachable() && isPreferred(peer, leader)) {
+            if (peer.reachable() && isPreferred(peer, leader, storeAnswers)) {
                 leader = peer;
             }
         }
@@ -163,15 +164,17 @@
 
     /**
      * Checks whether one instance is preferred to another as the leader. A draining instance leads
-     * only if all are draining, one that cannot reach the store only if none can, and one that
-     * cannot keep up with its work only if no other one of its size can.
+     * only if all are draining, one that has lost the store only if no instance has confirmed that
+     * it answers, and one that cannot keep up with its work only if no other one of its size can.
      */
-    private boolean isPreferred(Peer one, Peer other) {
+    private boolean isPreferred(Peer one, Peer other, boolean storeAnswers) {
         if (one.draining() != other.draining()) {
             return other.draining();
         }
-        if (one.storeUnreachable() != other.storeUnreachable()) {
-            return other.storeUnreachable();
+        boolean isStoreLost = one.storeContact() == StoreContact.LOST;
+        boolean isOtherStoreLost = other.storeContact() == StoreContact.LOST;
+        if (storeAnswers && isStoreLost != isOtherStoreLost) {
+            return isOtherStoreLost;
         }
         if (isLarge(one) != isLarge(other)) {
             return isLarge(one);
@@ -184,6 +187,15 @@
                 : one.name().compareTo(other.name()) < 0;
     }
 
+    private boolean isStoreContactConfirmed(Collection<Peer> peers) {
+        return mSelf.storeContact() == StoreContact.CONFIRMED
+                || peers.stream()
+                        .anyMatch(
+                                peer ->
+                                        peer.reachable()
+                                                && peer.storeContact() == StoreContact.CONFIRMED);
+    }
+
     private boolean isLarge(Peer peer) {
         return peer.processorMillis() >= mMinLeaderProcessorMillis;
     }
--- a/decisions/src/main/java/org/wagtailproxy/leadership/Peer.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/Peer.java
@@ -15,7 +15,7 @@
  * @param seniority the order of joining; a lower number is more senior
  * @param reachable true if it answers liveness probes
  * @param draining true if it is about to stop
- * @param storeUnreachable true if stored jobs are in use and it cannot reach the store
+ * @param storeContact its contact to the store, not null
  * @param overloaded true if it cannot keep up with its work
  * @param follows the leader that it reported to follow, none if it has reported none
  */
@@ -27,7 +27,7 @@
         long seniority,
         boolean reachable,
         boolean draining,
-        boolean storeUnreachable,
+        StoreContact storeContact,
         boolean overloaded,
         Option<InstanceName> follows) {
 
@@ -36,6 +36,7 @@
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(dataCentre, "dataCentre");
         Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(storeContact, "storeContact");
         Objects.requireNonNull(follows, "follows");
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerState.java
@@ -32,7 +32,7 @@
     boolean mRefusesConnections;
     boolean mPartitioned;
     boolean mCoordinatesStoredJobs;
-    boolean mStoreUnreachable;
+    StoreContact mStoreContact = StoreContact.ASSUMED;
     boolean mOverloaded;
     boolean mProbedRarely;
 
@@ -93,7 +93,7 @@
                 mSeniority,
                 mReachable,
                 mDraining,
-                mStoreUnreachable,
+                mStoreContact,
                 mOverloaded,
                 mFollows);
     }
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerStatus.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerStatus.java
@@ -11,7 +11,7 @@
  * @param seniority the order of joining; a lower number is more senior
  * @param follows the leader that it follows, none if it has none
  * @param draining true if it is about to stop
- * @param storeUnreachable true if stored jobs are in use and it cannot reach the store
+ * @param storeContact its contact to the store, not null
  * @param overloaded true if it cannot keep up with its work
  * @param coordinatesStoredJobs true if it coordinates the stored jobs
  * @param scope the data centres on whose backend servers it starts tasks while it leads, not null
@@ -23,7 +23,7 @@
         long seniority,
         Option<InstanceName> follows,
         boolean draining,
-        boolean storeUnreachable,
+        StoreContact storeContact,
         boolean overloaded,
         boolean coordinatesStoredJobs,
         DataCentreScope scope,
@@ -33,6 +33,7 @@
     public PeerStatus {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(follows, "follows");
+        Objects.requireNonNull(storeContact, "storeContact");
         Objects.requireNonNull(scope, "scope");
     }
 }
--- a/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
+++ b/decisions/src/main/java/org/wagtailproxy/leadership/PeerTable.java
@@ -328,7 +328,7 @@
         }
         boolean changed =
                 state.mDraining != status.draining()
-                        || state.mStoreUnreachable != status.storeUnreachable()
+                        || state.mStoreContact != status.storeContact()
                         || state.mOverloaded != status.overloaded()
                         || !state.mFollows.equals(status.follows());
         state.mStatusNanos = nowNanos;
@@ -336,7 +336,7 @@
         state.mDraining = status.draining();
         state.mFollows = status.follows();
         state.mCoordinatesStoredJobs = status.coordinatesStoredJobs();
-        state.mStoreUnreachable = status.storeUnreachable();
+        state.mStoreContact = status.storeContact();
         state.mOverloaded = status.overloaded();
         state.mScope = status.scope();
         state.mClockNanos = status.clockNanos();
@@ -417,21 +417,35 @@
     }
 
     /**
-     * Returns the names of the peers of a data centre.
+     * Returns the names of some peers.
      *
-     * @param dataCentre the data centre, not null
+     * @param filter selects the peers, not null
      * @return a set that the caller may change, never null
      */
-    public Set<InstanceName> namesIn(DataCentre dataCentre) {
+    public Set<InstanceName> names(Predicate<Peer> filter) {
         Set<InstanceName> names = new TreeSet<>();
         for (PeerState state : mPeers.values()) {
-            if (state.mFirstRecord.dataCentre().equals(dataCentre)) {
+            if (filter.test(state.toPeer())) {
                 names.add(state.name());
             }
         }
         return names;
     }
 
+    /**
+     * Checks whether a reachable peer has lost the store.
+     *
+     * @return true if one reports so
+     */
+    public boolean hasPeerWithoutStore() {
+        for (PeerState state : mPeers.values()) {
+            if (state.mReachable && state.mStoreContact == StoreContact.LOST) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Finds a peer by its name.
      *
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/Dispatcher.java
@@ -17,6 +17,7 @@
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.InstanceRecord;
 import org.wagtailproxy.leadership.LifeSigns;
+import org.wagtailproxy.leadership.StoreContact;
 import org.wagtailproxy.observe.DispatchState;
 import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.MetricsRecorder;
@@ -88,7 +89,7 @@
     private final PoolMembership mPool;
     private final HomeMonitor mHomes;
     private final EvacuationTracker mEvacuations;
-    private final StoreReachability mStoreReachability;
+    private final StoreContactTracker mStoreContact;
     private final ServerListTracker mServerList;
     private Collection<ServerEntry> mServers = List.of();
 
@@ -107,7 +108,7 @@
         mDecisions = new DecisionLog(log, metrics);
         LifeSigns lifeSigns = new LifeSigns(new ClockEvents());
         mEvacuations = new EvacuationTracker(log);
-        mStoreReachability = new StoreReachability(loop);
+        mStoreContact = new StoreContactTracker(loop, context.store());
         mElection =
                 new LeaderElection(
                         settings,
@@ -461,17 +462,21 @@
      * @param reachable true if it answers
      */
     public void updateStoreReachable(boolean reachable) {
-        mStoreReachability.update(reachable);
+        mStoreContact.update(reachable);
     }
 
-    private boolean isStoreUnreachable() {
-        return mStoredJobClient.hasSignOfStoredJobs() && mStoreReachability.isLost();
+    /** Checks the contact to the store, which matters only while there are stored jobs. */
+    private StoreContact checkStoreContact(boolean isLostElsewhere) {
+        return mStoredJobClient.hasSignOfStoredJobs()
+                ? mStoreContact.check(
+                        isLostElsewhere || mLeaderScheduler.coordinator().isUnconfirmed())
+                : StoreContact.ASSUMED;
     }
 
     private void tick() {
         mLoop.schedule(LeaderElection.TICK_MILLIS, this::tick);
         mLeaderScheduler.detectSuspension();
-        mElection.updateStoreUnreachable(isStoreUnreachable());
+        mElection.updateStoreContact(this::checkStoreContact);
         mElection.updateCoordinatesStoredJobs(mLeaderScheduler.coordinator().hasJobs());
         mPool.tick();
         mElection.tick(mForwarder.openJobs() > 0);
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/LeaderElection.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.wagtailproxy.coordination.ElectorPromise;
 import org.wagtailproxy.failure.Failure;
@@ -27,6 +28,7 @@
 import org.wagtailproxy.leadership.PeerProbe;
 import org.wagtailproxy.leadership.PeerStatus;
 import org.wagtailproxy.leadership.PeerTable;
+import org.wagtailproxy.leadership.StoreContact;
 import org.wagtailproxy.observe.EventField;
 import org.wagtailproxy.observe.EventLog;
 import org.wagtailproxy.observe.EventName;
@@ -109,7 +111,7 @@
     private boolean mServerListOutdated;
     private boolean mLarge;
     private boolean mDraining;
-    private boolean mStoreUnreachable;
+    private StoreContact mStoreContact = StoreContact.ASSUMED;
     private boolean mCoordinatesStoredJobs;
     private final OverloadMonitor mOverload;
     private final ElectorPromise mPromise;
@@ -187,10 +189,11 @@
         sendProbes(true);
     }
 
-    /** Updates whether there are stored jobs while this instance cannot reach the store. */
-    void updateStoreUnreachable(boolean storeUnreachable) {
-        if (mStoreUnreachable != storeUnreachable) {
-            mStoreUnreachable = storeUnreachable;
+    /** Updates the contact to the store by a check, which is told whether a peer has lost it. */
+    void updateStoreContact(Function<Boolean, StoreContact> check) {
+        StoreContact contact = check.apply(mPeers.hasPeerWithoutStore());
+        if (mStoreContact != contact) {
+            mStoreContact = contact;
             electLeader();
         }
     }
@@ -242,16 +245,14 @@
 
     /** Returns the instances that are known to be registered. */
     Set<InstanceName> registeredInstances() {
-        Set<InstanceName> registered = new TreeSet<>();
-        mPeers.peers().forEach(peer -> registered.add(peer.name()));
+        Set<InstanceName> registered = mPeers.names(peer -> true);
         registered.add(mSettings.name());
         return registered;
     }
 
     /** Returns this instance and the peers that answer probes, as a set that may be changed. */
     Set<InstanceName> reachableInstances() {
-        Set<InstanceName> reachable = new TreeSet<>();
-        mPeers.peers().stream().filter(Peer::reachable).forEach(p -> reachable.add(p.name()));
+        Set<InstanceName> reachable = mPeers.names(Peer::reachable);
         reachable.add(mSettings.name());
         return reachable;
     }
@@ -325,7 +326,7 @@
     }
 
     private Set<InstanceName> instancesIn(DataCentre dataCentre) {
-        Set<InstanceName> instances = mPeers.namesIn(dataCentre);
+        Set<InstanceName> instances = mPeers.names(peer -> peer.dataCentre().equals(dataCentre));
         if (dataCentre.equals(mSettings.dataCentre())) {
             instances.add(mSettings.name());
         }
@@ -573,7 +574,7 @@
                 mSeniority,
                 true,
                 mDraining,
-                mStoreUnreachable,
+                mStoreContact,
                 mOverload.isOverloaded(),
                 mLeader.map(Peer::name));
     }
@@ -581,7 +582,7 @@
     /** Returns the presence that this instance reports to its peers. */
     Presence.Builder presence() {
         return mEvacuations
-                .addTo(Presence.newBuilder())
+                .addTo(PresenceMessages.setStoreContact(Presence.newBuilder(), mStoreContact))
                 .setName(mSettings.name().value())
                 .setIncarnation(MessageConverter.incarnation(mSettings.incarnation()))
                 .setDataCentre(mSettings.dataCentre().value())
@@ -589,7 +590,6 @@
                 .setSeniority(mSeniority)
                 .setFollows(mLeader.map(leader -> leader.name().value()).getOrElse(""))
                 .setDraining(mDraining)
-                .setStoreless(mStoreUnreachable)
                 .setKeepsJobs(mCoordinatesStoredJobs)
                 .setOverloaded(mOverload.isOverloaded())
                 .setScope(WorkMessages.scope(ownScope()))
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/PresenceMessages.java
@@ -8,6 +8,7 @@
 import org.wagtailproxy.leadership.InstanceName;
 import org.wagtailproxy.leadership.LifeSign;
 import org.wagtailproxy.leadership.PeerStatus;
+import org.wagtailproxy.leadership.StoreContact;
 import org.wagtailproxy.peer.MessageConverter;
 import org.wagtailproxy.wire.Presence;
 
@@ -26,13 +27,26 @@
                                         presence.getSeniority(),
                                         name(presence.getFollows()),
                                         presence.getDraining(),
-                                        presence.getStoreless(),
+                                        storeContact(presence),
                                         presence.getOverloaded(),
                                         presence.getKeepsJobs(),
                                         WorkMessages.scope(presence.getScope()),
                                         presence.getClockNanos()));
     }
 
+    /** Adds the contact of this instance to the store, and returns the presence. */
+    static Presence.Builder setStoreContact(Presence.Builder presence, StoreContact contact) {
+        return presence.setStoreless(contact == StoreContact.LOST)
+                .setStoreConfirmed(contact == StoreContact.CONFIRMED);
+    }
+
+    private static StoreContact storeContact(Presence presence) {
+        if (presence.getStoreless()) {
+            return StoreContact.LOST;
+        }
+        return presence.getStoreConfirmed() ? StoreContact.CONFIRMED : StoreContact.ASSUMED;
+    }
+
     /**
      * Returns the sign of life that a presence is.
      *
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoredJobCoordinator.java
@@ -169,14 +169,16 @@
         return mJobsRead && mAuthority.isValid(nowNanos);
     }
 
-    /**
-     * Checks whether another instance probably coordinates the stored jobs by now, so that requests
-     * are not held until it is known.
-     */
+    /** Checks whether another instance probably coordinates by now, so that nothing can wait. */
     private boolean isReplaceable() {
         return !mLeadsMajority && !mAuthority.isValid(mLoop.nowNanos());
     }
 
+    /** Checks whether the store has not confirmed lately that this instance coordinates. */
+    boolean isUnconfirmed() {
+        return hasJobs() && !mAuthority.isConfirmedByStore();
+    }
+
     /** Checks whether this instance has a term and no former coordinator starts tasks any more. */
     boolean hasFormerCoordinatorEnded() {
         return mJobsRead && mAuthority.hasFormerEnded();
--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/TermAuthority.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/TermAuthority.java
@@ -60,6 +60,11 @@
         return mAuthority.isValid(nowNanos);
     }
 
+    /** Checks whether the authority rests on the store. */
+    boolean isConfirmedByStore() {
+        return mAuthority.evidence(mLoop.nowNanos()) == Evidence.STORE;
+    }
+
     /** Checks whether no former coordinator starts tasks of stored jobs any more. */
     boolean hasFormerEnded() {
         return mFormerEnded;
--- a/proxy/src/test/java/org/wagtailproxy/dispatcher/StoredJobScenesTest.java
+++ b/proxy/src/test/java/org/wagtailproxy/dispatcher/StoredJobScenesTest.java
@@ -178,6 +178,61 @@
         }
     }
 
+    /**
+     * Nobody can take over while the whole store is down, so runs of stored jobs are to go on
+     * whichever instance notices the outage first.
+     */
+    @Test
+    void testRunsOfStoredJobsGoOnWhileTheStoreIsDown() {
+        for (int seed = 1; seed <= 5; seed++) {
+            beginWithLeaderInCutOffDataCentre(seed);
+            submitStoredJob(4, 14_000);
+            runFor(1000);
+            int started = mFleet.mStarts;
+            mFleet.mStore.mDown = true;
+            runFor(8000);
+            mFleet.mStore.mDown = false;
+            runFor(3000);
+            assertThat(mFleet.mStarts, is(started));
+            assertNoDoubleRun();
+        }
+    }
+
+    @Test
+    void testAnotherInstanceLeadsOnceItHasConfirmedThatOnlyTheLeaderHasLostTheStore() {
+        for (int seed = 1; seed <= 5; seed++) {
+            beginWithLeaderInCutOffDataCentre(seed);
+            submitStoredJob(4, 14_000);
+            runFor(1000);
+            SimulatedInstance former = leader(CUT_OFF);
+            lose(former, Loss.WITHOUT_STORE);
+            runFor(PARTITION_MILLIS - 100);
+            assertThat(former.isLeader(), is(false));
+            runFor(PARTITION_MILLIS);
+            assertNoDoubleRun();
+        }
+    }
+
+    /**
+     * A coordinator without the store stops its runs after a while, and goes on once it is back.
+     */
+    @Test
+    void testTasksOfStoredJobsAreStartedAgainAfterLongOutageOfTheStore() {
+        for (int seed = 1; seed <= 5; seed++) {
+            beginWithLeaderInCutOffDataCentre(seed);
+            submitStoredJob(4, 30_000);
+            runFor(1000);
+            int started = mFleet.mStarts;
+            mFleet.mStore.mDown = true;
+            runFor(13_000);
+            assertThat(mFleet.mStarts, is(started));
+            mFleet.mStore.mDown = false;
+            runFor(5000);
+            assertThat(mFleet.mStarts, is(2 * started));
+            assertNoDoubleRun();
+        }
+    }
+
     /** How a coordinator is lost. */
     private enum Loss {
         KILLED,
--- a/wire/src/main/java/org/wagtailproxy/wire/Peer.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Peer.java
@@ -256,7 +256,7 @@
       "als\030\005 \003(\0132\027.wagtailproxy.wire.Seal\022*\n\007me" +
       "mbers\030\006 \003(\0132\031.wagtailproxy.wire.Member\"I" +
       "\n\010Resource\022\014\n\004kind\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\017" +
-      "\n\007version\030\003 \001(\004\022\020\n\010document\030\004 \001(\014\"\246\004\n\010Pr" +
+      "\n\007version\030\003 \001(\004\022\020\n\010document\030\004 \001(\014\"\277\004\n\010Pr" +
       "esence\022\014\n\004name\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(" +
       "\t\022\024\n\014peer_address\030\003 \001(\t\022\021\n\tseniority\030\004 \001" +
       "(\006\022\017\n\007follows\030\005 \001(\t\022\020\n\010draining\030\006 \001(\010\022\025\n" +
@@ -270,56 +270,57 @@
       "(\020\022!\n\031receiver_clock_age_millis\0303 \001(\004\022\023\n" +
       "\013incarnation\0304 \001(\014\022\033\n\023evacuation_revisio" +
       "n\0305 \001(\006\022\036\n\026evacuated_data_centres\0306 \003(\t\022" +
-      "\031\n\021supports_receiver\0307 \001(\010\"J\n\017DataCentre" +
-      "Scope\022\017\n\007limited\030\001 \001(\010\022\024\n\014data_centres\030\002" +
-      " \003(\t\022\020\n\010unlisted\030( \001(\010\"\232\003\n\nSubmitWork\022\013\n" +
-      "\003job\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007payload\030\003" +
-      " \001(\t\022*\n\005steps\030\004 \003(\0132\033.wagtailproxy.wire." +
-      "WorkStep\022\020\n\010priority\030\005 \001(\r\022\024\n\014slack_fact" +
-      "or\030\006 \001(\001\022\025\n\rtarget_millis\030\007 \001(\004\022\025\n\rmost_" +
-      "failures\030\010 \001(\r\022\022\n\nage_millis\030\t \001(\004\022\027\n\017pa" +
-      "tience_millis\030\n \001(\004\022\014\n\004home\030\013 \001(\t\0221\n\010pro" +
-      "gress\030\014 \001(\0132\037.wagtailproxy.wire.WorkProg" +
-      "ress\022\021\n\tforwarded\030\r \001(\010\022\021\n\tstored_in\030\016 \001" +
-      "(\t\022\017\n\007lasting\030\017 \001(\010\022\034\n\024receiver_clock_na" +
-      "nos\030\020 \001(\020\022\030\n\020home_incarnation\030\021 \001(\014\"\273\001\n\010" +
-      "WorkStep\022\r\n\005tasks\030\001 \001(\r\022\022\n\ncpu_millis\030\002 " +
-      "\001(\004\022\030\n\020memory_megabytes\030\003 \001(\004\022\024\n\014acceler" +
-      "ators\030\004 \001(\004\022\027\n\017estimate_millis\030\005 \001(\004\022\r\n\005" +
-      "after\030\006 \003(\r\022\r\n\005label\030\007 \001(\t\022\014\n\004rack\030\010 \001(\t" +
-      "\022\027\n\017most_per_server\030\t \001(\r\"\220\001\n\014WorkProgre" +
-      "ss\022\027\n\017highest_attempt\030\001 \001(\r\022\014\n\004done\030\002 \003(" +
-      "\r\022\017\n\007runs_on\030\003 \003(\t\022\025\n\rruns_on_known\030\004 \001(" +
-      "\010\0221\n\005scope\030\005 \001(\0132\".wagtailproxy.wire.Dat" +
-      "aCentreScope\"\201\002\n\nWorkAnswer\0220\n\004kind\030\001 \001(" +
-      "\0162\".wagtailproxy.wire.WorkAnswer.Kind\022\016\n" +
-      "\006reason\030\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(" +
-      "\004\0221\n\010progress\030\004 \001(\0132\037.wagtailproxy.wire." +
-      "WorkProgress\"b\n\004Kind\022\013\n\007UNKNOWN\020\000\022\014\n\010COM" +
-      "PLETE\020\001\022\n\n\006FAILED\020\002\022\013\n\007REFUSED\020\003\022\r\n\tABAN" +
-      "DONED\020\004\022\t\n\005MOVED\020\005\022\014\n\010ACCEPTED\020\006\"C\n\014With" +
-      "drawWork\022\013\n\003job\030\001 \001(\t\022\014\n\004home\030\002 \001(\t\022\030\n\020h" +
-      "ome_incarnation\030\003 \001(\014\"\034\n\rWorkForwarded\022\013" +
-      "\n\003job\030\001 \001(\t\"4\n\006AskJob\022\013\n\003job\030\001 \001(\t\022\r\n\005qu" +
-      "eue\030\002 \001(\t\022\016\n\006cancel\030\003 \001(\010\"\275\001\n\007JobTold\0227\n" +
-      "\tcondition\030\001 \001(\0162$.wagtailproxy.wire.Job" +
-      "Told.Condition\022\017\n\007pending\030\002 \001(\r\"h\n\tCondi" +
-      "tion\022\017\n\013UNAVAILABLE\020\000\022\010\n\004GONE\020\001\022\n\n\006QUEUE" +
-      "D\020\002\022\013\n\007RUNNING\020\003\022\014\n\010COMPLETE\020\004\022\n\n\006FAILED" +
-      "\020\005\022\r\n\tCANCELLED\020\006\"\340\001\n\tJobRecord\022+\n\004work\030" +
-      "\001 \001(\0132\035.wagtailproxy.wire.SubmitWork\0221\n\005" +
-      "state\030\002 \001(\0162\".wagtailproxy.wire.JobRecor" +
-      "d.State\022\014\n\004done\030\003 \003(\r\022\020\n\010failures\030\004 \003(\r\022" +
-      "\027\n\017failed_attempts\030\005 \003(\r\":\n\005State\022\010\n\004OPE" +
-      "N\020\000\022\014\n\010COMPLETE\020\001\022\n\n\006FAILED\020\002\022\r\n\tCANCELL" +
-      "ED\020\003\"\375\001\n\014KeeperRecord\022\014\n\004name\030\001 \001(\t\022\023\n\013i" +
-      "ncarnation\030\002 \001(\t\022\022\n\ngeneration\030\003 \001(\004\0222\n\004" +
-      "jobs\030\004 \001(\0162$.wagtailproxy.wire.KeeperRec" +
-      "ord.Jobs\022:\n\010electors\030\005 \003(\0132(.wagtailprox" +
-      "y.wire.KeeperRecord.Electors\032\031\n\010Electors" +
-      "\022\r\n\005names\030\001 \003(\t\"+\n\004Jobs\022\013\n\007UNKNOWN\020\000\022\010\n\004" +
-      "NONE\020\001\022\014\n\010POSSIBLE\020\002B\033\n\025org.wagtailproxy" +
-      ".wireH\001P\001b\006proto3"
+      "\031\n\021supports_receiver\0307 \001(\010\022\027\n\017store_conf" +
+      "irmed\0308 \001(\010\"J\n\017DataCentreScope\022\017\n\007limite" +
+      "d\030\001 \001(\010\022\024\n\014data_centres\030\002 \003(\t\022\020\n\010unliste" +
+      "d\030( \001(\010\"\232\003\n\nSubmitWork\022\013\n\003job\030\001 \001(\t\022\017\n\007s" +
+      "ervice\030\002 \001(\t\022\017\n\007payload\030\003 \001(\t\022*\n\005steps\030\004" +
+      " \003(\0132\033.wagtailproxy.wire.WorkStep\022\020\n\010pri" +
+      "ority\030\005 \001(\r\022\024\n\014slack_factor\030\006 \001(\001\022\025\n\rtar" +
+      "get_millis\030\007 \001(\004\022\025\n\rmost_failures\030\010 \001(\r\022" +
+      "\022\n\nage_millis\030\t \001(\004\022\027\n\017patience_millis\030\n" +
+      " \001(\004\022\014\n\004home\030\013 \001(\t\0221\n\010progress\030\014 \001(\0132\037.w" +
+      "agtailproxy.wire.WorkProgress\022\021\n\tforward" +
+      "ed\030\r \001(\010\022\021\n\tstored_in\030\016 \001(\t\022\017\n\007lasting\030\017" +
+      " \001(\010\022\034\n\024receiver_clock_nanos\030\020 \001(\020\022\030\n\020ho" +
+      "me_incarnation\030\021 \001(\014\"\273\001\n\010WorkStep\022\r\n\005tas" +
+      "ks\030\001 \001(\r\022\022\n\ncpu_millis\030\002 \001(\004\022\030\n\020memory_m" +
+      "egabytes\030\003 \001(\004\022\024\n\014accelerators\030\004 \001(\004\022\027\n\017" +
+      "estimate_millis\030\005 \001(\004\022\r\n\005after\030\006 \003(\r\022\r\n\005" +
+      "label\030\007 \001(\t\022\014\n\004rack\030\010 \001(\t\022\027\n\017most_per_se" +
+      "rver\030\t \001(\r\"\220\001\n\014WorkProgress\022\027\n\017highest_a" +
+      "ttempt\030\001 \001(\r\022\014\n\004done\030\002 \003(\r\022\017\n\007runs_on\030\003 " +
+      "\003(\t\022\025\n\rruns_on_known\030\004 \001(\010\0221\n\005scope\030\005 \001(" +
+      "\0132\".wagtailproxy.wire.DataCentreScope\"\201\002" +
+      "\n\nWorkAnswer\0220\n\004kind\030\001 \001(\0162\".wagtailprox" +
+      "y.wire.WorkAnswer.Kind\022\016\n\006reason\030\002 \001(\t\022\032" +
+      "\n\022retry_after_millis\030\003 \001(\004\0221\n\010progress\030\004" +
+      " \001(\0132\037.wagtailproxy.wire.WorkProgress\"b\n" +
+      "\004Kind\022\013\n\007UNKNOWN\020\000\022\014\n\010COMPLETE\020\001\022\n\n\006FAIL" +
+      "ED\020\002\022\013\n\007REFUSED\020\003\022\r\n\tABANDONED\020\004\022\t\n\005MOVE" +
+      "D\020\005\022\014\n\010ACCEPTED\020\006\"C\n\014WithdrawWork\022\013\n\003job" +
+      "\030\001 \001(\t\022\014\n\004home\030\002 \001(\t\022\030\n\020home_incarnation" +
+      "\030\003 \001(\014\"\034\n\rWorkForwarded\022\013\n\003job\030\001 \001(\t\"4\n\006" +
+      "AskJob\022\013\n\003job\030\001 \001(\t\022\r\n\005queue\030\002 \001(\t\022\016\n\006ca" +
+      "ncel\030\003 \001(\010\"\275\001\n\007JobTold\0227\n\tcondition\030\001 \001(" +
+      "\0162$.wagtailproxy.wire.JobTold.Condition\022" +
+      "\017\n\007pending\030\002 \001(\r\"h\n\tCondition\022\017\n\013UNAVAIL" +
+      "ABLE\020\000\022\010\n\004GONE\020\001\022\n\n\006QUEUED\020\002\022\013\n\007RUNNING\020" +
+      "\003\022\014\n\010COMPLETE\020\004\022\n\n\006FAILED\020\005\022\r\n\tCANCELLED" +
+      "\020\006\"\340\001\n\tJobRecord\022+\n\004work\030\001 \001(\0132\035.wagtail" +
+      "proxy.wire.SubmitWork\0221\n\005state\030\002 \001(\0162\".w" +
+      "agtailproxy.wire.JobRecord.State\022\014\n\004done" +
+      "\030\003 \003(\r\022\020\n\010failures\030\004 \003(\r\022\027\n\017failed_attem" +
+      "pts\030\005 \003(\r\":\n\005State\022\010\n\004OPEN\020\000\022\014\n\010COMPLETE" +
+      "\020\001\022\n\n\006FAILED\020\002\022\r\n\tCANCELLED\020\003\"\375\001\n\014Keeper" +
+      "Record\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
+      "\t\022\022\n\ngeneration\030\003 \001(\004\0222\n\004jobs\030\004 \001(\0162$.wa" +
+      "gtailproxy.wire.KeeperRecord.Jobs\022:\n\010ele" +
+      "ctors\030\005 \003(\0132(.wagtailproxy.wire.KeeperRe" +
+      "cord.Electors\032\031\n\010Electors\022\r\n\005names\030\001 \003(\t" +
+      "\"+\n\004Jobs\022\013\n\007UNKNOWN\020\000\022\010\n\004NONE\020\001\022\014\n\010POSSI" +
+      "BLE\020\002B\033\n\025org.wagtailproxy.wireH\001P\001b\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -432,7 +433,7 @@
     internal_static_wagtailproxy_wire_Presence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_wagtailproxy_wire_Presence_descriptor,
-        new java.lang.String[] { "Name", "DataCentre", "PeerAddress", "Seniority", "Follows", "Draining", "HighestToken", "ConfigurationVersion", "Configuration", "FreeCpuMillis", "QueueMillis", "KeepsJobs", "Storeless", "Scope", "ClockNanos", "Overloaded", "ReceiverClockNanos", "ReceiverClockAgeMillis", "Incarnation", "EvacuationRevision", "EvacuatedDataCentres", "SupportsReceiver", });
+        new java.lang.String[] { "Name", "DataCentre", "PeerAddress", "Seniority", "Follows", "Draining", "HighestToken", "ConfigurationVersion", "Configuration", "FreeCpuMillis", "QueueMillis", "KeepsJobs", "Storeless", "Scope", "ClockNanos", "Overloaded", "ReceiverClockNanos", "ReceiverClockAgeMillis", "Incarnation", "EvacuationRevision", "EvacuatedDataCentres", "SupportsReceiver", "StoreConfirmed", });
     internal_static_wagtailproxy_wire_DataCentreScope_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_wagtailproxy_wire_DataCentreScope_fieldAccessorTable = new
--- a/wire/src/main/java/org/wagtailproxy/wire/Presence.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/Presence.java
@@ -523,6 +523,21 @@
     return supportsReceiver_;
   }
 
+  public static final int STORE_CONFIRMED_FIELD_NUMBER = 56;
+  private boolean storeConfirmed_ = false;
+  /**
+   * <pre>
+   * The store has answered the sender since another instance reported that it does not.
+   * </pre>
+   *
+   * <code>bool store_confirmed = 56;</code>
+   * @return The storeConfirmed.
+   */
+  @java.lang.Override
+  public boolean getStoreConfirmed() {
+    return storeConfirmed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -603,6 +618,9 @@
     if (supportsReceiver_ != false) {
       output.writeBool(55, supportsReceiver_);
     }
+    if (storeConfirmed_ != false) {
+      output.writeBool(56, storeConfirmed_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -695,6 +713,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(55, supportsReceiver_);
     }
+    if (storeConfirmed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(56, storeConfirmed_);
+    }
     return size;
   }
   @java.lang.Override
@@ -766,6 +788,8 @@
         .equals(other.getEvacuatedDataCentresList())) return false;
     if (getSupportsReceiver()
         != other.getSupportsReceiver()) return false;
+    if (getStoreConfirmed()
+        != other.getStoreConfirmed()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -839,6 +863,9 @@
     hash = (37 * hash) + SUPPORTS_RECEIVER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getSupportsReceiver());
+    hash = (37 * hash) + STORE_CONFIRMED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getStoreConfirmed());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1007,6 +1034,7 @@
       evacuatedDataCentres_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       supportsReceiver_ = false;
+      storeConfirmed_ = false;
       return this;
     }
 
@@ -1111,6 +1139,9 @@
       if (((from_bitField0_ & 0x00200000) != 0)) {
         result.supportsReceiver_ = supportsReceiver_;
       }
+      if (((from_bitField0_ & 0x00400000) != 0)) {
+        result.storeConfirmed_ = storeConfirmed_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1207,6 +1238,9 @@
       if (other.getSupportsReceiver() != false) {
         setSupportsReceiver(other.getSupportsReceiver());
       }
+      if (other.getStoreConfirmed() != false) {
+        setStoreConfirmed(other.getStoreConfirmed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1343,6 +1377,11 @@
               bitField0_ |= 0x00200000;
               break;
             } // case 440
+            case 448: {
+              storeConfirmed_ = input.readBool();
+              bitField0_ |= 0x00400000;
+              break;
+            } // case 448
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2587,6 +2626,50 @@
       return this;
     }
 
+    private boolean storeConfirmed_ ;
+    /**
+     * <pre>
+     * The store has answered the sender since another instance reported that it does not.
+     * </pre>
+     *
+     * <code>bool store_confirmed = 56;</code>
+     * @return The storeConfirmed.
+     */
+    @java.lang.Override
+    public boolean getStoreConfirmed() {
+      return storeConfirmed_;
+    }
+    /**
+     * <pre>
+     * The store has answered the sender since another instance reported that it does not.
+     * </pre>
+     *
+     * <code>bool store_confirmed = 56;</code>
+     * @param value The storeConfirmed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreConfirmed(boolean value) {
+
+      storeConfirmed_ = value;
+      bitField0_ |= 0x00400000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The store has answered the sender since another instance reported that it does not.
+     * </pre>
+     *
+     * <code>bool store_confirmed = 56;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreConfirmed() {
+      bitField0_ = (bitField0_ & ~0x00400000);
+      storeConfirmed_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wagtailproxy.wire.Presence)
   }
 
--- a/wire/src/main/java/org/wagtailproxy/wire/PresenceOrBuilder.java
+++ b/wire/src/main/java/org/wagtailproxy/wire/PresenceOrBuilder.java
@@ -260,4 +260,14 @@
    * @return The supportsReceiver.
    */
   boolean getSupportsReceiver();
+
+  /**
+   * <pre>
+   * The store has answered the sender since another instance reported that it does not.
+   * </pre>
+   *
+   * <code>bool store_confirmed = 56;</code>
+   * @return The storeConfirmed.
+   */
+  boolean getStoreConfirmed();
 }
