Ask the store until it answers again

After a moment without the store, a leader counted as without it for good, and another instance led.

Cause: a question without an answer makes the contact doubtful, but the watches tell the tracker only of changes, and it did not ask any more once the contact was lost.

Change: the store is asked every 0.4 s until it answers, each time whatever has become of the question before. A contact is confirmed by three answers in a row instead of two, which take longer than the instance that has lost the store needs to report that it is back.

testLeaderStaysWhenTheStoreIsSilentForAMoment fails on the code before.

--- a/proxy/src/main/java/org/wagtailproxy/dispatcher/StoreContactTracker.java
+++ b/proxy/src/main/java/org/wagtailproxy/dispatcher/StoreContactTracker.java
@@ -22,15 +22,18 @@
     /** Pause between questions, which limits the calls to the store during an outage. */
     private static final long QUESTION_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-    /** Answers in a row that confirm the contact; one alone may precede the outage. */
-    private static final int CONFIRMING_ANSWERS = 2;
+    /**
+     * Answers in a row that confirm the contact. They take longer than the instance that has lost
+     * the store needs to notice and to report that it is back.
+     */
+    private static final int CONFIRMING_ANSWERS = 3;
 
     private final EventLoop mLoop;
     private final VersionedStore mStore;
     private boolean mReachable;
     private long mChangedNanos;
     private long mAskedNanos;
-    private boolean mAwaitsAnswer;
+    private long mAnsweredQuestionNanos = Long.MIN_VALUE;
     private int mAnswers;
 
     StoreContactTracker(EventLoop loop, VersionedStore store) {
@@ -60,35 +63,33 @@
         if (!isDoubted) {
             mAnswers = 0;
         }
+        if (!mReachable || isDoubted && mAnswers < CONFIRMING_ANSWERS) {
+            askIfDue();
+        }
         if (!mReachable && mLoop.nowNanos() - mChangedNanos > LOST_NANOS) {
             return StoreContact.LOST;
         }
-        if (!isDoubted) {
-            return StoreContact.ASSUMED;
-        }
-        if (mAnswers >= CONFIRMING_ANSWERS) {
-            return StoreContact.CONFIRMED;
-        }
-        askIfDue();
-        return StoreContact.ASSUMED;
+        return mAnswers < CONFIRMING_ANSWERS ? StoreContact.ASSUMED : StoreContact.CONFIRMED;
     }
 
     private void askIfDue() {
         long nowNanos = mLoop.nowNanos();
-        if (mAwaitsAnswer || nowNanos - mAskedNanos < QUESTION_INTERVAL_NANOS) {
+        if (nowNanos - mAskedNanos < QUESTION_INTERVAL_NANOS) {
             return;
         }
         mAskedNanos = nowNanos;
-        mAwaitsAnswer = true;
-        mStore.read(
-                CoordinatorTerm.GUARD_KEY,
-                "",
-                page -> {
-                    mAwaitsAnswer = false;
-                    update(page.isRight());
-                    if (page.isRight()) {
-                        mAnswers++;
-                    }
-                });
+        mStore.read(CoordinatorTerm.GUARD_KEY, "", page -> onResult(nowNanos, page.isRight()));
+    }
+
+    private void onResult(long askedNanos, boolean isAnswered) {
+        if (askedNanos < mAnsweredQuestionNanos) {
+            // A question that was asked later has been answered.
+            return;
+        }
+        update(isAnswered);
+        if (isAnswered) {
+            mAnsweredQuestionNanos = askedNanos;
+            mAnswers++;
+        }
     }
 }
