Read little of each new connection before an ordinary request

Callers saw: beside 400 clients that send requests ahead and read no answers, an ordinary request was answered after 2.3 to 3.0 s instead of 0.1 s, in most runs.

Cause: a connection that finds the work of a pass spent waits for its turn as a newcomer. All 400 did; the traced request waited behind 295 of them, and every second turn was one of a connection that had had turns before. Each of these 590 turns read up to 16 KiB, so that 68 passes of 33 ms went by before the request was read.

Change: a newcomer is read by up to 2 KiB, which holds an ordinary request, and takes further turns as the others do. Newcomers and others get the same work rather than the same number of turns. A connection whose earlier requests wait to be handled is no newcomer.

--- a/decisions/src/main/java/org/wagtailproxy/limits/ConnectionTurns.java
+++ b/decisions/src/main/java/org/wagtailproxy/limits/ConnectionTurns.java
@@ -10,8 +10,9 @@
  *
  * <p>Designed for clients that send without end beside ordinary callers. Each connection waits for
  * at most one turn at a time, so that a client gains nothing by sending more. Connections that had
- * nothing to wait for before come first, every second time. A pass ends when its budget is spent.
- * Not thread-safe.
+ * nothing to wait for before get half of the work while others wait, and come first; since their
+ * turns are short, most of them wait behind few of the others. A pass ends when its budget is
+ * spent. Not thread-safe.
  *
  * @param <T> the type of the connections
  */
@@ -21,7 +22,17 @@
     private final Deque<T> mOthers = new ArrayDeque<>();
     private final long mBytesPerPass;
     private long mSpentBytes;
-    private boolean mIsOthersTurn;
+
+    /** The work on the others beyond that on newcomers, as the bytes that are read in this time. */
+    private long mOthersLeadBytes;
+
+    private Turn mTurn = Turn.NONE;
+
+    private enum Turn {
+        NONE,
+        NEWCOMER,
+        OTHER
+    }
 
     private ConnectionTurns(long bytesPerPass) {
         mBytesPerPass = bytesPerPass;
@@ -87,11 +98,21 @@
      */
     public void spend(long bytes) {
         mSpentBytes += bytes;
+        countForTurn(bytes);
+    }
+
+    private void countForTurn(long bytes) {
+        if (mTurn == Turn.OTHER) {
+            mOthersLeadBytes += bytes;
+        } else if (mTurn == Turn.NEWCOMER) {
+            mOthersLeadBytes -= bytes;
+        }
     }
 
     /** Starts the next pass with its whole budget. */
     public void startPass() {
         mSpentBytes = 0;
+        mTurn = Turn.NONE;
     }
 
     /**
@@ -101,8 +122,15 @@
      * @throws java.util.NoSuchElementException if no connection waits
      */
     public T next() {
-        boolean takesOther = mNewcomers.isEmpty() || (mIsOthersTurn && !mOthers.isEmpty());
-        mIsOthersTurn = !takesOther;
+        if (mOthers.isEmpty()) {
+            mOthersLeadBytes = 0;
+        } else if (mNewcomers.isEmpty()) {
+            mOthersLeadBytes = Math.min(mOthersLeadBytes, 0);
+        }
+        boolean takesOther = mNewcomers.isEmpty() || (!mOthers.isEmpty() && mOthersLeadBytes < 0);
+        mTurn = takesOther ? Turn.OTHER : Turn.NEWCOMER;
+        // A turn in which nothing is read counts, too.
+        countForTurn(1);
         return takesOther ? mOthers.remove() : mNewcomers.remove();
     }
 }
--- a/decisions/src/test/java/org/wagtailproxy/limits/ConnectionTurnsTest.java
+++ b/decisions/src/test/java/org/wagtailproxy/limits/ConnectionTurnsTest.java
@@ -1,6 +1,7 @@
 package org.wagtailproxy.limits;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -63,6 +64,47 @@
         assertThat(served.contains(0), is(true));
     }
 
+    @Test
+    void testNewcomersWithShortTurnsWaitBehindFewOfTheOthers() {
+        int newcomers = 100;
+        int shortTurnBytes = 2048;
+        ConnectionTurns<Integer> turns = ConnectionTurns.of(8L * TURN_BYTES);
+        for (int number = 0; number < CROWD; number++) {
+            turns.add(number, number < newcomers);
+        }
+        int servedOthers = 0;
+        int servedNewcomers = 0;
+        while (servedNewcomers < newcomers) {
+            boolean isNewcomer = turns.next() < newcomers;
+            turns.spend(isNewcomer ? shortTurnBytes : TURN_BYTES);
+            servedNewcomers += isNewcomer ? 1 : 0;
+            servedOthers += isNewcomer ? 0 : 1;
+        }
+        int othersOfTheSameWork = newcomers * shortTurnBytes / TURN_BYTES;
+        assertThat(servedOthers, is(greaterThanOrEqualTo(othersOfTheSameWork - 1)));
+        assertThat(servedOthers, is(lessThanOrEqualTo(othersOfTheSameWork + 1)));
+    }
+
+    @Test
+    void testNewcomersSaveUpNoTurnsWhileTheyDoNotWait() {
+        ConnectionTurns<Integer> turns = ConnectionTurns.of(8L * TURN_BYTES);
+        for (int number = 1; number <= 10; number++) {
+            turns.add(0, false);
+            turns.next();
+            turns.spend(TURN_BYTES);
+        }
+        turns.add(0, false);
+        for (int number = 1; number <= CROWD; number++) {
+            turns.add(number, true);
+        }
+        int servedNewcomers = 0;
+        while (turns.next() > 0) {
+            turns.spend(TURN_BYTES);
+            servedNewcomers++;
+        }
+        assertThat(servedNewcomers, is(lessThanOrEqualTo(2)));
+    }
+
     @Test
     void testCrowdThatSendsWithoutEndIsServedEvenly() {
         ConnectionTurns<Integer> turns = ConnectionTurns.of(8L * TURN_BYTES);
--- a/proxy/src/main/java/org/wagtailproxy/http/ClientConnection.java
+++ b/proxy/src/main/java/org/wagtailproxy/http/ClientConnection.java
@@ -46,6 +46,9 @@
     /** Bytes after which others are read. */
     static final int TURN_BYTES = 16_384;
 
+    /** Bytes of a connection that waits for its first turn after which others are read. */
+    static final int FIRST_TURN_BYTES = 2048;
+
     /** Objects of a response without its body. */
     private static final int RESPONSE_BYTES = 700;
 
@@ -67,6 +70,7 @@
     private int mUnreadResponses;
     private boolean mAwaitsHandling;
     private boolean mAwaitsReading;
+    private boolean mIsFirstReadingTurn;
     private boolean mIsReadingDue;
 
     /** The status of the refusal with which the connection ends, 0 if there is none. */
@@ -122,6 +126,9 @@
     /** Takes the connection's turn to be read. */
     void takeReadingTurn() {
         mAwaitsReading = false;
+        if (mIsFirstReadingTurn) {
+            mInput.limitNextTurn(FIRST_TURN_BYTES);
+        }
         read();
     }
 
@@ -242,10 +249,16 @@
         mChannel.config().setAutoRead(false);
         if (!mAwaitsReading) {
             mAwaitsReading = true;
-            mServer.awaitReading(this, mInput.isDeferred());
+            mIsFirstReadingTurn = mInput.isDeferred() && !hasSentAhead();
+            mServer.awaitReading(this, mIsFirstReadingTurn);
         }
     }
 
+    /** Checks whether earlier requests of the client wait, or what it sends is ignored. */
+    private boolean hasSentAhead() {
+        return !mQueuedExchanges.isEmpty() || mRefusalStatus != 0;
+    }
+
     private void awaitHandling(boolean newcomer) {
         if (!mAwaitsHandling) {
             mAwaitsHandling = true;
--- a/proxy/src/main/java/org/wagtailproxy/turns/InputTurns.java
+++ b/proxy/src/main/java/org/wagtailproxy/turns/InputTurns.java
@@ -21,6 +21,8 @@
     private final End mEnd;
     private final RecvByteBufAllocator mSizes;
     private final Budget mBudget;
+    private int mNextTurnLimit;
+    private int mTurnLimit;
     private int mTurnBytes;
     private boolean mDrained = true;
     private boolean mDeferred;
@@ -71,6 +73,8 @@
     public InputTurns(int maxTurnBytes, End end, Budget budget) {
         int maxReadBytes = Math.min(maxTurnBytes, MAX_READ_BYTES);
         mMaxTurnBytes = maxTurnBytes;
+        mNextTurnLimit = maxTurnBytes;
+        mTurnLimit = maxTurnBytes;
         mEnd = Objects.requireNonNull(end, "end");
         mSizes =
                 new AdaptiveRecvByteBufAllocator(
@@ -78,6 +82,15 @@
         mBudget = Objects.requireNonNull(budget, "budget");
     }
 
+    /**
+     * Limits the next turn only.
+     *
+     * @param bytes the bytes that are read at most, at least 1
+     */
+    public void limitNextTurn(int bytes) {
+        mNextTurnLimit = Math.min(bytes, mMaxTurnBytes);
+    }
+
     /**
      * Checks whether the last turn has left nothing to read.
      *
@@ -114,6 +127,8 @@
         public void reset(ChannelConfig config) {
             super.reset(config);
             mTurnBytes = 0;
+            mTurnLimit = mNextTurnLimit;
+            mNextTurnLimit = mMaxTurnBytes;
             mDrained = false;
             mDeferred = !mBudget.mayBegin();
         }
@@ -121,7 +136,12 @@
         @Override
         public ByteBuf allocate(ByteBufAllocator allocator) {
             // A read without space ends the turn before anything is read.
-            return mDeferred ? Unpooled.EMPTY_BUFFER : super.allocate(allocator);
+            if (mDeferred) {
+                return Unpooled.EMPTY_BUFFER;
+            }
+            return mTurnLimit == mMaxTurnBytes
+                    ? super.allocate(allocator)
+                    : allocator.ioBuffer(Math.min(guess(), mTurnLimit - mTurnBytes));
         }
 
         @Override
@@ -138,7 +158,7 @@
 
         @Override
         public boolean continueReading() {
-            return !mDrained && mTurnBytes < mMaxTurnBytes && mBudget.mayGoOn();
+            return !mDrained && mTurnBytes < mTurnLimit && mBudget.mayGoOn();
         }
     }
 }
