--- a/decisions/src/main/java/org/wagtailproxy/limits/ConnectionTurns.java
+++ b/decisions/src/main/java/org/wagtailproxy/limits/ConnectionTurns.java
@@ -23,7 +23,7 @@
     private final long mBytesPerPass;
     private long mSpentBytes;
 
-    /** The work on the others beyond that on newcomers, as the bytes that are read in this time. */
+    /** The work on the others beyond that on newcomers, as the bytes read in the same time. */
     private long mOthersLeadBytes;
 
     private Turn mTurn = Turn.NONE;
